--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/process/EntryVerb.java
@@ -0,0 +1,71 @@
+package org.wheatwall.app.process;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.cli.ParseException;
+import org.wheatwall.app.command.Console;
+import org.wheatwall.app.command.Verb;
+import org.wheatwall.app.command.VerbOptions;
+import org.wheatwall.entry.EntryHost;
+import org.wheatwall.entry.common.EntrySettings;
+import org.wheatwall.wire.settings.SettingsFile;
+
+/** Runs an entry host until it is told to stop; SIGTERM is a planned stop. */
+public final class EntryVerb implements Verb {
+  private static final int EVENT_LOOPS = 2;
+  private static final int DEFAULT_NOTICE_MS = 1000;
+  private static final long DRAIN_LIMIT_SECONDS = 60;
+
+  @Override
+  public String name() {
+    return "entry";
+  }
+
+  @Override
+  public String summary() {
+    return "run an entry host";
+  }
+
+  @Override
+  public int run(List<String> arguments, Console console) throws ParseException {
+    VerbOptions options =
+        new VerbOptions("entry --settings FILE")
+            .value("settings", "settings file, JSON with comments")
+            .value("notice-ms", "time between a planned stop and the close of the listener");
+    if (!options.parse(arguments, console)) {
+      return DONE;
+    }
+    EntrySettings settings =
+        SettingsFile.require(SettingsText.read(options.required("settings")), EntrySettings::read);
+    int noticeMs = options.integer("notice-ms", DEFAULT_NOTICE_MS);
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
+    EntryHost host = EntryHost.start(settings, group);
+    console.out("listening " + host.httpPort());
+    waitForStop(host, noticeMs);
+    return DONE;
+  }
+
+  private static void waitForStop(EntryHost host, int noticeMs) {
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  host.drain(noticeMs)
+                      .orTimeout(DRAIN_LIMIT_SECONDS, TimeUnit.SECONDS)
+                      .exceptionally(failure -> null)
+                      .join();
+                  stopped.countDown();
+                },
+                "drain"));
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/process/SettingsText.java
@@ -0,0 +1,21 @@
+package org.wheatwall.app.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.wheatwall.core.common.Refusal;
+
+/** Reads files that the user names. */
+public final class SettingsText {
+  private SettingsText() {}
+
+  /** Returns the content of a file. */
+  public static String read(String file) {
+    try {
+      return Files.readString(Path.of(file));
+    } catch (IOException e) {
+      throw Refusal.invalid(
+          "file " + file + " cannot be read: " + e.getMessage(), "check the path and its rights");
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/launcher/wheatwall.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Starts wheatwall. The archive of classes follows this script in the same file.
+# Memory settings keep a daemon inside its budget of 128 MB; see docs/design/process-memory.md.
+case "$1" in
+  entry) memory="-Xms16m -Xmx40m -XX:MaxDirectMemorySize=16m -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m -Xss384k -XX:TieredStopAtLevel=1" ;;
+  standin) memory="-Xmx64m -XX:MaxDirectMemorySize=32m -XX:ReservedCodeCacheSize=32m -Xss384k -XX:TieredStopAtLevel=1" ;;
+  demo|load|compare|bench) memory="-Xmx1g" ;;
+  *) memory="-Xmx64m -XX:TieredStopAtLevel=1" ;;
+esac
+# shellcheck disable=SC2086
+exec java -XX:+UseSerialGC -Xshare:auto $memory -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.numDirectArenas=1 \
+  -Dio.netty.allocator.pageSize=4096 -Dio.netty.allocator.maxOrder=8 $WHEATWALL_JAVA_OPTIONS -jar "$0" "$@"
--- /dev/null
+++ b/app/src/test/java/org/wheatwall/app/TestCluster.java
@@ -0,0 +1,172 @@
+package org.wheatwall.app;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.platform.HostList;
+import org.wheatwall.wire.platform.ListedHost;
+
+/** Entry hosts and stand-ins as separate processes on loopback. */
+final class TestCluster implements AutoCloseable {
+  static final String KEY = "test-key";
+
+  private final HttpClient client =
+      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+  private final Deque<TestProcess> processes = new ArrayDeque<>();
+  private final Path directory;
+  private final Path log;
+  private final List<String> zones;
+  private final TestProcess logService;
+  private final TestProcess hostList;
+
+  TestCluster(Path directory, List<String> zones, String... logOptions) throws IOException {
+    this.directory = directory;
+    this.log = directory.resolve("processes.log");
+    this.zones = zones;
+    String[] logCommand = new String[logOptions.length + 2];
+    logCommand[0] = "standin";
+    logCommand[1] = "log";
+    System.arraycopy(logOptions, 0, logCommand, 2, logOptions.length);
+    logService = start(logCommand);
+    hostList = start("standin", "list");
+  }
+
+  Path log() {
+    return log;
+  }
+
+  TestProcess logService() {
+    return logService;
+  }
+
+  TestProcess hostList() {
+    return hostList;
+  }
+
+  TestProcess start(String... arguments) throws IOException {
+    TestProcess process = TestProcess.start(log, arguments);
+    processes.push(process);
+    return process;
+  }
+
+  TestProcess runner(String name, String zone, String service, int serviceMs) throws Exception {
+    TestProcess runner = start("standin", "runner", "--service-ms", String.valueOf(serviceMs));
+    list(ListedHost.runner(name, zone, service, runner.address(), 8));
+    return runner;
+  }
+
+  TestProcess worker(String name, String zone, String rack) throws Exception {
+    TestProcess worker = start("standin", "worker", "--host", name);
+    list(ListedHost.worker(name, zone, rack, worker.address(), new ResourceAmount(32, 131_072, 8)));
+    return worker;
+  }
+
+  TestProcess entry(String name, String zone) throws Exception {
+    return entry(name, zone, freePort(), logService.address());
+  }
+
+  TestProcess entry(String name, String zone, int peerPort, String logAddress) throws Exception {
+    String settings =
+        """
+        {
+          // Settings of an entry host under test.
+          "host": "%s",
+          "zone": "%s",
+          "zones": %s,
+          "listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:%d"},
+          "platform": {"log": "%s", "list": "%s", "listPollMs": 100},
+          "peerKey": "%s",
+        }
+        """
+            .formatted(
+                name,
+                zone,
+                new String(Json.bytes(zones), java.nio.charset.StandardCharsets.UTF_8),
+                peerPort,
+                logAddress,
+                hostList.address(),
+                KEY);
+    Path file = directory.resolve(name + ".json");
+    Files.writeString(file, settings);
+    list(ListedHost.entry(name, zone, "127.0.0.1:" + peerPort));
+    TestProcess entry = start("entry", "--settings", file.toString());
+    until("ready " + name, () -> get(entry, "/v1/health/ready").statusCode() == 200);
+    return entry;
+  }
+
+  void list(ListedHost host) throws Exception {
+    send(hostList, "PUT", "/hosts", Json.bytes(new HostList(List.of(host))));
+  }
+
+  HttpResponse<String> get(TestProcess process, String path) throws Exception {
+    return client.send(request(process, path).GET().build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpResponse<String> send(
+      TestProcess process, String method, String path, byte[] body, String... headers)
+      throws Exception {
+    HttpRequest.Builder request =
+        request(process, path).method(method, HttpRequest.BodyPublishers.ofByteArray(body));
+    if (headers.length > 0) {
+      request.headers(headers);
+    }
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpResponse<String> put(TestProcess entry, String path, String json, String... headers)
+      throws Exception {
+    return send(
+        entry, "PUT", path, json.getBytes(java.nio.charset.StandardCharsets.UTF_8), headers);
+  }
+
+  JsonNode json(TestProcess process, String path) throws Exception {
+    return Json.tree(get(process, path).body().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  /** Waits until a condition holds; fails the test after 20 seconds. */
+  static void until(String what, Callable<Boolean> condition) throws Exception {
+    long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+    Exception last = null;
+    while (System.nanoTime() < end) {
+      try {
+        if (condition.call()) {
+          return;
+        }
+        last = null;
+      } catch (IOException e) {
+        last = e;
+      }
+      Thread.sleep(50);
+    }
+    throw new AssertionError("not reached within 20 s: " + what, last);
+  }
+
+  static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static HttpRequest.Builder request(TestProcess process, String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + process.address() + path))
+        .timeout(Duration.ofSeconds(15));
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(TestProcess::close);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/common/Refusal.java
@@ -0,0 +1,41 @@
+package org.wheatwall.core.common;
+
+import java.util.Objects;
+
+/** A typed failure: what was refused, and what the caller can do about it. */
+public final class Refusal extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final RefusalKind kind;
+  private final String detail;
+  private final String remedy;
+
+  /** Creates a refusal whose message is the detail followed by the remedy. */
+  public Refusal(RefusalKind kind, String detail, String remedy) {
+    // Refusals are part of normal operation under load, so no stack trace is taken.
+    super(detail + "; remedy: " + remedy, null, false, false);
+    this.kind = Objects.requireNonNull(kind);
+    this.detail = detail;
+    this.remedy = remedy;
+  }
+
+  /** Shorthand for the most common kind. */
+  public static Refusal invalid(String detail, String remedy) {
+    return new Refusal(RefusalKind.INVALID, detail, remedy);
+  }
+
+  /** Returns the kind. */
+  public RefusalKind kind() {
+    return kind;
+  }
+
+  /** Returns what was refused and why, without the remedy. */
+  public String detail() {
+    return detail;
+  }
+
+  /** Returns what the caller can do about it. */
+  public String remedy() {
+    return remedy;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/configuration/decision/ChangeRule.java
@@ -0,0 +1,13 @@
+package org.wheatwall.core.configuration.decision;
+
+import java.util.Optional;
+import org.wheatwall.core.configuration.model.Change;
+
+/**
+ * A rule that a change must satisfy besides naming the current version. It may look only at the
+ * change and the replica, so that each replica decides alike.
+ */
+public interface ChangeRule {
+  /** Returns why {@code change} must be refused, empty if it may be accepted. */
+  Optional<String> objection(Change change, ConfigurationReplica replica);
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/configuration/model/ResourceKind.java
@@ -0,0 +1,26 @@
+package org.wheatwall.core.configuration.model;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/** Kinds of configuration object, named as in the operator's paths. */
+public enum ResourceKind {
+  WORKSPACES,
+  SHAPES,
+  POLICIES,
+  JOBS,
+  HOSTS,
+  SERVICES,
+  /** Views of availability zones; written by entry hosts, never by operators. */
+  VIEWS;
+
+  /** Returns the path segment of this kind. */
+  public String path() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+
+  /** Returns the kind with this path segment. */
+  public static Optional<ResourceKind> ofPath(String path) {
+    return Arrays.stream(values()).filter(kind -> kind.path().equals(path)).findFirst();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -0,0 +1,235 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+
+/**
+ * The worker hosts of one availability zone and what is held on them. Hosts are indexed by free
+ * accelerators and racks by the sum over their hosts, so that a placement looks at candidates and
+ * not at every host.
+ *
+ * <p>Not thread-safe; the decision loop owns it.
+ */
+public final class Cluster {
+  private static final Comparator<HostState> HOST_ORDER = Comparator.comparingInt(HostState::index);
+  private static final Comparator<RackState> RACK_ORDER = Comparator.comparingInt(RackState::index);
+
+  private final Map<String, HostState> hosts = new LinkedHashMap<>();
+  private final Map<String, RackState> racks = new LinkedHashMap<>();
+  private final Map<String, Held> held = new HashMap<>();
+  private final NavigableMap<Integer, NavigableSet<HostState>> hostsByFree = new TreeMap<>();
+  private final NavigableMap<Integer, NavigableSet<RackState>> racksByFree = new TreeMap<>();
+  private int totalAccelerators;
+  private int freeAccelerators;
+  private int nextIndex;
+
+  private record Held(Placement placement, ResourceAmount amount, boolean reclaimable) {}
+
+  /** Adds a host, or does nothing if it is known with the same capacity. */
+  public void add(WorkerHost host) {
+    HostState known = hosts.get(host.name());
+    if (known != null && known.host().equals(host)) {
+      return;
+    }
+    if (known != null) {
+      remove(host.name());
+    }
+    HostState state = new HostState(host, nextIndex++);
+    hosts.put(host.name(), state);
+    RackState rack = racks.computeIfAbsent(host.rack(), name -> new RackState(name, nextIndex++));
+    rack.hosts().add(state);
+    totalAccelerators += host.capacity().accelerators();
+    indexHost(state);
+    adjustRack(rack, state.free().accelerators());
+    // The list of hosts lags: a host that comes back may still run what it ran before.
+    held.forEach((attemptId, entry) -> holdOnHost(attemptId, entry, host.name()));
+  }
+
+  /** Removes a host; what attempts held on it is forgotten. */
+  public void remove(String name) {
+    HostState state = hosts.remove(name);
+    if (state == null) {
+      return;
+    }
+    RackState rack = racks.get(state.host().rack());
+    unindexHost(state);
+    rack.hosts().remove(state);
+    adjustRack(rack, -state.free().accelerators());
+    totalAccelerators -= state.host().capacity().accelerators();
+    if (rack.hosts().isEmpty()) {
+      racksByFree.getOrDefault(rack.freeAccelerators(), new TreeSet<>(RACK_ORDER)).remove(rack);
+      racks.remove(rack.name());
+    }
+  }
+
+  /** Allows or forbids new work on a host. */
+  public void setUsable(String name, boolean usable) {
+    change(name, host -> host.setUsable(usable));
+  }
+
+  /** Sets the operator's labels of a host. */
+  public void setLabels(String name, Labels labels) {
+    change(name, host -> host.setLabels(labels));
+  }
+
+  /** Takes {@code amount} per task of {@code placement} for the attempt. */
+  public void hold(
+      String attemptId, Placement placement, ResourceAmount amount, boolean reclaimable) {
+    Held entry = new Held(placement, amount, reclaimable);
+    held.put(attemptId, entry);
+    for (String name : placement.tasksByHost().keySet()) {
+      holdOnHost(attemptId, entry, name);
+    }
+  }
+
+  /** Gives back whatever the attempt holds. */
+  public void release(String attemptId) {
+    Held entry = held.remove(attemptId);
+    if (entry == null) {
+      return;
+    }
+    for (String name : entry.placement().tasksByHost().keySet()) {
+      change(name, host -> host.release(attemptId));
+    }
+  }
+
+  /** Counts {@code amount} per task of {@code placement} as planned for a guarantee. */
+  void plan(Placement placement, ResourceAmount amount) {
+    placement
+        .tasksByHost()
+        .forEach((name, count) -> change(name, host -> host.plan(amount.times(count))));
+  }
+
+  /** Takes back what {@link #plan} counted. */
+  void unplan(Placement placement, ResourceAmount amount) {
+    placement
+        .tasksByHost()
+        .forEach((name, count) -> change(name, host -> host.unplan(amount.times(count))));
+  }
+
+  /** Returns where an attempt holds resources. */
+  public Optional<Placement> placement(String attemptId) {
+    return Optional.ofNullable(held.get(attemptId)).map(Held::placement);
+  }
+
+  /** Returns a host. */
+  public Optional<HostState> host(String name) {
+    return Optional.ofNullable(hosts.get(name));
+  }
+
+  /** Returns all hosts. */
+  public Collection<HostState> hosts() {
+    return Collections.unmodifiableCollection(hosts.values());
+  }
+
+  /** Returns all racks. */
+  public Collection<RackState> racks() {
+    return Collections.unmodifiableCollection(racks.values());
+  }
+
+  /** Returns hosts with at least {@code accelerators} free, in groups by free accelerators. */
+  public Collection<NavigableSet<HostState>> hostsWithFree(int accelerators) {
+    return hostsByFree.tailMap(accelerators, true).values();
+  }
+
+  /** Returns racks with at least {@code accelerators} free, in groups by free accelerators. */
+  public Collection<NavigableSet<RackState>> racksWithFree(int accelerators) {
+    return racksByFree.tailMap(accelerators, true).values();
+  }
+
+  /** Returns the accelerators of all hosts. */
+  public int totalAccelerators() {
+    return totalAccelerators;
+  }
+
+  /** Returns the accelerators that are free on usable hosts. */
+  public int freeAccelerators() {
+    return freeAccelerators;
+  }
+
+  /**
+   * Returns fragmentation: the share of free accelerators that do not lie on a wholly free host, 0
+   * when nothing is free. A gang that needs whole hosts cannot use that share.
+   */
+  public double fragmentation() {
+    if (freeAccelerators == 0) {
+      return 0;
+    }
+    int whole = 0;
+    for (Map.Entry<Integer, NavigableSet<HostState>> group : hostsByFree.entrySet()) {
+      for (HostState host : group.getValue()) {
+        if (group.getKey() == host.host().capacity().accelerators()) {
+          whole += group.getKey();
+        }
+      }
+    }
+    return 1.0 - (double) whole / freeAccelerators;
+  }
+
+  private void holdOnHost(String attemptId, Held entry, String name) {
+    Integer count = entry.placement().tasksByHost().get(name);
+    if (count != null) {
+      ResourceAmount amount = entry.amount().times(count);
+      change(name, host -> host.hold(attemptId, amount, entry.reclaimable()));
+    }
+  }
+
+  private void change(String name, Consumer<HostState> action) {
+    HostState host = hosts.get(name);
+    if (host == null) {
+      return;
+    }
+    int before = host.free().accelerators();
+    unindexHost(host);
+    action.accept(host);
+    indexHost(host);
+    int difference = host.free().accelerators() - before;
+    if (difference != 0) {
+      adjustRack(racks.get(host.host().rack()), difference);
+    }
+  }
+
+  private void indexHost(HostState host) {
+    hostsByFree
+        .computeIfAbsent(host.free().accelerators(), free -> new TreeSet<>(HOST_ORDER))
+        .add(host);
+  }
+
+  private void unindexHost(HostState host) {
+    int free = host.free().accelerators();
+    NavigableSet<HostState> group = hostsByFree.get(free);
+    group.remove(host);
+    if (group.isEmpty()) {
+      hostsByFree.remove(free);
+    }
+  }
+
+  private void adjustRack(RackState rack, int difference) {
+    NavigableSet<RackState> group = racksByFree.get(rack.freeAccelerators());
+    if (group != null) {
+      group.remove(rack);
+      if (group.isEmpty()) {
+        racksByFree.remove(rack.freeAccelerators());
+      }
+    }
+    rack.adjustFree(difference);
+    freeAccelerators += difference;
+    racksByFree
+        .computeIfAbsent(rack.freeAccelerators(), free -> new TreeSet<>(RACK_ORDER))
+        .add(rack);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/GuaranteePlan.java
@@ -0,0 +1,221 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.wheatwall.core.job.model.GuaranteedShape;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
+
+/**
+ * A concrete place for every unit of every guaranteed shape that is not in use, on capacity that is
+ * free or reclaimable. While such a plan exists, every guarantee can be reclaimed: its unit's place
+ * has only reclaimable work on it. Work that cannot be reclaimed is admitted only if the plan, or a
+ * new plan, still has a place for every unit.
+ *
+ * <p>Packing is by decreasing difficulty with best fit. That is conservative: it may refuse a set
+ * that a search over all packings would admit, never the reverse.
+ */
+public final class GuaranteePlan {
+  private final Cluster cluster;
+  private final Map<UnitKey, Planned> planned = new HashMap<>();
+  private final Map<String, GuaranteedShape> shapes = new LinkedHashMap<>();
+  private final Map<String, UnitKey> unitsInUse = new HashMap<>();
+  private final Set<UnitKey> unplaced = new TreeSet<>(UNIT_ORDER);
+
+  private static final Comparator<UnitKey> UNIT_ORDER =
+      Comparator.comparing(UnitKey::shape).thenComparingInt(UnitKey::number);
+
+  /** One unit of a shape. */
+  record UnitKey(String shape, int number) {}
+
+  private record Planned(Placement placement, ResourceAmount amount) {}
+
+  /** Creates a plan without shapes over {@code cluster}. */
+  public GuaranteePlan(Cluster cluster) {
+    this.cluster = cluster;
+  }
+
+  /** Replaces the shapes and plans anew. */
+  public void setShapes(Map<String, GuaranteedShape> next) {
+    shapes.clear();
+    shapes.putAll(next);
+    replan();
+  }
+
+  /** Plans every unit that is not in use anew; returns whether all have a place. */
+  public boolean replan() {
+    for (Planned plan : planned.values()) {
+      cluster.unplan(plan.placement(), plan.amount());
+    }
+    planned.clear();
+    unplaced.clear();
+    for (UnitKey unit : unitsNotInUseHardestFirst()) {
+      Optional<Placement> place = findPlace(shapes.get(unit.shape()));
+      if (place.isPresent()) {
+        put(unit, place.get());
+      } else {
+        unplaced.add(unit);
+      }
+    }
+    return unplaced.isEmpty();
+  }
+
+  /** Returns the shapes of which some unit has no place now. */
+  public Set<String> shapesWithoutPlace() {
+    Set<String> names = new TreeSet<>();
+    unplaced.forEach(unit -> names.add(unit.shape()));
+    return names;
+  }
+
+  /** Returns the shape of this name. */
+  public Optional<GuaranteedShape> shape(String name) {
+    return Optional.ofNullable(shapes.get(name));
+  }
+
+  /** Returns the planned place of a unit of {@code shape} that is not in use. */
+  public Optional<Placement> plannedPlace(String shape) {
+    return freeUnit(shape).map(planned::get).map(Planned::placement);
+  }
+
+  /** Returns whether some unit of {@code shape} is not in use. */
+  public boolean hasFreeUnit(String shape) {
+    GuaranteedShape spec = shapes.get(shape);
+    return spec != null && numbersInUse(shape).size() < spec.units();
+  }
+
+  /**
+   * Admits work that cannot be reclaimed and holds it in the cluster, if every unit still has a
+   * place afterwards; otherwise changes nothing.
+   *
+   * @param shape shape whose unit the work uses, empty if it uses none
+   */
+  public boolean admit(
+      String attemptId, Placement placement, ResourceAmount amount, Optional<String> shape) {
+    Optional<UnitKey> unit = shape.flatMap(this::anyUnitNotInUse);
+    if (shape.isPresent() && unit.isEmpty()) {
+      return false;
+    }
+    unit.ifPresent(key -> unitsInUse.put(attemptId, key));
+    unit.ifPresent(this::unplan);
+    int unplacedBefore = unplaced.size();
+    boolean besidePlan = fitsBesidePlan(placement, amount);
+    cluster.hold(attemptId, placement, amount, false);
+    if (besidePlan) {
+      return true;
+    }
+    replan();
+    if (unplaced.size() <= unplacedBefore) {
+      return true;
+    }
+    cluster.release(attemptId);
+    unitsInUse.remove(attemptId);
+    replan();
+    return false;
+  }
+
+  /** Counts an attempt found running as using a unit of {@code shape}, without any check. */
+  public void adopt(String attemptId, String shape) {
+    anyUnitNotInUse(shape)
+        .ifPresent(
+            unit -> {
+              unitsInUse.put(attemptId, unit);
+              unplan(unit);
+            });
+  }
+
+  /** Notes that an attempt ended and its resources were released; its unit is planned again. */
+  public void ended(String attemptId) {
+    UnitKey unit = unitsInUse.remove(attemptId);
+    if (unit == null || !shapes.containsKey(unit.shape())) {
+      if (!unplaced.isEmpty()) {
+        replan();
+      }
+      return;
+    }
+    Optional<Placement> place = findPlace(shapes.get(unit.shape()));
+    if (place.isPresent()) {
+      put(unit, place.get());
+    } else {
+      replan();
+    }
+  }
+
+  private boolean fitsBesidePlan(Placement placement, ResourceAmount amount) {
+    for (Map.Entry<String, Integer> entry : placement.tasksByHost().entrySet()) {
+      Optional<HostState> host = cluster.host(entry.getKey());
+      if (host.isEmpty() || !host.get().unplanned().covers(amount.times(entry.getValue()))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private Optional<UnitKey> freeUnit(String shape) {
+    return planned.keySet().stream().filter(key -> key.shape().equals(shape)).min(UNIT_ORDER);
+  }
+
+  private Optional<UnitKey> anyUnitNotInUse(String shape) {
+    Optional<UnitKey> withPlace = freeUnit(shape);
+    if (withPlace.isPresent()) {
+      return withPlace;
+    }
+    return unplaced.stream().filter(key -> key.shape().equals(shape)).findFirst();
+  }
+
+  private Collection<Integer> numbersInUse(String shape) {
+    Set<Integer> numbers = new TreeSet<>();
+    for (UnitKey key : unitsInUse.values()) {
+      if (key.shape().equals(shape)) {
+        numbers.add(key.number());
+      }
+    }
+    return numbers;
+  }
+
+  private List<UnitKey> unitsNotInUseHardestFirst() {
+    List<UnitKey> units = new ArrayList<>();
+    for (Map.Entry<String, GuaranteedShape> entry : shapes.entrySet()) {
+      Collection<Integer> inUse = numbersInUse(entry.getKey());
+      for (int number = 0; number < entry.getValue().units(); number++) {
+        if (!inUse.contains(number)) {
+          units.add(new UnitKey(entry.getKey(), number));
+        }
+      }
+    }
+    units.sort(
+        Comparator.comparing((UnitKey unit) -> shapes.get(unit.shape()).adjacency())
+            .thenComparingInt(unit -> shapes.get(unit.shape()).taskAmount().accelerators())
+            .thenComparingInt(unit -> shapes.get(unit.shape()).tasks())
+            .reversed()
+            .thenComparing(UNIT_ORDER));
+    return units;
+  }
+
+  private Optional<Placement> findPlace(GuaranteedShape shape) {
+    Function<HostState, ResourceAmount> room = HostState::unplanned;
+    return PlanSearch.bestFit(cluster, shape.adjacency(), shape.tasks(), shape.taskAmount(), room);
+  }
+
+  private void put(UnitKey unit, Placement placement) {
+    ResourceAmount amount = shapes.get(unit.shape()).taskAmount();
+    planned.put(unit, new Planned(placement, amount));
+    cluster.plan(placement, amount);
+  }
+
+  private void unplan(UnitKey unit) {
+    unplaced.remove(unit);
+    Planned plan = planned.remove(unit);
+    if (plan != null) {
+      cluster.unplan(plan.placement(), plan.amount());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -0,0 +1,122 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+
+/** What the decider counts on one worker host. Changed only through {@link Cluster}. */
+public final class HostState {
+  private final WorkerHost host;
+  private final int index;
+  private final Map<String, Holding> holdings = new HashMap<>();
+  private ResourceAmount used = ResourceAmount.ZERO;
+  private ResourceAmount fixed = ResourceAmount.ZERO;
+  private ResourceAmount planned = ResourceAmount.ZERO;
+  private Labels labels = Labels.NONE;
+  private boolean usable = true;
+
+  /** What one attempt holds here. */
+  record Holding(ResourceAmount amount, boolean reclaimable) {}
+
+  HostState(WorkerHost host, int index) {
+    this.host = host;
+    this.index = index;
+  }
+
+  /** Returns the host. */
+  public WorkerHost host() {
+    return host;
+  }
+
+  /** Returns the name. */
+  public String name() {
+    return host.name();
+  }
+
+  /** Returns the operator's labels. */
+  public Labels labels() {
+    return labels;
+  }
+
+  /** Returns whether new work may be placed here. */
+  public boolean usable() {
+    return usable;
+  }
+
+  /** Returns what is not held by any attempt; nothing on a host that may not be used. */
+  public ResourceAmount free() {
+    return usable ? host.capacity().minus(used) : ResourceAmount.ZERO;
+  }
+
+  /** Returns what would be free if all reclaimable work were stopped. */
+  public ResourceAmount reclaimableOrFree() {
+    return usable ? host.capacity().minus(fixed) : ResourceAmount.ZERO;
+  }
+
+  /** Returns what work that cannot be reclaimed may still take without touching the plan. */
+  public ResourceAmount unplanned() {
+    return reclaimableOrFree().minus(planned);
+  }
+
+  /** Returns the identifiers of the attempts that hold something here. */
+  public Collection<String> attempts() {
+    return holdings.keySet();
+  }
+
+  /** Returns the position in the order in which hosts were added. */
+  public int index() {
+    return index;
+  }
+
+  /** Returns what one attempt holds here. */
+  ResourceAmount held(String attemptId) {
+    Holding holding = holdings.get(attemptId);
+    return holding == null ? ResourceAmount.ZERO : holding.amount();
+  }
+
+  boolean holdsReclaimable(String attemptId) {
+    Holding holding = holdings.get(attemptId);
+    return holding != null && holding.reclaimable();
+  }
+
+  void hold(String attemptId, ResourceAmount amount, boolean reclaimable) {
+    holdings.merge(
+        attemptId,
+        new Holding(amount, reclaimable),
+        (old, added) -> new Holding(old.amount().plus(added.amount()), reclaimable));
+    used = used.plus(amount);
+    if (!reclaimable) {
+      fixed = fixed.plus(amount);
+    }
+  }
+
+  void release(String attemptId) {
+    Holding holding = holdings.remove(attemptId);
+    if (holding == null) {
+      return;
+    }
+    used = used.minus(holding.amount());
+    if (!holding.reclaimable()) {
+      fixed = fixed.minus(holding.amount());
+    }
+  }
+
+  void plan(ResourceAmount amount) {
+    planned = planned.plus(amount);
+  }
+
+  void unplan(ResourceAmount amount) {
+    planned = planned.minus(amount);
+  }
+
+  void setUsable(boolean next) {
+    usable = next;
+  }
+
+  void setLabels(Labels next) {
+    labels = next;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/PolicyTable.java
@@ -0,0 +1,54 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Selector;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.PolicyAlgorithm;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.policy.PolicyCatalog;
+import org.wheatwall.core.job.policy.SchedulingPolicy;
+
+/** Finds the one policy that governs a job. */
+final class PolicyTable {
+  /** Name of the policy that governs jobs which no other policy matches. */
+  static final String DEFAULT_NAME = "default";
+
+  private static final PolicySpec DEFAULT_SPEC =
+      new PolicySpec(Labels.NONE, PolicyAlgorithm.RACK_PACKING, "", 0, 0, 0, false);
+
+  private final List<Entry> entries = new ArrayList<>();
+
+  /** A policy with its name and selector. */
+  record Entry(String name, PolicySpec spec, Selector selector, SchedulingPolicy policy) {
+    static Entry of(String name, PolicySpec spec) {
+      return new Entry(name, spec, Selector.parse(spec.jobSelector()), PolicyCatalog.create(spec));
+    }
+  }
+
+  PolicyTable(Map<String, PolicySpec> specs) {
+    specs.forEach(
+        (name, spec) -> {
+          if (!spec.shadow()) {
+            entries.add(Entry.of(name, spec));
+          }
+        });
+    entries.sort(
+        Comparator.comparingInt((Entry entry) -> -entry.spec().precedence())
+            .thenComparing(Entry::name));
+    entries.add(Entry.of(DEFAULT_NAME, DEFAULT_SPEC));
+  }
+
+  /** Returns the policy of highest precedence that matches; ties go to the first name. */
+  Entry of(Job job) {
+    for (Entry entry : entries) {
+      if (entry.selector().matches(job.labels())) {
+        return entry;
+      }
+    }
+    throw new IllegalStateException("the default policy matches every job");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -0,0 +1,108 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.policy.QueuedJob;
+
+/**
+ * Finds where a job can run if reclaimable work is stopped. Work under a shape falls back on the
+ * planned place of its unit, on which by construction only reclaimable work can be.
+ */
+final class Reclaimer {
+  private static final int MAX_CANDIDATES = 16;
+
+  private final Cluster cluster;
+  private final GuaranteePlan plan;
+  private final VictimChooser victims;
+
+  Reclaimer(Cluster cluster, GuaranteePlan plan, Map<String, RunningAttempt> running) {
+    this.cluster = cluster;
+    this.plan = plan;
+    this.victims = new VictimChooser(running);
+  }
+
+  /** Where to run, and which gangs to stop first. */
+  record Reclaim(Placement placement, List<RunningAttempt> victims) {}
+
+  /** Returns the candidate with the least lost work, empty if none has room. */
+  Optional<Reclaim> find(QueuedJob queued, long nowMs) {
+    Job job = queued.job();
+    Predicate<RunningAttempt> mayStop = mayStop(queued);
+    List<Placement> candidates = new ArrayList<>();
+    job.shape()
+        .flatMap(plan::plannedPlace)
+        .map(place -> trim(place, job))
+        .ifPresent(candidates::add);
+    candidates.addAll(places(job));
+    Reclaim best = null;
+    double least = Double.MAX_VALUE;
+    for (Placement candidate : candidates) {
+      Optional<VictimChooser.Choice> choice =
+          victims.choose(cluster, candidate, job.taskAmount(), mayStop, nowMs);
+      if (choice.isPresent() && choice.get().lostWork() < least) {
+        least = choice.get().lostWork();
+        best = new Reclaim(candidate, choice.get().victims());
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  // A job that only waited too long may stop what overtook it and nothing else; so two jobs can
+  // never stop each other in turn.
+  private static Predicate<RunningAttempt> mayStop(QueuedJob queued) {
+    if (queued.job().shape().isPresent()) {
+      return attempt -> true;
+    }
+    if (queued.job().urgent()) {
+      return attempt -> !attempt.job().urgent();
+    }
+    return attempt -> !attempt.job().urgent() && attempt.startedAtMs() > queued.submittedAtMs();
+  }
+
+  private static Placement trim(Placement place, Job job) {
+    return new Placement(place.hosts().subList(0, job.tasks()));
+  }
+
+  private List<Placement> places(Job job) {
+    Function<HostState, ResourceAmount> room =
+        job.reclaimable() ? HostState::reclaimableOrFree : HostState::unplanned;
+    if (job.adjacency() == Adjacency.SAME_RACK) {
+      return racksWithRoom(job, room);
+    }
+    List<Placement> places = new ArrayList<>();
+    PlanSearch.bestFit(cluster, job.adjacency(), job.tasks(), job.taskAmount(), room)
+        .ifPresent(places::add);
+    return places;
+  }
+
+  private List<Placement> racksWithRoom(Job job, Function<HostState, ResourceAmount> room) {
+    List<RackState> racks = new ArrayList<>();
+    for (RackState rack : cluster.racks()) {
+      if (GangFitter.count(rack.hosts(), job.tasks(), job.taskAmount(), room) >= job.tasks()) {
+        racks.add(rack);
+      }
+    }
+    racks.sort(
+        Comparator.comparingInt(RackState::freeAccelerators)
+            .reversed()
+            .thenComparingInt(RackState::index));
+    List<Placement> places = new ArrayList<>();
+    for (RackState rack : racks.subList(0, Math.min(MAX_CANDIDATES, racks.size()))) {
+      List<HostState> hosts = new ArrayList<>(rack.hosts());
+      hosts.sort(
+          Comparator.comparingInt((HostState host) -> -host.free().accelerators())
+              .thenComparingInt(HostState::index));
+      GangFitter.fit(hosts, job.tasks(), job.taskAmount(), room).ifPresent(places::add);
+    }
+    return places;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
@@ -0,0 +1,71 @@
+package org.wheatwall.core.job.decision;
+
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.Placement;
+
+/** An attempt that holds resources, from the decision to start it until it has ended. */
+public final class RunningAttempt {
+  private final String attemptId;
+  private final String jobName;
+  private final Job job;
+  private final Placement placement;
+  private final long startedAtMs;
+  private final double expectedSeconds;
+  private boolean stopping;
+
+  RunningAttempt(String attemptId, QueuedJobStart start, Placement placement, long startedAtMs) {
+    this.attemptId = attemptId;
+    this.jobName = start.name();
+    this.job = start.job();
+    this.placement = placement;
+    this.startedAtMs = startedAtMs;
+    this.expectedSeconds = start.expectedSeconds();
+  }
+
+  /** The job of an attempt and how long it is expected to run. */
+  record QueuedJobStart(String name, Job job, double expectedSeconds) {}
+
+  /** Returns the identifier of the attempt. */
+  public String attemptId() {
+    return attemptId;
+  }
+
+  /** Returns the name of the job. */
+  public String jobName() {
+    return jobName;
+  }
+
+  /** Returns the job. */
+  public Job job() {
+    return job;
+  }
+
+  /** Returns where it runs. */
+  public Placement placement() {
+    return placement;
+  }
+
+  /** Returns when it was started, milliseconds of the decision loop's clock. */
+  public long startedAtMs() {
+    return startedAtMs;
+  }
+
+  /** Returns when it is expected to end, milliseconds of the decision loop's clock. */
+  public double expectedEndMs() {
+    return startedAtMs + expectedSeconds * 1000;
+  }
+
+  /** Returns whether it was told to stop. */
+  public boolean stopping() {
+    return stopping;
+  }
+
+  void markStopping() {
+    stopping = true;
+  }
+
+  /** Returns the accelerator seconds that stopping it now would lose. */
+  double lostWork(long nowMs) {
+    return Math.max(1, nowMs - startedAtMs) / 1000.0 * Math.max(1, job.totalAccelerators());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -0,0 +1,368 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.wheatwall.core.job.decision.RunningAttempt.QueuedJobStart;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.GuaranteedShape;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WaitReason;
+import org.wheatwall.core.job.model.Workspace;
+import org.wheatwall.core.job.policy.Backfill;
+import org.wheatwall.core.job.policy.QueuedJob;
+
+/**
+ * Decides for one availability zone which waiting job starts where and what is stopped for it. A
+ * policy proposes order and place; quotas, guarantees, urgent work and the bound on waiting are
+ * enforced here, whatever the policy proposes.
+ *
+ * <p>Pure: the clock is passed in. Not thread-safe; the decision loop owns it.
+ */
+public final class Scheduler {
+  private final SchedulerSettings settings;
+  private final Cluster cluster = new Cluster();
+  private final GuaranteePlan plan = new GuaranteePlan(cluster);
+  private final RunTimeEstimator estimator = new RunTimeEstimator();
+  private final HostHealth health = new HostHealth();
+  private final Map<String, QueuedJob> waiting = new LinkedHashMap<>();
+  private final Map<String, RunningAttempt> running = new LinkedHashMap<>();
+  private final Map<String, String> attemptOfJob = new HashMap<>();
+  private final Map<String, WaitReason> reasons = new HashMap<>();
+  private final Map<String, Integer> usedByWorkspace = new HashMap<>();
+  private final Set<String> cordoned = new HashSet<>();
+  private final Reclaimer reclaimer = new Reclaimer(cluster, plan, running);
+  private Map<String, Workspace> workspaces = Map.of();
+  private PolicyTable policies = new PolicyTable(Map.of());
+  private String attemptPrefix = "0";
+  private long attemptCounter;
+
+  /** Creates a scheduler without hosts or jobs. */
+  public Scheduler(SchedulerSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Sets the part of attempt identifiers that no other decider uses, such as its epoch. */
+  public void setAttemptPrefix(String prefix) {
+    attemptPrefix = prefix;
+    attemptCounter = 0;
+  }
+
+  /** Returns the hosts; add and remove hosts on it, then call {@link #hostsChanged}. */
+  public Cluster cluster() {
+    return cluster;
+  }
+
+  /** Replans guarantees after hosts came, went or changed. */
+  public void hostsChanged() {
+    plan.replan();
+  }
+
+  /** Sets the workspaces by name. */
+  public void setWorkspaces(Map<String, Workspace> next) {
+    workspaces = Map.copyOf(next);
+  }
+
+  /** Sets the guaranteed shapes by name. */
+  public void setShapes(Map<String, GuaranteedShape> next) {
+    plan.setShapes(new TreeMap<>(next));
+  }
+
+  /** Sets the policies by name; waiting and running jobs stay as they are. */
+  public void setPolicies(Map<String, PolicySpec> next) {
+    policies = new PolicyTable(next);
+  }
+
+  /** Marks hosts on which operators want no new work. */
+  public void setCordoned(Set<String> names) {
+    Set<String> changed = new HashSet<>(cordoned);
+    changed.addAll(names);
+    cordoned.clear();
+    cordoned.addAll(names);
+    for (String name : changed) {
+      refreshUsable(name);
+    }
+  }
+
+  /** Adds a job to the queue unless it is known. */
+  public void submit(String name, Job job, long submittedAtMs) {
+    if (waiting.containsKey(name) || attemptOfJob.containsKey(name)) {
+      return;
+    }
+    waiting.put(name, new QueuedJob(name, job, submittedAtMs, estimator.expectedSeconds(job)));
+    reasons.put(name, new WaitReason(WaitReason.Kind.QUEUED, "not looked at yet"));
+  }
+
+  /** Removes a job from the queue and returns its attempt, if it has one, to be stopped. */
+  public Optional<String> withdraw(String name) {
+    waiting.remove(name);
+    reasons.remove(name);
+    Optional<String> attempt = Optional.ofNullable(attemptOfJob.get(name));
+    attempt.map(running::get).ifPresent(RunningAttempt::markStopping);
+    return attempt;
+  }
+
+  /** Counts an attempt that was found running on the workers. */
+  public void adopt(String attemptId, String jobName, Job job, Placement placement, long nowMs) {
+    waiting.remove(jobName);
+    cluster.hold(attemptId, placement, job.taskAmount(), job.reclaimable());
+    job.shape().ifPresent(shape -> plan.adopt(attemptId, shape));
+    track(
+        attemptId,
+        new QueuedJobStart(jobName, job, estimator.expectedSeconds(job)),
+        placement,
+        nowMs);
+  }
+
+  /** Notes that an attempt has ended on every worker; an interrupted job waits again. */
+  public void attemptEnded(String attemptId, EndReason reason, long nowMs) {
+    RunningAttempt attempt = running.remove(attemptId);
+    if (attempt == null) {
+      return;
+    }
+    cluster.release(attemptId);
+    plan.ended(attemptId);
+    attemptOfJob.remove(attempt.jobName());
+    usedByWorkspace.merge(
+        attempt.job().workspace(), -attempt.job().totalAccelerators(), Integer::sum);
+    if (reason == EndReason.SUCCEEDED) {
+      estimator.observe(attempt.job(), (nowMs - attempt.startedAtMs()) / 1000.0);
+      attempt.placement().hosts().forEach(health::succeeded);
+    }
+  }
+
+  /** Notes that a task failed on a host; a host that keeps failing is taken out of use. */
+  public void hostFailedTask(String host, long nowMs) {
+    if (health.failed(host, nowMs)) {
+      refreshUsable(host);
+      plan.replan();
+    }
+  }
+
+  /** Returns why a job waits, empty if it is not waiting. */
+  public Optional<WaitReason> reason(String jobName) {
+    return Optional.ofNullable(reasons.get(jobName));
+  }
+
+  /** Returns the attempts that hold resources. */
+  public Collection<RunningAttempt> running() {
+    return Collections.unmodifiableCollection(running.values());
+  }
+
+  /** Returns the jobs that wait. */
+  public Collection<QueuedJob> waiting() {
+    return Collections.unmodifiableCollection(waiting.values());
+  }
+
+  /** Returns the attempt of a job. */
+  public Optional<String> attemptOf(String jobName) {
+    return Optional.ofNullable(attemptOfJob.get(jobName));
+  }
+
+  /** Returns the shapes of which some unit could not be had back now. */
+  public Set<String> brokenGuarantees() {
+    return plan.shapesWithoutPlace();
+  }
+
+  /** Looks at the queue once and returns what to do. */
+  public List<Decision> decide(long nowMs) {
+    for (String host : health.released(nowMs)) {
+      refreshUsable(host);
+    }
+    List<Decision> decisions = new ArrayList<>();
+    Pass pass = new Pass(nowMs, decisions);
+    for (QueuedJob job : inOrder(nowMs)) {
+      if (pass.scanned >= settings.scanLimit() || pass.started >= settings.startLimit()) {
+        break;
+      }
+      pass.look(job);
+    }
+    return decisions;
+  }
+
+  private List<QueuedJob> inOrder(long nowMs) {
+    record Ranked(QueuedJob job, double rank) {}
+
+    List<Ranked> ranked = new ArrayList<>(waiting.size());
+    for (QueuedJob job : waiting.values()) {
+      ranked.add(new Ranked(job, policies.of(job.job()).policy().rank().rank(job, nowMs)));
+    }
+    ranked.sort(
+        java.util.Comparator.comparing((Ranked entry) -> !entry.job().job().urgent())
+            .thenComparing(entry -> entry.job().job().shape().isEmpty())
+            .thenComparing(entry -> !isStarved(entry.job(), nowMs))
+            .thenComparingDouble(Ranked::rank)
+            .thenComparing(entry -> entry.job().name()));
+    List<QueuedJob> jobs = new ArrayList<>(ranked.size());
+    ranked.forEach(entry -> jobs.add(entry.job()));
+    return jobs;
+  }
+
+  private boolean isStarved(QueuedJob job, long nowMs) {
+    return nowMs - job.submittedAtMs() >= settings.starvationBoundMs();
+  }
+
+  private void refreshUsable(String host) {
+    cluster.setUsable(host, !cordoned.contains(host) && !health.isQuarantined(host));
+  }
+
+  private void track(String attemptId, QueuedJobStart start, Placement placement, long nowMs) {
+    running.put(attemptId, new RunningAttempt(attemptId, start, placement, nowMs));
+    attemptOfJob.put(start.name(), attemptId);
+    reasons.remove(start.name());
+    usedByWorkspace.merge(start.job().workspace(), start.job().totalAccelerators(), Integer::sum);
+  }
+
+  /** One look over the queue. */
+  private final class Pass {
+    private final long nowMs;
+    private final List<Decision> decisions;
+    private final Set<GangNeed> noRoom = new HashSet<>();
+    private final Set<String> blockedPolicies = new HashSet<>();
+    private final Map<String, BackfillWindow> windows = new HashMap<>();
+    private int scanned;
+    private int started;
+
+    private Pass(long nowMs, List<Decision> decisions) {
+      this.nowMs = nowMs;
+      this.decisions = decisions;
+    }
+
+    private void look(QueuedJob job) {
+      scanned++;
+      Optional<WaitReason> barrier = barrier(job);
+      if (barrier.isPresent()) {
+        reasons.put(job.name(), barrier.get());
+        return;
+      }
+      PolicyTable.Entry policy = policies.of(job.job());
+      if (!place(job, policy) && !reclaim(job)) {
+        block(job, policy);
+      }
+    }
+
+    private Optional<WaitReason> barrier(QueuedJob job) {
+      Workspace workspace = workspaces.get(job.job().workspace());
+      int used = usedByWorkspace.getOrDefault(job.job().workspace(), 0);
+      boolean limited = workspace != null && workspace.acceleratorQuota() > 0;
+      if (limited && used + job.job().totalAccelerators() > workspace.acceleratorQuota()) {
+        return wait(WaitReason.Kind.QUOTA, used + " of " + workspace.acceleratorQuota() + " held");
+      }
+      if (job.job().shape().isPresent()) {
+        return shapeBarrier(job.job());
+      }
+      return NeverFits.explain(job.job(), cluster)
+          .flatMap(detail -> wait(WaitReason.Kind.NEVER_FITS, detail));
+    }
+
+    private Optional<WaitReason> shapeBarrier(Job job) {
+      String name = job.shape().orElseThrow();
+      Optional<GuaranteedShape> shape = plan.shape(name);
+      if (shape.isEmpty() || !shape.get().holds(job)) {
+        return wait(
+            WaitReason.Kind.SHAPE_IN_USE, "shape " + name + " is unknown or smaller than the job");
+      }
+      if (!plan.hasFreeUnit(name)) {
+        return wait(WaitReason.Kind.SHAPE_IN_USE, "every unit of " + name + " is in use");
+      }
+      return Optional.empty();
+    }
+
+    private Optional<WaitReason> wait(WaitReason.Kind kind, String detail) {
+      return Optional.of(new WaitReason(kind, detail));
+    }
+
+    private boolean place(QueuedJob job, PolicyTable.Entry policy) {
+      GangNeed need = GangNeed.of(job.job());
+      boolean overtakes = blockedPolicies.contains(policy.name());
+      if (noRoom.contains(need) || (overtakes && policy.policy().backfill() == Backfill.NONE)) {
+        return false;
+      }
+      Optional<Placement> place = policy.policy().placement().place(job.job(), cluster);
+      if (place.isEmpty()) {
+        noRoom.add(need);
+        return false;
+      }
+      BackfillWindow window = windows.get(policy.name());
+      if (window != null && window.isDelayedBy(place.get(), job.expectedSeconds(), nowMs)) {
+        return false;
+      }
+      return start(job, place.get(), List.of());
+    }
+
+    private boolean reclaim(QueuedJob job) {
+      boolean starved = isStarved(job, nowMs);
+      if (job.job().shape().isEmpty() && !job.job().urgent() && !starved) {
+        return false;
+      }
+      Optional<Reclaimer.Reclaim> reclaim = reclaimer.find(job, nowMs);
+      return reclaim.isPresent() && start(job, reclaim.get().placement(), reclaim.get().victims());
+    }
+
+    private boolean start(QueuedJob queued, Placement place, List<RunningAttempt> victims) {
+      Job job = queued.job();
+      String attemptId = queued.name() + "." + attemptPrefix + "." + attemptCounter;
+      if (job.reclaimable()) {
+        cluster.hold(attemptId, place, job.taskAmount(), true);
+      } else if (!plan.admit(attemptId, place, job.taskAmount(), job.shape())) {
+        reasons.put(
+            queued.name(),
+            new WaitReason(
+                WaitReason.Kind.WOULD_BREAK_GUARANTEE,
+                "work that is not preemptible would sit on capacity that a guarantee needs"));
+        return false;
+      }
+      attemptCounter++;
+      started++;
+      waiting.remove(queued.name());
+      track(
+          attemptId,
+          new QueuedJobStart(queued.name(), job, queued.expectedSeconds()),
+          place,
+          nowMs);
+      List<String> victimIds = new ArrayList<>();
+      for (RunningAttempt victim : victims) {
+        victim.markStopping();
+        victimIds.add(victim.attemptId());
+        decisions.add(new Decision.Stop(victim.attemptId(), "reclaimed for job " + queued.name()));
+      }
+      decisions.add(new Decision.Start(attemptId, queued.name(), job, place, victimIds));
+      return true;
+    }
+
+    private void block(QueuedJob job, PolicyTable.Entry policy) {
+      WaitReason known = reasons.get(job.name());
+      if (known == null || known.kind() != WaitReason.Kind.WOULD_BREAK_GUARANTEE) {
+        reasons.put(
+            job.name(),
+            new WaitReason(
+                WaitReason.Kind.NO_FREE_CAPACITY,
+                cluster.freeAccelerators()
+                    + " accelerators free in the zone, not in a fitting"
+                    + " place"));
+      }
+      if (blockedPolicies.add(policy.name()) && policy.policy().backfill() == Backfill.RESERVING) {
+        BackfillWindow.forJob(job.job(), cluster, running.values(), nowMs)
+            .ifPresent(window -> windows.put(policy.name(), window));
+      }
+    }
+  }
+
+  /** What makes two gangs alike for the question whether there is room. */
+  private record GangNeed(int tasks, ResourceAmount amount, Adjacency adjacency) {
+    static GangNeed of(Job job) {
+      return new GangNeed(job.tasks(), job.taskAmount(), job.adjacency());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
@@ -0,0 +1,23 @@
+package org.wheatwall.core.job.decision;
+
+import org.wheatwall.core.common.Names;
+
+/**
+ * Bounds of the scheduler.
+ *
+ * @param starvationBoundMs waiting time after which a job may reclaim work that started after it
+ *     was submitted
+ * @param scanLimit jobs looked at in one pass
+ * @param startLimit jobs started in one pass
+ */
+public record SchedulerSettings(int starvationBoundMs, int scanLimit, int startLimit) {
+  /** Settings for ordinary use. */
+  public static final SchedulerSettings DEFAULT = new SchedulerSettings(600_000, 500, 64);
+
+  /** Validates. */
+  public SchedulerSettings {
+    Names.requireRange("starvationBoundMs", starvationBoundMs, 1, Integer.MAX_VALUE);
+    Names.requireRange("scanLimit", scanLimit, 1, 1_000_000);
+    Names.requireRange("startLimit", startLimit, 1, 1_000_000);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
@@ -0,0 +1,75 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
+
+/** Chooses whole gangs to stop so that a placement has room, at little lost work. */
+final class VictimChooser {
+  private final Map<String, RunningAttempt> running;
+
+  VictimChooser(Map<String, RunningAttempt> running) {
+    this.running = running;
+  }
+
+  /** The gangs to stop and the accelerator seconds lost with them. */
+  record Choice(List<RunningAttempt> victims, double lostWork) {}
+
+  /** Returns which gangs to stop, empty if stopping all that may be stopped is not enough. */
+  Optional<Choice> choose(
+      Cluster cluster,
+      Placement placement,
+      ResourceAmount taskAmount,
+      Predicate<RunningAttempt> mayStop,
+      long nowMs) {
+    Set<RunningAttempt> victims = new LinkedHashSet<>();
+    for (Map.Entry<String, Integer> entry : placement.tasksByHost().entrySet()) {
+      Optional<HostState> host = cluster.host(entry.getKey());
+      ResourceAmount need = taskAmount.times(entry.getValue());
+      if (host.isEmpty() || !makeRoom(host.get(), need, victims, mayStop, nowMs)) {
+        return Optional.empty();
+      }
+    }
+    double lost = victims.stream().mapToDouble(victim -> victim.lostWork(nowMs)).sum();
+    return Optional.of(new Choice(List.copyOf(victims), lost));
+  }
+
+  private boolean makeRoom(
+      HostState host,
+      ResourceAmount need,
+      Set<RunningAttempt> victims,
+      Predicate<RunningAttempt> mayStop,
+      long nowMs) {
+    ResourceAmount kept = ResourceAmount.ZERO;
+    List<RunningAttempt> candidates = new ArrayList<>();
+    for (String attemptId : host.attempts()) {
+      RunningAttempt attempt = running.get(attemptId);
+      boolean leaves = attempt != null && (attempt.stopping() || victims.contains(attempt));
+      if (leaves) {
+        continue;
+      }
+      kept = kept.plus(host.held(attemptId));
+      if (attempt != null && host.holdsReclaimable(attemptId) && mayStop.test(attempt)) {
+        candidates.add(attempt);
+      }
+    }
+    candidates.sort(
+        Comparator.comparingDouble((RunningAttempt attempt) -> attempt.lostWork(nowMs))
+            .thenComparing(RunningAttempt::attemptId));
+    for (RunningAttempt candidate : candidates) {
+      if (host.host().capacity().covers(kept.plus(need))) {
+        return true;
+      }
+      kept = kept.minus(host.held(candidate.attemptId()));
+      victims.add(candidate);
+    }
+    return host.usable() && host.host().capacity().covers(kept.plus(need));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/model/HostMark.java
@@ -0,0 +1,16 @@
+package org.wheatwall.core.job.model;
+
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Resource;
+
+/**
+ * What operators say about a worker host.
+ *
+ * @param cordoned whether new work keeps off the host
+ */
+public record HostMark(Labels labels, boolean cordoned) implements Resource {
+  /** Applies defaults. */
+  public HostMark {
+    labels = labels == null ? Labels.NONE : labels;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/model/Placement.java
@@ -0,0 +1,26 @@
+package org.wheatwall.core.job.model;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Where the tasks of one gang go.
+ *
+ * @param hosts host name of each task, by task index
+ */
+public record Placement(List<String> hosts) {
+  /** Copies the list. */
+  public Placement {
+    hosts = List.copyOf(hosts);
+  }
+
+  /** Returns the number of tasks on each host. */
+  public Map<String, Integer> tasksByHost() {
+    Map<String, Integer> counts = new TreeMap<>();
+    for (String host : hosts) {
+      counts.merge(host, 1, Integer::sum);
+    }
+    return counts;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/model/PolicyAlgorithm.java
@@ -0,0 +1,18 @@
+package org.wheatwall.core.job.model;
+
+import java.util.Locale;
+
+/** The scheduling policies that can be chosen. */
+public enum PolicyAlgorithm {
+  FIRST_FIT,
+  BEST_FIT,
+  RACK_PACKING,
+  SHORTEST_FIRST,
+  BACKFILL,
+  BLEND;
+
+  @Override
+  public String toString() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/model/PolicySpec.java
@@ -0,0 +1,43 @@
+package org.wheatwall.core.job.model;
+
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Names;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.Resource;
+import org.wheatwall.core.common.Selector;
+
+/**
+ * A candidate policy and the slice of jobs it governs. Where several match a job, the highest
+ * precedence wins, then the name that sorts first.
+ *
+ * @param jobSelector label selector over jobs
+ * @param precedence rank among policies that match the same job
+ * @param completionWeight weight of completion time in the blend, 0 to 100
+ * @param fragmentationWeight weight of fragmentation in the blend, 0 to 100
+ * @param shadow whether it only reports what it would do
+ */
+public record PolicySpec(
+    Labels labels,
+    PolicyAlgorithm algorithm,
+    String jobSelector,
+    int precedence,
+    int completionWeight,
+    int fragmentationWeight,
+    boolean shadow)
+    implements Resource {
+  private static final int MAX_WEIGHT = 100;
+
+  /** Validates, and reads the selector once so that a malformed one is refused here. */
+  public PolicySpec {
+    labels = labels == null ? Labels.NONE : labels;
+    jobSelector = Selector.parse(jobSelector).text();
+    if (algorithm == null) {
+      throw Refusal.invalid(
+          "algorithm is missing",
+          "give first-fit, best-fit, rack-packing, shortest-first, backfill or blend");
+    }
+    Names.requireRange("precedence", precedence, 0, 1000);
+    Names.requireRange("completionWeight", completionWeight, 0, MAX_WEIGHT);
+    Names.requireRange("fragmentationWeight", fragmentationWeight, 0, MAX_WEIGHT);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/policy/HostOrder.java
@@ -0,0 +1,46 @@
+package org.wheatwall.core.job.policy;
+
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.NavigableSet;
+import java.util.PriorityQueue;
+import org.wheatwall.core.job.decision.HostState;
+
+/** Walks groups of hosts lazily, in the order of their position in the cluster. */
+final class HostOrder implements Iterable<HostState> {
+  private final Collection<NavigableSet<HostState>> groups;
+
+  HostOrder(Collection<NavigableSet<HostState>> groups) {
+    this.groups = groups;
+  }
+
+  private record Head(HostState host, Iterator<HostState> rest) {}
+
+  @Override
+  public Iterator<HostState> iterator() {
+    PriorityQueue<Head> heads =
+        new PriorityQueue<>((a, b) -> Integer.compare(a.host().index(), b.host().index()));
+    for (NavigableSet<HostState> group : groups) {
+      push(heads, group.iterator());
+    }
+    return new Iterator<>() {
+      @Override
+      public boolean hasNext() {
+        return !heads.isEmpty();
+      }
+
+      @Override
+      public HostState next() {
+        Head head = heads.remove();
+        push(heads, head.rest());
+        return head.host();
+      }
+    };
+  }
+
+  private static void push(PriorityQueue<Head> heads, Iterator<HostState> rest) {
+    if (rest.hasNext()) {
+      heads.add(new Head(rest.next(), rest));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/membership/decision/ViewMandate.java
@@ -0,0 +1,166 @@
+package org.wheatwall.core.membership.decision;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.membership.model.ZoneView;
+
+/**
+ * Tells whether this process may act for its availability zone now, and until when.
+ *
+ * <p>A member may act only while every other member of its view has confirmed the same epoch within
+ * the promise time. A member that learns of a newer view stops confirming the older one at once and
+ * lets the promise time pass before it acts in the newer one. So whichever members the newer view
+ * keeps, whoever acted in the older view has stopped by then, paused or cut off as it may be. The
+ * log decides which view follows which; without the log a view goes on as it is.
+ *
+ * <p>Not thread-safe; its owner guards it. All times are of this process's monotonic clock.
+ */
+public final class ViewMandate {
+  private final String self;
+  private final long promiseMs;
+  private final Map<String, Long> confirmedUntil = new HashMap<>();
+  private final Set<String> retired = new HashSet<>();
+  private ZoneView view;
+  private long epoch;
+  private long installedAtMs;
+  private boolean wasActing;
+  private boolean drained;
+  private long firstContinuingConfirmationMs = Long.MAX_VALUE;
+  private long lastTickMs;
+  private boolean suspended;
+
+  /**
+   * Creates a mandate without a view.
+   *
+   * @param self identity of this process
+   * @param promiseMs how long a confirmation holds, milliseconds
+   */
+  public ViewMandate(String self, long promiseMs) {
+    this.self = self;
+    this.promiseMs = promiseMs;
+  }
+
+  /** Takes in the view of epoch {@code newEpoch} if it is newer. */
+  public void install(long newEpoch, ZoneView newView, long nowMs) {
+    if (newEpoch <= epoch) {
+      return;
+    }
+    wasActing = mayAct(nowMs);
+    epoch = newEpoch;
+    view = newView;
+    installedAtMs = nowMs;
+    drained = newView.first();
+    confirmedUntil.clear();
+    retired.clear();
+    firstContinuingConfirmationMs = Long.MAX_VALUE;
+  }
+
+  /**
+   * Takes in another member's answer to a heartbeat.
+   *
+   * @param acting whether that member considers the older views ended
+   * @param sentMs when the heartbeat was sent
+   */
+  public void onConfirmation(String memberId, long itsEpoch, boolean acting, long sentMs) {
+    if (view == null || itsEpoch != epoch || view.member(memberId).isEmpty()) {
+      return;
+    }
+    confirmedUntil.merge(memberId, sentMs + promiseMs, Math::max);
+    if (acting) {
+      drained = true;
+    }
+    boolean continuing = view.previous().stream().anyMatch(old -> old.id().equals(memberId));
+    if (continuing) {
+      firstContinuingConfirmationMs = Math.min(firstContinuingConfirmationMs, sentMs);
+    }
+  }
+
+  /** Notes that a member stopped for good and promised never to act again. */
+  public void onRetired(String memberId) {
+    if (view != null && !memberId.equals(self)) {
+      retired.add(memberId);
+    }
+  }
+
+  /**
+   * Tells the mandate that this process is running. A gap between ticks means that it was paused; a
+   * sole member, which nobody else could have stopped, then acts again only after {@link
+   * #onVerified}.
+   */
+  public void tick(long nowMs) {
+    if (lastTickMs != 0 && nowMs - lastTickMs > promiseMs) {
+      suspended = true;
+    }
+    lastTickMs = nowMs;
+  }
+
+  /** Notes that the platform confirmed the view in force to be this one. */
+  public void onVerified() {
+    suspended = false;
+  }
+
+  /** Returns whether this process may act for the zone now. */
+  public boolean mayAct(long nowMs) {
+    return actingUntil(nowMs).isPresent();
+  }
+
+  /** Returns until when this process may act, empty if it may not act now. */
+  public Optional<Long> actingUntil(long nowMs) {
+    if (view == null || view.member(self).isEmpty() || suspended || !isDrained(nowMs)) {
+      return Optional.empty();
+    }
+    // A pause that has not been noticed yet must not extend the mandate of a sole member.
+    long until = lastTickMs + promiseMs;
+    for (Member member : view.members()) {
+      if (!member.id().equals(self) && !retired.contains(member.id())) {
+        until = Math.min(until, confirmedUntil.getOrDefault(member.id(), Long.MIN_VALUE));
+      }
+    }
+    return until > nowMs ? Optional.of(until) : Optional.empty();
+  }
+
+  /** Returns whether every older view has ended for sure. */
+  public boolean isDrained(long nowMs) {
+    if (drained || view == null) {
+      return drained;
+    }
+    drained = wasActing && everyPreviousConfirmed();
+    boolean selfContinues = view.previous().stream().anyMatch(old -> old.id().equals(self));
+    if (selfContinues || !view.continues()) {
+      drained |= nowMs >= installedAtMs + promiseMs;
+    }
+    if (firstContinuingConfirmationMs != Long.MAX_VALUE) {
+      drained |= nowMs >= firstContinuingConfirmationMs + promiseMs;
+    }
+    return drained;
+  }
+
+  private boolean everyPreviousConfirmed() {
+    for (Member old : view.previous()) {
+      boolean confirmed = old.id().equals(self) || confirmedUntil.containsKey(old.id());
+      if (!confirmed) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns the epoch of the view, 0 if there is none. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Returns the view. */
+  public Optional<ZoneView> view() {
+    return Optional.ofNullable(view);
+  }
+
+  /** Returns the members that stopped for good but are still in the view. */
+  public Set<String> retired() {
+    return Set.copyOf(retired);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/request/decision/RunnerPool.java
@@ -0,0 +1,176 @@
+package org.wheatwall.core.request.decision;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.wheatwall.core.request.model.Runner;
+
+/**
+ * The runners of one service whose slots this entry host gives out, and how many are taken. Every
+ * runner has one owner among the entry hosts of its zone; the owner alone counts its slots, lends
+ * some to other entry hosts, and so keeps their sum within the runner's limit.
+ *
+ * <p>Not thread-safe; its owner guards it.
+ */
+public final class RunnerPool {
+  private static final int MAX_EJECTED_PERCENT = 50;
+  private static final int FAILURES_TO_EJECT = 5;
+  private static final long EJECT_MS = 5_000;
+  private static final long SLOW_START_MS = 2_000;
+  private static final int CHOICES = 3;
+
+  private final Map<String, Entry> entries = new HashMap<>();
+  private final SplittableRandom random;
+
+  private static final class Entry {
+    private Runner runner;
+    private int taken;
+    private long usableFromMs;
+    private long addedMs;
+    private int consecutiveFailures;
+    private long ejectedUntilMs;
+
+    private Entry(Runner runner) {
+      this.runner = runner;
+    }
+  }
+
+  /** Creates an empty pool whose choices are drawn from {@code seed}. */
+  public RunnerPool(long seed) {
+    this.random = new SplittableRandom(seed);
+  }
+
+  /**
+   * Sets the runners that this entry host owns.
+   *
+   * @param takenOverFromMs when the slots of runners that another entry host owned before may be
+   *     used; until then its requests may still be in flight
+   */
+  public void setOwned(
+      Collection<Runner> owned, Set<String> takenOver, long takenOverFromMs, long nowMs) {
+    Map<String, Runner> next = new HashMap<>();
+    owned.forEach(runner -> next.put(runner.name(), runner));
+    entries.values().removeIf(entry -> !next.containsKey(entry.runner.name()) && entry.taken == 0);
+    for (Entry entry : entries.values()) {
+      Runner runner = next.remove(entry.runner.name());
+      entry.runner = runner != null ? runner : leaving(entry.runner);
+    }
+    for (Runner runner : next.values()) {
+      Entry entry = new Entry(runner);
+      entry.addedMs = nowMs;
+      entry.usableFromMs = takenOver.contains(runner.name()) ? takenOverFromMs : nowMs;
+      entries.put(runner.name(), entry);
+    }
+  }
+
+  /** Allows a runner that was taken over to be used now. */
+  public void releaseTakenOver(String runnerName, long nowMs) {
+    Entry entry = entries.get(runnerName);
+    if (entry != null) {
+      entry.usableFromMs = Math.min(entry.usableFromMs, nowMs);
+    }
+  }
+
+  /** Takes a slot of the least loaded of a few runners drawn at random. */
+  public Optional<Runner> take(Set<String> avoid, long nowMs) {
+    Entry best = null;
+    int drawn = 0;
+    boolean ejecting = mayEject(nowMs);
+    int start = entries.isEmpty() ? 0 : random.nextInt(entries.size());
+    Entry[] all = entries.values().toArray(new Entry[0]);
+    for (int i = 0; i < all.length && drawn < CHOICES; i++) {
+      Entry entry = all[(start + i) % all.length];
+      boolean ejected = ejecting && entry.ejectedUntilMs > nowMs;
+      if (ejected || avoid.contains(entry.runner.name()) || free(entry, nowMs) <= 0) {
+        continue;
+      }
+      drawn++;
+      if (best == null || entry.taken < best.taken) {
+        best = entry;
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    best.taken++;
+    return Optional.of(best.runner);
+  }
+
+  /** Gives a slot back. */
+  public void giveBack(String runnerName) {
+    Entry entry = entries.get(runnerName);
+    if (entry != null && entry.taken > 0) {
+      entry.taken--;
+    }
+  }
+
+  /** Notes how a request to a runner went; one that keeps failing gets no work for a while. */
+  public void onResult(String runnerName, boolean success, long nowMs) {
+    Entry entry = entries.get(runnerName);
+    if (entry == null) {
+      return;
+    }
+    if (success) {
+      entry.consecutiveFailures = 0;
+      entry.ejectedUntilMs = 0;
+      return;
+    }
+    entry.consecutiveFailures++;
+    if (entry.consecutiveFailures >= FAILURES_TO_EJECT) {
+      entry.ejectedUntilMs = nowMs + EJECT_MS;
+      // After the pause one request is let through; one more failure ejects again.
+      entry.consecutiveFailures = FAILURES_TO_EJECT - 1;
+    }
+  }
+
+  /** Returns the slots that could be taken now. */
+  public int freeSlots(long nowMs) {
+    int free = 0;
+    for (Entry entry : entries.values()) {
+      free += Math.max(0, free(entry, nowMs));
+    }
+    return free;
+  }
+
+  /** Returns the slots taken. */
+  public int takenSlots() {
+    return entries.values().stream().mapToInt(entry -> entry.taken).sum();
+  }
+
+  /** Returns the slots taken of one runner. */
+  public int takenSlots(String runnerName) {
+    Entry entry = entries.get(runnerName);
+    return entry == null ? 0 : entry.taken;
+  }
+
+  /** Returns the names of the runners in the pool. */
+  public Set<String> runnerNames() {
+    return Set.copyOf(entries.keySet());
+  }
+
+  private static Runner leaving(Runner runner) {
+    return new Runner(
+        runner.name(), runner.service(), runner.zone(), runner.address(), true, runner.slots());
+  }
+
+  private static int free(Entry entry, long nowMs) {
+    if (entry.runner.leaving() || entry.usableFromMs > nowMs) {
+      return 0;
+    }
+    int limit = entry.runner.slots();
+    long age = nowMs - entry.addedMs;
+    if (age < SLOW_START_MS) {
+      limit = Math.max(1, (int) (limit * age / SLOW_START_MS));
+    }
+    return limit - entry.taken;
+  }
+
+  // Ejecting most of the runners would bury the rest, so beyond a share nobody is ejected.
+  private boolean mayEject(long nowMs) {
+    long ejected = entries.values().stream().filter(e -> e.ejectedUntilMs > nowMs).count();
+    return ejected * 100 <= (long) entries.size() * MAX_EJECTED_PERCENT;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -0,0 +1,332 @@
+package org.wheatwall.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.common.EntrySettings;
+import org.wheatwall.entry.configuration.ConfigurationService;
+import org.wheatwall.entry.job.JobPlane;
+import org.wheatwall.entry.membership.MandateStatus;
+import org.wheatwall.entry.membership.MembershipService;
+import org.wheatwall.entry.operator.AccessRule;
+import org.wheatwall.entry.operator.OperatorApi;
+import org.wheatwall.entry.operator.StateDump;
+import org.wheatwall.entry.platform.HostDirectory;
+import org.wheatwall.entry.platform.HttpPlatform;
+import org.wheatwall.entry.request.RemoteZones;
+import org.wheatwall.entry.request.RequestPlane;
+import org.wheatwall.entry.request.SlotService;
+import org.wheatwall.entry.request.StepCoordinator;
+import org.wheatwall.wire.http.Addresses;
+import org.wheatwall.wire.http.HttpCall;
+import org.wheatwall.wire.http.HttpClient;
+import org.wheatwall.wire.http.HttpReply;
+import org.wheatwall.wire.http.HttpServer;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.json.LogRecordCodec;
+import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.JobQuery;
+import org.wheatwall.wire.message.PeerIdentity;
+import org.wheatwall.wire.message.SnapshotPage;
+import org.wheatwall.wire.message.SnapshotPull;
+import org.wheatwall.wire.peer.PeerClient;
+import org.wheatwall.wire.peer.PeerServer;
+
+/**
+ * One entry host: puts the request plane, the job plane, configuration and membership together.
+ *
+ * <p>Threads: Netty's event loops for requests and messages; the state thread for configuration,
+ * membership and the list of hosts; the decision loop for jobs; a timer. Locks: a service's slots,
+ * then the step ledger; no lock is held while calling out or completing a future.
+ */
+public final class EntryHost {
+  private static final Logger LOG = LoggerFactory.getLogger(EntryHost.class);
+  private static final int MAX_PLATFORM_BODY = 16 * 1024 * 1024;
+  private static final long REQUEST_TICK_MS = 5;
+  private static final long LEDGER_TICK_MS = 1000;
+  private static final long QUERY_TIMEOUT_MS = 1500;
+
+  private final EntrySettings settings;
+  private final Clock clock = Clock.SYSTEM;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final ScheduledExecutorService stateThread = thread("state");
+  private final ScheduledExecutorService timer = thread("timer");
+  private final PeerClient peers;
+  private final HostDirectory directory;
+  private final ConfigurationService configuration;
+  private final MembershipService membership;
+  private final RemoteZones remoteZones;
+  private final SlotService slots;
+  private final StepCoordinator steps;
+  private final JobPlane jobs;
+  private final RequestPlane requests;
+  private final OperatorApi operators;
+  private final AccessRule access;
+  private final PeerServer peerServer;
+  private final HttpServer httpServer;
+  private volatile boolean draining;
+
+  private EntryHost(EntrySettings settings, EventLoopGroup group) {
+    this.settings = settings;
+    Member self =
+        new Member(settings.host(), clock.wallMs(), Addresses.text(settings.listen().peer()));
+    HttpPlatform platform =
+        new HttpPlatform(
+            new HttpClient(group, MAX_PLATFORM_BODY),
+            settings.platform().log(),
+            settings.platform().list());
+    directory = new HostDirectory(platform, stateThread, settings.platform().listPollMs());
+    configuration =
+        new ConfigurationService(
+            platform, clock, stateThread, settings.platform().retentionMs(), metrics);
+    peers = new PeerClient(group, identity(self, settings.zone()), settings.peerKey());
+    membership =
+        new MembershipService(
+            self, settings.zone(), clock, stateThread, configuration, directory, peers, metrics);
+    remoteZones = new RemoteZones(settings.zone());
+    slots = newSlots();
+    steps = newSteps();
+    jobs =
+        new JobPlane(
+            settings, clock, membership, configuration, directory, platform, timer, metrics);
+    requests =
+        new RequestPlane(
+            settings.requests(),
+            clock,
+            slots,
+            steps,
+            directory,
+            new HttpClient(group, settings.requests().maxBodyBytes()),
+            settings.host() + "-" + Long.toString(self.incarnation(), 36) + "-",
+            metrics);
+    StateDump dump = new StateDump(metrics, this::state);
+    operators = new OperatorApi(configuration, directory, this::explain, dump, () -> draining);
+    access = new AccessRule(settings.tokens());
+    wire();
+    peerServer =
+        PeerServer.start(group, settings.listen().peer(), settings.peerKey(), this::onPeer);
+    httpServer =
+        HttpServer.start(
+            group, settings.listen().http(), settings.requests().maxBodyBytes(), this::onCall);
+  }
+
+  /** Starts an entry host on {@code group}. */
+  public static EntryHost start(EntrySettings settings, EventLoopGroup group) {
+    EntryHost host = new EntryHost(settings, group);
+    host.begin();
+    return host;
+  }
+
+  private SlotService newSlots() {
+    return new SlotService(
+        clock,
+        settings.zone(),
+        settings.requests().maxDeadlineMs(),
+        membership,
+        directory,
+        peers,
+        remoteZones,
+        metrics);
+  }
+
+  private StepCoordinator newSteps() {
+    return new StepCoordinator(
+        clock,
+        settings.zones(),
+        settings.requests().keepAnswersMs(),
+        membership,
+        remoteZones,
+        peers,
+        timer,
+        metrics);
+  }
+
+  private static PeerIdentity identity(Member self, String zone) {
+    return PeerIdentity.newBuilder()
+        .setName(self.name())
+        .setIncarnation(self.incarnation())
+        .setAddress(self.address())
+        .setZone(zone)
+        .build();
+  }
+
+  private void wire() {
+    configuration.addListener(remoteZones);
+    configuration.addListener(requests);
+    configuration.addListener(jobs);
+    membership.addListener(slots);
+    membership.addListener(steps);
+    membership.addListener(jobs);
+    membership.setReplyDetails(slots::replyDetails);
+    directory.addListener(slots::assignRunners);
+  }
+
+  private void begin() {
+    jobs.start();
+    membership.start();
+    configuration.start();
+    directory.start();
+    timer.scheduleWithFixedDelay(
+        slots::tick, REQUEST_TICK_MS, REQUEST_TICK_MS, TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(
+        steps::tick, LEDGER_TICK_MS, LEDGER_TICK_MS, TimeUnit.MILLISECONDS);
+    LOG.info(
+        "event=entry-started host={} zone={} http={} peer={}",
+        settings.host(),
+        settings.zone(),
+        httpServer.port(),
+        peerServer.port());
+  }
+
+  /** Returns the port for callers and operators. */
+  public int httpPort() {
+    return httpServer.port();
+  }
+
+  /** Returns the metrics. */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /** Completes once a configuration is in force here. */
+  public CompletableFuture<Void> ready() {
+    return configuration.ready();
+  }
+
+  /**
+   * Stops as planned: reports not ready, goes on serving for {@code noticeMs} so that the balancer
+   * can notice, then answers what is in flight, hands its duties over and closes.
+   */
+  public CompletableFuture<Void> drain(long noticeMs) {
+    draining = true;
+    LOG.info("event=drain-started noticeMs={}", noticeMs);
+    CompletableFuture<Void> noticed = new CompletableFuture<>();
+    timer.schedule(() -> noticed.complete(null), noticeMs, TimeUnit.MILLISECONDS);
+    return noticed
+        .thenCompose(done -> httpServer.drain())
+        .thenCompose(done -> membership.retire())
+        .thenRun(this::close);
+  }
+
+  /** Stops at once. */
+  public void close() {
+    configuration.stop();
+    jobs.stop();
+    httpServer.close();
+    peerServer.close();
+    peers.close();
+    timer.shutdownNow();
+    stateThread.shutdownNow();
+    LOG.info("event=entry-stopped host={}", settings.host());
+  }
+
+  private CompletableFuture<HttpReply> onCall(HttpCall call) {
+    if (call.target().startsWith("/call/")) {
+      return requests.handle(call);
+    }
+    access.check(call);
+    return operators.handle(call);
+  }
+
+  private CompletableFuture<Envelope.Builder> onPeer(Envelope request) {
+    return switch (request.getBodyCase()) {
+      case HEARTBEAT -> membership.onHeartbeat(request.getHeartbeat());
+      case RETIRE -> membership.onRetire(request.getRetire());
+      case STEP_ASK -> steps.onAsk(request.getStepAsk());
+      case STEP_RECORD -> steps.onRecord(request.getStepRecord());
+      case STEP_FINISH -> steps.onFinish(request.getStepFinish());
+      case LEDGER_PULL -> steps.onPull(request.getLedgerPull());
+      case SLOT_ASK -> slots.onSlotAsk(request.getSlotAsk());
+      case SLOT_RETURN -> slots.onSlotReturn(request.getSlotReturn());
+      case SNAPSHOT_PULL -> onSnapshotPull(request.getSnapshotPull());
+      case JOB_QUERY -> jobs.onQuery(request.getJobQuery());
+      default ->
+          CompletableFuture.failedFuture(
+              new Refusal(
+                  RefusalKind.INVALID,
+                  "unknown request " + request.getBodyCase(),
+                  "run the same version on every entry host"));
+    };
+  }
+
+  private CompletableFuture<Envelope.Builder> onSnapshotPull(SnapshotPull pull) {
+    return configuration
+        .snapshotNewerThan(pull.getNewerThan())
+        .thenApply(
+            snapshot -> {
+              SnapshotPage.Builder page = SnapshotPage.newBuilder();
+              snapshot.ifPresent(
+                  newest ->
+                      page.setNextOffset(newest.nextOffset())
+                          .setContent(
+                              ByteString.copyFrom(
+                                  Json.bytes(LogRecordCodec.writeSnapshot(newest)))));
+              return Envelope.newBuilder().setSnapshotPage(page);
+            });
+  }
+
+  private CompletableFuture<byte[]> explain(String jobName, String zone) {
+    Optional<Member> decider = remoteZones.dutyHolder(zone, JobPlane.DUTY);
+    if (decider.isEmpty()) {
+      return CompletableFuture.failedFuture(
+          new Refusal(
+              RefusalKind.UNAVAILABLE,
+              "availability zone " + zone + " has no entry host",
+              "start an entry host in the zone, or check the job's zone"));
+    }
+    Envelope.Builder query =
+        Envelope.newBuilder().setJobQuery(JobQuery.newBuilder().setName(jobName));
+    CompletableFuture<Envelope> reply =
+        decider.get().equals(membership.self())
+            ? jobs.onQuery(query.getJobQuery()).thenApply(Envelope.Builder::build)
+            : peers.send(decider.get().address(), query, QUERY_TIMEOUT_MS);
+    return reply.thenApply(envelope -> envelope.getJobReply().getDocument().toByteArray());
+  }
+
+  private CompletableFuture<ObjectNode> state() {
+    MandateStatus status = membership.status();
+    ObjectNode node = Json.mapper().createObjectNode();
+    node.put("host", settings.host());
+    node.put("zone", settings.zone());
+    node.put("draining", draining);
+    ObjectNode view = node.putObject("view");
+    view.put("epoch", status.epoch());
+    view.put("acting", status.mayAct(clock.nowMs()));
+    view.set(
+        "members",
+        Json.mapper().valueToTree(status.view().map(v -> v.memberIds()).orElse(List.of())));
+    ObjectNode configured = node.putObject("configuration");
+    configured.put("nextOffset", configuration.nextOffset());
+    configured.put("sinceHeadMs", configuration.sinceHeadMs());
+    node.set("slots", slots.dump());
+    node.putObject("steps").put("records", steps.recordCount());
+    return jobs.dump()
+        .thenApply(
+            jobState -> {
+              node.set("jobs", jobState);
+              return node;
+            });
+  }
+
+  private static ScheduledExecutorService thread(String name) {
+    return Executors.newSingleThreadScheduledExecutor(
+        task -> {
+          Thread thread = new Thread(task, name);
+          thread.setDaemon(true);
+          return thread;
+        });
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
@@ -0,0 +1,302 @@
+package org.wheatwall.entry.configuration;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.configuration.decision.ConfigurationReplica;
+import org.wheatwall.core.configuration.decision.SnapshotAssembler;
+import org.wheatwall.core.configuration.model.Change;
+import org.wheatwall.core.configuration.model.ResourceKey;
+import org.wheatwall.core.configuration.model.Snapshot;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.configuration.model.Verdict;
+import org.wheatwall.core.job.decision.GuaranteeRule;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.platform.LogService;
+import org.wheatwall.wire.json.LogRecord;
+import org.wheatwall.wire.json.LogRecordCodec;
+import org.wheatwall.wire.platform.LogPage;
+
+/**
+ * Follows the configuration stream of the log, publishes changes, and writes snapshots ahead of the
+ * log's retention. All state is confined to the state thread.
+ */
+public final class ConfigurationService {
+  private static final Logger LOG = LoggerFactory.getLogger(ConfigurationService.class);
+  private static final int PAGE = 500;
+  private static final long WAIT_MS = 1000;
+  private static final long MIN_BACKOFF_MS = 50;
+  private static final long MAX_BACKOFF_MS = 1000;
+  private static final int SNAPSHOT_SHARE_OF_RETENTION = 3;
+
+  private final LogService log;
+  private final Clock clock;
+  private final ScheduledExecutorService stateThread;
+  private final ConfigurationReplica replica = new ConfigurationReplica(new GuaranteeRule());
+  private final ChangePublisher publisher;
+  private final SnapshotTimer snapshotTimer;
+  private final List<ConfigurationListener> listeners = new CopyOnWriteArrayList<>();
+  private final Histogram inForceMs;
+  private final CompletableFuture<Void> ready = new CompletableFuture<>();
+  private CatchUp catchUp;
+  private long backoffMs = MIN_BACKOFF_MS;
+  private long malformedRecords;
+  private volatile long lastHeadMs = Long.MIN_VALUE / 2;
+  private volatile long nextOffset;
+  private volatile boolean stopped;
+
+  /**
+   * Creates a service.
+   *
+   * @param retentionMs how long the log keeps records
+   */
+  public ConfigurationService(
+      LogService log,
+      Clock clock,
+      ScheduledExecutorService stateThread,
+      long retentionMs,
+      MetricRegistry metrics) {
+    this.log = log;
+    this.clock = clock;
+    this.stateThread = stateThread;
+    this.publisher = new ChangePublisher(log, clock, stateThread);
+    this.snapshotTimer = new SnapshotTimer(retentionMs / SNAPSHOT_SHARE_OF_RETENTION);
+    this.inForceMs = metrics.histogram("configuration.in-force-ms");
+    metrics.gauge("configuration.next-offset", () -> () -> nextOffset);
+    metrics.gauge("configuration.appends", () -> publisher::appends);
+    metrics.gauge("configuration.pending-changes", () -> publisher::pendingCount);
+  }
+
+  /** Adds a listener; call before {@link #start}. */
+  public void addListener(ConfigurationListener listener) {
+    listeners.add(listener);
+  }
+
+  /** Starts to follow the log. */
+  public void start() {
+    stateThread.execute(this::readOn);
+    stateThread.scheduleWithFixedDelay(this::maybeSnapshot, 1000, 500, TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops following. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Completes once a configuration is in force on this host. */
+  public CompletableFuture<Void> ready() {
+    return ready;
+  }
+
+  /** Returns the offset up to which this host has replayed the log. */
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  /** Returns for how long the log has not confirmed this host's position, milliseconds. */
+  public long sinceHeadMs() {
+    return clock.nowMs() - lastHeadMs;
+  }
+
+  /** Reads from the replica on the state thread. */
+  public <T> CompletableFuture<T> query(Function<ConfigurationReplica, T> function) {
+    return CompletableFuture.supplyAsync(() -> function.apply(replica), stateThread);
+  }
+
+  /** Returns the replica; only for use on the state thread. */
+  public ConfigurationReplica replicaOnStateThread() {
+    return replica;
+  }
+
+  /** Publishes a change; the future completes with the verdict once it is read back. */
+  public CompletableFuture<Verdict> publish(Draft draft) {
+    return CompletableFuture.supplyAsync(
+            () -> publisher.publish(draft, replica.nextOffset() - 1), stateThread)
+        .thenCompose(verdict -> verdict);
+  }
+
+  /** Returns the state for a peer that has replayed less than this host. */
+  public CompletableFuture<Optional<Snapshot>> snapshotNewerThan(long offset) {
+    return query(
+        current ->
+            current.nextOffset() > offset && ready.isDone()
+                ? Optional.of(current.snapshot())
+                : Optional.empty());
+  }
+
+  /** Takes in the state of a peer if it is newer; for when the log cannot be read. */
+  public void offerSnapshot(Snapshot snapshot) {
+    stateThread.execute(
+        () -> {
+          boolean logIsBack = sinceHeadMs() < WAIT_MS;
+          if (snapshot.nextOffset() > replica.nextOffset() && !logIsBack) {
+            restore(snapshot);
+            catchUp = null;
+          }
+        });
+  }
+
+  private void readOn() {
+    if (stopped) {
+      return;
+    }
+    long from = catchUp == null ? replica.nextOffset() : catchUp.position();
+    log.read(from, PAGE, WAIT_MS)
+        .whenCompleteAsync(
+            (page, failure) -> {
+              if (failure == null) {
+                onPage(from, page);
+              } else {
+                backOff();
+              }
+            },
+            stateThread);
+  }
+
+  private void backOff() {
+    long delayMs = backoffMs / 2 + ThreadLocalRandom.current().nextLong(backoffMs);
+    backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    stateThread.schedule(this::readOn, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void onPage(long from, LogPage page) {
+    backoffMs = MIN_BACKOFF_MS;
+    long expected = catchUp == null ? replica.nextOffset() : catchUp.position();
+    if (from != expected) {
+      // A peer's state was taken in while the read was under way.
+      readOn();
+      return;
+    }
+    if (page.first() > from || page.next() < from) {
+      LOG.info("event=log-gap position={} first={} next={}", from, page.first(), page.next());
+      catchUp = new CatchUp(page.first(), replica.nextOffset());
+      readOn();
+      return;
+    }
+    for (LogPage.Entry entry : page.records()) {
+      onRecord(entry);
+    }
+    long position = catchUp == null ? replica.nextOffset() : catchUp.position();
+    if (position >= page.next() && catchUp == null) {
+      lastHeadMs = clock.nowMs();
+      ready.complete(null);
+    }
+    boolean idleCatchUp = catchUp != null && page.records().isEmpty();
+    if (idleCatchUp) {
+      backOff();
+    } else {
+      readOn();
+    }
+  }
+
+  private void onRecord(LogPage.Entry entry) {
+    LogRecord record = readRecord(entry);
+    if (catchUp != null) {
+      catchUp.add(entry.offset(), record).ifPresent(this::continueFrom);
+      return;
+    }
+    if (record.chunk().isPresent()) {
+      replica.skip(entry.offset());
+      snapshotTimer.onChunk(record.chunk().get(), clock.nowMs() - entry.ageMs());
+    } else {
+      applyChanges(entry.offset(), record.changes());
+      inForceMs.update(entry.ageMs());
+    }
+    nextOffset = replica.nextOffset();
+  }
+
+  // A malformed record is skipped by every host alike, so it costs its writer only.
+  private LogRecord readRecord(LogPage.Entry entry) {
+    try {
+      return LogRecordCodec.read(entry.data().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    } catch (Refusal refusal) {
+      malformedRecords++;
+      LOG.warn(
+          "event=malformed-record offset={} count={} detail={}",
+          entry.offset(),
+          malformedRecords,
+          refusal.getMessage());
+      return LogRecord.ofChanges(List.of());
+    }
+  }
+
+  private void continueFrom(CatchUp.Start start) {
+    long position = catchUp.position();
+    catchUp = null;
+    restore(start.snapshot());
+    for (CatchUp.Buffered entry : start.tail()) {
+      applyChanges(entry.offset(), entry.changes());
+    }
+    if (position > replica.nextOffset()) {
+      replica.skip(position - 1);
+    }
+    nextOffset = replica.nextOffset();
+  }
+
+  private void restore(Snapshot snapshot) {
+    Set<ResourceKey> before = new HashSet<>();
+    replica.snapshot().objects().forEach(stored -> before.add(stored.key()));
+    replica.restore(snapshot);
+    nextOffset = replica.nextOffset();
+    List<StoredResource> changed = new ArrayList<>(snapshot.objects());
+    snapshot.objects().forEach(stored -> before.remove(stored.key()));
+    before.forEach(
+        key -> changed.add(new StoredResource(key, snapshot.nextOffset(), Optional.empty())));
+    snapshot.recent().forEach(recent -> publisher.onVerdict(recent.verdict()));
+    LOG.info("event=snapshot-restored nextOffset={} objects={}", nextOffset, replica.size());
+    tell(changed);
+    ready.complete(null);
+  }
+
+  private void applyChanges(long offset, List<Change> changes) {
+    List<Verdict> verdicts = replica.apply(offset, changes);
+    List<StoredResource> changed = new ArrayList<>();
+    for (int i = 0; i < verdicts.size(); i++) {
+      if (verdicts.get(i).version() == offset + 1 && verdicts.get(i).accepted()) {
+        Change change = changes.get(i);
+        changed.add(new StoredResource(change.key(), offset + 1, change.value()));
+      }
+    }
+    tell(changed);
+    verdicts.forEach(publisher::onVerdict);
+  }
+
+  private void tell(Collection<StoredResource> changed) {
+    if (!changed.isEmpty()) {
+      listeners.forEach(listener -> listener.changed(changed));
+    }
+  }
+
+  private void maybeSnapshot() {
+    boolean atHead = catchUp == null && sinceHeadMs() < 2 * WAIT_MS;
+    boolean nothing = replica.size() == 0 && replica.nextOffset() == 0;
+    if (!atHead || nothing || !snapshotTimer.isDue(clock.nowMs())) {
+      return;
+    }
+    String id = java.util.UUID.randomUUID().toString();
+    List<byte[]> chunks = new ArrayList<>();
+    SnapshotAssembler.split(id, replica.snapshot())
+        .forEach(chunk -> chunks.add(LogRecordCodec.write(LogRecord.ofChunk(chunk))));
+    LOG.info("event=snapshot-written nextOffset={} chunks={}", replica.nextOffset(), chunks.size());
+    publisher.appendSnapshot(chunks);
+  }
+
+  /** Returns whether this host waits for a snapshot because the log no longer has what it needs. */
+  public CompletableFuture<Boolean> waitsForSnapshot() {
+    return CompletableFuture.supplyAsync(() -> catchUp != null || !ready.isDone(), stateThread);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -0,0 +1,565 @@
+package org.wheatwall.entry.job;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wheatwall.core.configuration.model.ResourceKey;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.configuration.model.Verdict;
+import org.wheatwall.core.gang.decision.GangAttempt;
+import org.wheatwall.core.gang.decision.GangPhase;
+import org.wheatwall.core.gang.model.TaskPhase;
+import org.wheatwall.core.gang.model.TaskReport;
+import org.wheatwall.core.gang.model.WorkerOperation;
+import org.wheatwall.core.gang.model.WorkerReport;
+import org.wheatwall.core.job.decision.Decision;
+import org.wheatwall.core.job.decision.Scheduler;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.configuration.Draft;
+import org.wheatwall.wire.platform.ListedHost;
+import org.wheatwall.wire.platform.WorkerExchange;
+
+/**
+ * Decides and carries out gangs for one availability zone, while this host holds that duty. A new
+ * decider first takes the inventory of every worker, or waits until the leases on those it cannot
+ * reach have lapsed. Confined to the decision loop.
+ */
+final class Decider {
+  /** What the decider needs from the rest of the entry host. */
+  interface Outside {
+    /** Returns the epoch of this host's mandate and until when it holds, if it may decide now. */
+    Optional<Mandate> mandate();
+
+    /** Sends an exchange; the reply comes back on the decision loop. */
+    CompletableFuture<WorkerReport> exchange(
+        String address, WorkerExchange exchange, long timeoutMs);
+
+    /** Publishes a change; the verdict comes back on the decision loop. */
+    CompletableFuture<Verdict> publish(Draft draft);
+
+    /** Returns the workers of the zone as listed. */
+    List<ListedHost> workers();
+  }
+
+  /**
+   * Leave to decide.
+   *
+   * @param continuous whether this host was the decider of the view before, with none between
+   * @param first whether the zone never had a view before
+   */
+  record Mandate(long epoch, long untilMs, boolean continuous, boolean first) {}
+
+  /** Stages of being the decider. */
+  enum Stage {
+    PASSIVE,
+    INVENTORY,
+    DECIDING
+  }
+
+  private static final Logger LOG = LoggerFactory.getLogger(Decider.class);
+  private static final long RETRY_MS = 100;
+  private static final long SWEEP_MS = 250;
+  private static final long DECIDE_MS = 200;
+  private static final int MAX_FAILED_ATTEMPTS = 3;
+  private static final long EXCHANGE_TIMEOUT_MS = 1000;
+
+  private final Clock clock;
+  private final Outside outside;
+  private final JobConfiguration configuration;
+  private final SchedulerSettings schedulerSettings;
+  private final WorkerLinks links;
+  private final GangTable gangs = new GangTable();
+  private final Set<String> publishing = new HashSet<>();
+  private final Map<String, Integer> failedAttempts = new HashMap<>();
+  private final Set<String> blamed = new HashSet<>();
+  private final Timer decideTimer;
+  private final Meter exchanges;
+  private final Meter starts;
+  private final Meter stops;
+  private Scheduler scheduler;
+  private Stage stage = Stage.PASSIVE;
+  private Mandate mandate = new Mandate(0, Long.MIN_VALUE, false, false);
+  private long inventoryUntilMs;
+  private long nextSweepMs;
+  private long nextDecideMs;
+  private boolean dirty;
+
+  Decider(
+      Clock clock,
+      Outside outside,
+      JobConfiguration configuration,
+      SchedulerSettings schedulerSettings,
+      int workerMessagesPerSecond,
+      MetricRegistry metrics) {
+    this.clock = clock;
+    this.outside = outside;
+    this.configuration = configuration;
+    this.schedulerSettings = schedulerSettings;
+    this.links = new WorkerLinks(workerMessagesPerSecond);
+    this.scheduler = new Scheduler(schedulerSettings);
+    this.decideTimer = metrics.timer("jobs.decide-time");
+    this.exchanges = metrics.meter("jobs.worker-exchanges");
+    this.starts = metrics.meter("jobs.attempts-started");
+    this.stops = metrics.meter("jobs.attempts-stopped");
+    metrics.gauge("jobs.waiting", () -> () -> scheduler.waiting().size());
+    metrics.gauge("jobs.attempts", () -> () -> scheduler.running().size());
+  }
+
+  Stage stage() {
+    return stage;
+  }
+
+  long epoch() {
+    return mandate.epoch();
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  GangTable gangs() {
+    return gangs;
+  }
+
+  /** Takes in changed configuration. */
+  void configurationChanged(Collection<StoredResource> changed) {
+    long nowMs = clock.nowMs();
+    Set<JobConfiguration.Affected> affected = new HashSet<>();
+    changed.forEach(stored -> configuration.take(stored, nowMs).ifPresent(affected::add));
+    if (stage != Stage.DECIDING) {
+      return;
+    }
+    configure(affected);
+    JobConfiguration.jobNames(changed).forEach(this::jobChanged);
+    dirty = true;
+  }
+
+  /** Takes in a changed list of hosts. */
+  void hostsChanged() {
+    if (stage != Stage.PASSIVE) {
+      refreshHosts(clock.nowMs());
+      dirty = true;
+    }
+  }
+
+  /** Does what is due. */
+  void tick() {
+    long nowMs = clock.nowMs();
+    Optional<Mandate> now = outside.mandate();
+    if (now.isEmpty()) {
+      // The mandate may come back within the same view; only another epoch ends the duty.
+      mandate = new Mandate(mandate.epoch(), Long.MIN_VALUE, false, false);
+      return;
+    }
+    if (now.get().epoch() != mandate.epoch() || stage == Stage.PASSIVE) {
+      takeDuty(now.get(), nowMs);
+    }
+    mandate = now.get();
+    if (stage == Stage.INVENTORY) {
+      endInventory(nowMs);
+    }
+    if (stage == Stage.DECIDING) {
+      decide(nowMs);
+      sweep(nowMs);
+    }
+    exchangeWhatIsDue(nowMs);
+  }
+
+  /** Gives up the duty, because another host has it in the view now in force. */
+  void loseDuty() {
+    if (stage != Stage.PASSIVE) {
+      LOG.info("event=decider-ended epoch={}", mandate.epoch());
+      stage = Stage.PASSIVE;
+      gangs.clear();
+      links.clear();
+      publishing.clear();
+      scheduler = new Scheduler(schedulerSettings);
+    }
+  }
+
+  private void takeDuty(Mandate next, long nowMs) {
+    if (next.continuous() && stage == Stage.DECIDING) {
+      scheduler.setAttemptPrefix(Long.toString(next.epoch(), 36));
+      LOG.info("event=decider-continues epoch={}", next.epoch());
+      return;
+    }
+    loseDuty();
+    refreshHosts(nowMs);
+    scheduler.setAttemptPrefix(Long.toString(next.epoch(), 36));
+    stage = Stage.INVENTORY;
+    long lapseMs = links.times().lapseMs(links.times().leaseMs());
+    inventoryUntilMs = nowMs + (next.first() ? EXCHANGE_TIMEOUT_MS : lapseMs);
+    links.all().forEach(WorkerLink::want);
+    LOG.info("event=decider-inventory epoch={} workers={}", next.epoch(), links.all().size());
+  }
+
+  private void endInventory(long nowMs) {
+    boolean complete = links.allReported();
+    if (!complete && nowMs < inventoryUntilMs) {
+      return;
+    }
+    configure(Set.of(JobConfiguration.Affected.values()));
+    adoptAttempts(nowMs);
+    stage = Stage.DECIDING;
+    List<JobEntry> inOrder = new ArrayList<>(configuration.jobs().values());
+    inOrder.sort(java.util.Comparator.comparingLong(JobEntry::version));
+    inOrder.forEach(entry -> jobChanged(entry.name()));
+    dirty = true;
+    LOG.info(
+        "event=decider-ready epoch={} adopted={} waiting={} complete={}",
+        mandate.epoch(),
+        gangs.all().size(),
+        scheduler.waiting().size(),
+        complete);
+  }
+
+  private void adoptAttempts(long nowMs) {
+    long lapsesAtMs = nowMs + links.times().lapseMs(links.times().leaseMs());
+    Map<String, TaskReport> found = new HashMap<>();
+    for (WorkerLink link : links.all()) {
+      link.report().ifPresent(r -> r.tasks().forEach(task -> found.put(task.attemptId(), task)));
+    }
+    for (TaskReport task : found.values()) {
+      JobEntry entry = configuration.jobs().get(task.jobName());
+      boolean wanted = entry != null && !entry.job().phase().isFinal();
+      if (wanted && scheduler.attemptOf(task.jobName()).isEmpty()) {
+        adopt(task, entry.job(), nowMs, lapsesAtMs);
+      }
+    }
+    for (WorkerLink link : links.all()) {
+      link.report()
+          .ifPresent(
+              report ->
+                  gangs
+                      .onHost(link.host())
+                      .forEach(attempt -> attempt.onReport(report, link.reportedAtMs())));
+    }
+  }
+
+  private void adopt(TaskReport task, Job job, long nowMs, long lapsesAtMs) {
+    Placement placement = new Placement(task.hosts());
+    scheduler.adopt(task.attemptId(), task.jobName(), job, placement, nowMs);
+    gangs.add(
+        GangAttempt.adopt(
+            task.attemptId(), task.jobName(), job, placement, links.times(), nowMs, lapsesAtMs));
+  }
+
+  private void configure(Set<JobConfiguration.Affected> affected) {
+    if (affected.contains(JobConfiguration.Affected.WORKSPACES)) {
+      scheduler.setWorkspaces(configuration.workspaces());
+    }
+    if (affected.contains(JobConfiguration.Affected.SHAPES)) {
+      scheduler.setShapes(configuration.shapes());
+    }
+    if (affected.contains(JobConfiguration.Affected.POLICIES)) {
+      scheduler.setPolicies(configuration.policies());
+    }
+    if (affected.contains(JobConfiguration.Affected.HOSTS)) {
+      markHosts();
+    }
+  }
+
+  private void jobChanged(String name) {
+    JobEntry entry = configuration.jobs().get(name);
+    if (entry != null && !entry.job().phase().isFinal()) {
+      scheduler.submit(name, entry.job(), entry.seenMs());
+      return;
+    }
+    publishing.remove(name);
+    failedAttempts.remove(name);
+    long nowMs = clock.nowMs();
+    scheduler
+        .withdraw(name)
+        .flatMap(gangs::get)
+        .ifPresent(
+            attempt -> {
+              attempt.requestStop(nowMs);
+              links.want(attempt.hosts());
+            });
+  }
+
+  private void refreshHosts(long nowMs) {
+    links.refresh(outside.workers(), scheduler.cluster(), gangs.hosts(), nowMs);
+    markHosts();
+    scheduler.hostsChanged();
+  }
+
+  private void markHosts() {
+    Set<String> unusable = new TreeSet<>(configuration.cordoned());
+    for (ListedHost worker : outside.workers()) {
+      if (worker.state() == ListedHost.State.LEAVING) {
+        unusable.add(worker.name());
+      }
+    }
+    scheduler.setCordoned(unusable);
+    configuration
+        .marks()
+        .forEach((name, mark) -> scheduler.cluster().setLabels(name, mark.labels()));
+  }
+
+  private void decide(long nowMs) {
+    if (!dirty && nowMs < nextDecideMs) {
+      return;
+    }
+    dirty = false;
+    nextDecideMs = nowMs + DECIDE_MS;
+    List<Decision> decisions;
+    try (Timer.Context ignored = decideTimer.time()) {
+      decisions = scheduler.decide(nowMs);
+    }
+    for (Decision decision : decisions) {
+      if (decision instanceof Decision.Start start) {
+        begin(start, nowMs);
+      } else if (decision instanceof Decision.Stop stop) {
+        gangs.get(stop.attemptId()).ifPresent(attempt -> stop(attempt, nowMs));
+      }
+    }
+  }
+
+  private void begin(Decision.Start start, long nowMs) {
+    starts.mark();
+    GangAttempt attempt =
+        GangAttempt.begin(
+            start.attemptId(),
+            start.jobName(),
+            start.job(),
+            start.placement(),
+            links.times(),
+            new HashSet<>(start.victims()),
+            nowMs);
+    start.victims().stream()
+        .filter(victim -> gangs.get(victim).isEmpty())
+        .forEach(attempt::onAttemptEnded);
+    gangs.add(attempt);
+    advance(attempt, nowMs);
+  }
+
+  private void stop(GangAttempt attempt, long nowMs) {
+    stops.mark();
+    attempt.requestStop(nowMs);
+    links.want(attempt.hosts());
+  }
+
+  private void sweep(long nowMs) {
+    boolean all = nowMs >= nextSweepMs;
+    if (all) {
+      nextSweepMs = nowMs + SWEEP_MS;
+    }
+    for (GangAttempt attempt : new ArrayList<>(gangs.all())) {
+      if (all || attempt.phase() != GangPhase.RUNNING) {
+        advance(attempt, nowMs);
+      }
+    }
+  }
+
+  private void advance(GangAttempt attempt, long nowMs) {
+    GangPhase before = attempt.phase();
+    attempt.advance(nowMs);
+    if (attempt.phase() != before) {
+      links.want(attempt.hosts());
+    } else if (isUnsettled(attempt)) {
+      for (String host : attempt.hosts()) {
+        links.get(host).filter(link -> link.quietFor(RETRY_MS, nowMs)).ifPresent(WorkerLink::want);
+      }
+    }
+    if (attempt.phase() == GangPhase.ENDED && before != GangPhase.ENDED) {
+      ended(attempt, nowMs);
+    }
+  }
+
+  private static boolean isUnsettled(GangAttempt attempt) {
+    return switch (attempt.phase()) {
+      case RESERVING, STARTING, CHECKPOINTING, STOPPING -> true;
+      case WAITING_FOR_ROOM, RUNNING, ENDED -> false;
+    };
+  }
+
+  private void ended(GangAttempt attempt, long nowMs) {
+    scheduler.attemptEnded(attempt.attemptId(), attempt.endReason(), nowMs);
+    for (GangAttempt other : gangs.all()) {
+      other.onAttemptEnded(attempt.attemptId());
+    }
+    dirty = true;
+    JobEntry entry = configuration.jobs().get(attempt.jobName());
+    if (entry == null || entry.job().phase().isFinal()) {
+      gangs.remove(attempt);
+      return;
+    }
+    switch (attempt.endReason()) {
+      case SUCCEEDED -> publishEnd(attempt, JobPhase.SUCCEEDED);
+      case FAILED -> failed(attempt, entry, nowMs);
+      case INTERRUPTED -> {
+        gangs.remove(attempt);
+        scheduler.submit(entry.name(), entry.job(), entry.seenMs());
+      }
+    }
+  }
+
+  private void failed(GangAttempt attempt, JobEntry entry, long nowMs) {
+    for (String host : attempt.failedHosts()) {
+      // One job that always fails must not condemn a host by itself.
+      if (blamed.add(host + " " + attempt.jobName())) {
+        scheduler.hostFailedTask(host, nowMs);
+      }
+    }
+    int failures = failedAttempts.merge(attempt.jobName(), 1, Integer::sum);
+    if (failures >= MAX_FAILED_ATTEMPTS) {
+      publishEnd(attempt, JobPhase.FAILED);
+    } else {
+      gangs.remove(attempt);
+      scheduler.submit(entry.name(), entry.job(), entry.seenMs());
+    }
+  }
+
+  // Until the log has the result, the workers keep it, so that a later decider finds it there and
+  // does not run the job again.
+  private void publishEnd(GangAttempt attempt, JobPhase phase) {
+    JobEntry entry = configuration.jobs().get(attempt.jobName());
+    if (entry == null || entry.job().phase().isFinal()) {
+      gangs.remove(attempt);
+      return;
+    }
+    publishing.add(entry.name());
+    ResourceKey key = new ResourceKey(ResourceKind.JOBS, entry.name());
+    Draft draft =
+        Draft.of(
+            key, entry.version(), Optional.of(entry.job().withPhase(phase)), Draft.Priority.JOB);
+    outside
+        .publish(draft)
+        .whenComplete(
+            (verdict, failure) -> {
+              boolean current = gangs.get(attempt.attemptId()).isPresent();
+              if (current) {
+                publishEnd(attempt, phase);
+              }
+            });
+  }
+
+  private void exchangeWhatIsDue(long nowMs) {
+    for (WorkerLink link : links.all()) {
+      if (link.isDue(nowMs)) {
+        exchange(link, nowMs);
+      }
+    }
+  }
+
+  private void exchange(WorkerLink link, long nowMs) {
+    long validUntilMs = Math.min(nowMs + links.times().commandMs(), mandate.untilMs());
+    boolean knowsClock = link.report().isPresent();
+    List<WorkerOperation> operations = knowsClock ? operations(link, nowMs) : List.of();
+    WorkerExchange exchange =
+        new WorkerExchange(
+            mandate.epoch(), knowsClock ? link.workerTime(validUntilMs) : 0, operations);
+    long epoch = mandate.epoch();
+    link.sent(nowMs, links.heartbeatMs());
+    exchanges.mark();
+    outside
+        .exchange(link.address(), exchange, EXCHANGE_TIMEOUT_MS)
+        .whenComplete(
+            (report, failure) -> {
+              if (links.get(link.host()).orElse(null) != link) {
+                return;
+              }
+              if (failure != null) {
+                link.failed();
+              } else {
+                onReport(link, report, nowMs, epoch);
+              }
+            });
+  }
+
+  private List<WorkerOperation> operations(WorkerLink link, long nowMs) {
+    List<WorkerOperation> operations = new ArrayList<>();
+    for (GangAttempt attempt : gangs.onHost(link.host())) {
+      boolean held = publishing.contains(attempt.jobName());
+      if (!held) {
+        attempt.operationFor(link.host(), nowMs).ifPresent(operations::add);
+      }
+    }
+    for (TaskReport task : link.report().map(WorkerReport::tasks).orElse(List.of())) {
+      if (gangs.get(task.attemptId()).isEmpty()) {
+        unknownPart(task).ifPresent(operations::add);
+      }
+    }
+    return operations;
+  }
+
+  // During the inventory everything found is kept alive; after it, what is not ours is stopped.
+  private Optional<WorkerOperation> unknownPart(TaskReport task) {
+    if (stage == Stage.DECIDING) {
+      return Optional.of(WorkerOperation.simple(WorkerOperation.Kind.STOP, task.attemptId(), 0));
+    }
+    boolean runs = task.phase() == TaskPhase.RUNNING;
+    return runs
+        ? Optional.of(
+            WorkerOperation.simple(
+                WorkerOperation.Kind.RENEW, task.attemptId(), links.times().leaseMs()))
+        : Optional.empty();
+  }
+
+  private void onReport(WorkerLink link, WorkerReport report, long sentMs, long epoch) {
+    long nowMs = clock.nowMs();
+    boolean firstReport = link.report().isEmpty();
+    link.received(report, nowMs);
+    if (epoch != mandate.epoch() || stage != Stage.DECIDING) {
+      if (firstReport) {
+        link.want();
+      }
+      return;
+    }
+    for (GangAttempt attempt : gangs.onHost(link.host())) {
+      attempt.onReport(report, sentMs);
+      if (report.refusal().isPresent() && report.task(attempt.attemptId()).isEmpty()) {
+        attempt.onRefused(link.host(), nowMs);
+      }
+      advance(attempt, nowMs);
+    }
+    boolean foreign =
+        report.tasks().stream().anyMatch(task -> gangs.get(task.attemptId()).isEmpty());
+    if (firstReport || foreign) {
+      link.want();
+    }
+    if (dirty) {
+      decide(nowMs);
+    }
+  }
+
+  /** Returns why a job waits or how it runs, in words. */
+  String explain(String jobName) {
+    JobEntry entry = configuration.jobs().get(jobName);
+    if (entry == null) {
+      return "no such job in this zone";
+    }
+    if (entry.job().phase().isFinal()) {
+      return entry.job().phase().toString();
+    }
+    if (stage != Stage.DECIDING) {
+      return "the decider of the zone is taking the inventory of the workers";
+    }
+    Optional<GangAttempt> attempt = scheduler.attemptOf(jobName).flatMap(gangs::get);
+    if (attempt.isPresent()) {
+      return attempt.get().phase() + " on " + attempt.get().placement().tasksByHost();
+    }
+    return scheduler
+        .reason(jobName)
+        .map(reason -> reason.kind() + ": " + reason.detail())
+        .orElse("about to be looked at");
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/job/DecisionLoop.java
@@ -0,0 +1,73 @@
+package org.wheatwall.entry.job;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.ExceptionHandler;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadFactory;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The single writer of the job plane's state: one thread behind a Disruptor ring. */
+final class DecisionLoop implements Executor {
+  private static final Logger LOG = LoggerFactory.getLogger(DecisionLoop.class);
+  private static final int RING_SIZE = 1024;
+
+  private final Disruptor<Cell> disruptor;
+
+  private static final class Cell {
+    private Runnable task;
+
+    private void run() {
+      Runnable current = task;
+      task = null;
+      current.run();
+    }
+  }
+
+  DecisionLoop(ThreadFactory threads) {
+    disruptor =
+        new Disruptor<>(
+            Cell::new, RING_SIZE, threads, ProducerType.MULTI, new BlockingWaitStrategy());
+    disruptor.handleEventsWith((cell, sequence, endOfBatch) -> cell.run());
+    disruptor.setDefaultExceptionHandler(new FailureLog());
+  }
+
+  void start() {
+    disruptor.start();
+  }
+
+  void stop() {
+    disruptor.halt();
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    disruptor.publishEvent((cell, sequence) -> cell.task = task);
+  }
+
+  <T> CompletableFuture<T> call(Supplier<T> supplier) {
+    return CompletableFuture.supplyAsync(supplier, this);
+  }
+
+  // One failed event must not stop the loop; it is a fault of this program, so it is logged whole.
+  private static final class FailureLog implements ExceptionHandler<Cell> {
+    @Override
+    public void handleEventException(Throwable failure, long sequence, Cell cell) {
+      LOG.error("event=decision-failed sequence={}", sequence, failure);
+    }
+
+    @Override
+    public void handleOnStartException(Throwable failure) {
+      LOG.error("event=decision-loop-start-failed", failure);
+    }
+
+    @Override
+    public void handleOnShutdownException(Throwable failure) {
+      LOG.error("event=decision-loop-stop-failed", failure);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobConfiguration.java
@@ -0,0 +1,128 @@
+package org.wheatwall.entry.job;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.job.model.GuaranteedShape;
+import org.wheatwall.core.job.model.HostMark;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.model.Workspace;
+
+/** The part of the configuration that the job plane of one zone needs. */
+final class JobConfiguration {
+  private final String zone;
+  private final Map<String, JobEntry> jobs = new TreeMap<>();
+  private final Map<String, Workspace> workspaces = new TreeMap<>();
+  private final Map<String, GuaranteedShape> shapes = new TreeMap<>();
+  private final Map<String, PolicySpec> policies = new TreeMap<>();
+  private final Map<String, HostMark> marks = new TreeMap<>();
+
+  /** Kinds of change that the decider has to act on, besides jobs. */
+  enum Affected {
+    WORKSPACES,
+    SHAPES,
+    POLICIES,
+    HOSTS
+  }
+
+  JobConfiguration(String zone) {
+    this.zone = zone;
+  }
+
+  /** Takes in one object; returns what it affects besides jobs. */
+  Optional<Affected> take(StoredResource stored, long nowMs) {
+    String name = stored.key().name();
+    return switch (stored.key().kind()) {
+      case JOBS -> {
+        takeJob(stored, nowMs);
+        yield Optional.empty();
+      }
+      case WORKSPACES -> {
+        put(workspaces, name, stored, Workspace.class);
+        yield Optional.of(Affected.WORKSPACES);
+      }
+      case SHAPES -> {
+        put(shapes, name, stored, GuaranteedShape.class);
+        shapes.values().removeIf(shape -> !shape.zone().equals(zone));
+        yield Optional.of(Affected.SHAPES);
+      }
+      case POLICIES -> {
+        put(policies, name, stored, PolicySpec.class);
+        yield Optional.of(Affected.POLICIES);
+      }
+      case HOSTS -> {
+        put(marks, name, stored, HostMark.class);
+        yield Optional.of(Affected.HOSTS);
+      }
+      case SERVICES, VIEWS -> Optional.empty();
+    };
+  }
+
+  Map<String, JobEntry> jobs() {
+    return jobs;
+  }
+
+  Map<String, Workspace> workspaces() {
+    return workspaces;
+  }
+
+  Map<String, GuaranteedShape> shapes() {
+    return shapes;
+  }
+
+  Map<String, PolicySpec> policies() {
+    return policies;
+  }
+
+  Map<String, HostMark> marks() {
+    return marks;
+  }
+
+  Set<String> cordoned() {
+    Set<String> names = new HashSet<>();
+    marks.forEach(
+        (name, mark) -> {
+          if (mark.cordoned()) {
+            names.add(name);
+          }
+        });
+    return names;
+  }
+
+  /** Returns the names of the jobs among {@code changed}. */
+  static Collection<String> jobNames(Collection<StoredResource> changed) {
+    Set<String> names = new HashSet<>();
+    for (StoredResource stored : changed) {
+      if (stored.key().kind() == org.wheatwall.core.configuration.model.ResourceKind.JOBS) {
+        names.add(stored.key().name());
+      }
+    }
+    return names;
+  }
+
+  private void takeJob(StoredResource stored, long nowMs) {
+    String name = stored.key().name();
+    if (stored.value().orElse(null) instanceof Job job && job.zone().equals(zone)) {
+      JobEntry known = jobs.get(name);
+      long seenMs = known == null ? nowMs : known.seenMs();
+      jobs.put(name, new JobEntry(name, job, stored.version(), seenMs));
+    } else {
+      jobs.remove(name);
+    }
+  }
+
+  private static <T> void put(
+      Map<String, T> map, String name, StoredResource stored, Class<T> type) {
+    Optional<T> value = stored.value().filter(type::isInstance).map(type::cast);
+    if (value.isPresent()) {
+      map.put(name, value.get());
+    } else {
+      map.remove(name);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -0,0 +1,276 @@
+package org.wheatwall.entry.job;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.configuration.model.Verdict;
+import org.wheatwall.core.gang.decision.GangAttempt;
+import org.wheatwall.core.gang.model.WorkerReport;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.membership.model.ZoneView;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.common.EntrySettings;
+import org.wheatwall.entry.configuration.ConfigurationListener;
+import org.wheatwall.entry.configuration.ConfigurationService;
+import org.wheatwall.entry.configuration.Draft;
+import org.wheatwall.entry.membership.MandateStatus;
+import org.wheatwall.entry.membership.MembershipListener;
+import org.wheatwall.entry.membership.MembershipService;
+import org.wheatwall.entry.platform.HostDirectory;
+import org.wheatwall.entry.platform.WorkerService;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.HeartbeatReply;
+import org.wheatwall.wire.message.JobQuery;
+import org.wheatwall.wire.message.JobReply;
+import org.wheatwall.wire.platform.ListedHost;
+import org.wheatwall.wire.platform.WorkerExchange;
+
+/**
+ * The job plane of an entry host: the decision loop around {@link Decider} and its surroundings.
+ */
+public final class JobPlane implements ConfigurationListener, MembershipListener {
+  /** Name of the duty of deciding for the zone. */
+  public static final String DUTY = "decider";
+
+  private static final long TICK_MS = 25;
+  private static final int MAX_LISTED = 500;
+
+  private final String zone;
+  private final Clock clock;
+  private final MembershipService membership;
+  private final ConfigurationService configurationService;
+  private final HostDirectory directory;
+  private final WorkerService workers;
+  private final ScheduledExecutorService timer;
+  private final DecisionLoop loop;
+  private final Decider decider;
+  private final LeaseKeeper keeper;
+  // Confined to the decision loop.
+  private MandateStatus lastStatus = MandateStatus.NONE;
+  private boolean continuous;
+
+  /** Creates the plane; {@link #start} begins. */
+  public JobPlane(
+      EntrySettings settings,
+      Clock clock,
+      MembershipService membership,
+      ConfigurationService configurationService,
+      HostDirectory directory,
+      WorkerService workers,
+      ScheduledExecutorService timer,
+      MetricRegistry metrics) {
+    this.zone = settings.zone();
+    this.clock = clock;
+    this.membership = membership;
+    this.configurationService = configurationService;
+    this.directory = directory;
+    this.workers = workers;
+    this.timer = timer;
+    this.loop =
+        new DecisionLoop(
+            task -> {
+              Thread thread = Executors.defaultThreadFactory().newThread(task);
+              thread.setName("decision-loop");
+              thread.setDaemon(true);
+              return thread;
+            });
+    SchedulerSettings defaults = SchedulerSettings.DEFAULT;
+    this.decider =
+        new Decider(
+            clock,
+            new Surroundings(),
+            new JobConfiguration(zone),
+            new SchedulerSettings(
+                settings.jobs().starvationBoundMs(), defaults.scanLimit(), defaults.startLimit()),
+            settings.jobs().workerMessagesPerSecond(),
+            metrics);
+    this.keeper = new LeaseKeeper(clock, workers, loop);
+  }
+
+  /** Starts the loop. */
+  public void start() {
+    loop.start();
+    directory.addListener(() -> loop.execute(decider::hostsChanged));
+    timer.scheduleWithFixedDelay(
+        () -> loop.execute(this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops the loop. */
+  public void stop() {
+    loop.stop();
+  }
+
+  @Override
+  public void changed(Collection<StoredResource> objects) {
+    loop.execute(() -> decider.configurationChanged(objects));
+  }
+
+  @Override
+  public void epochChanged(MandateStatus status) {
+    loop.execute(() -> onEpoch(status));
+  }
+
+  @Override
+  public void memberReplied(String memberId, HeartbeatReply reply) {}
+
+  @Override
+  public void memberRetired(String memberId) {}
+
+  /** Returns why a job waits or how it runs, asking the zone's decider on any host. */
+  public CompletableFuture<String> explain(String jobName) {
+    return loop.call(() -> decider.explain(jobName));
+  }
+
+  /** Answers another entry host that asks about a job, or about everything. */
+  public CompletableFuture<Envelope.Builder> onQuery(JobQuery query) {
+    CompletableFuture<byte[]> document =
+        query.getName().isEmpty()
+            ? dump().thenApply(Json::bytes)
+            : explain(query.getName())
+                .thenApply(
+                    text -> Json.bytes(Json.mapper().createObjectNode().put("explanation", text)));
+    return document.thenApply(
+        bytes ->
+            Envelope.newBuilder()
+                .setJobReply(JobReply.newBuilder().setDocument(ByteString.copyFrom(bytes))));
+  }
+
+  /** Returns the state of the loop for the state dump. */
+  public CompletableFuture<ObjectNode> dump() {
+    return loop.call(
+        () -> {
+          ObjectNode node = Json.mapper().createObjectNode();
+          node.put("stage", decider.stage().toString());
+          node.put("epoch", decider.epoch());
+          node.put("acceleratorsTotal", decider.scheduler().cluster().totalAccelerators());
+          node.put("acceleratorsFree", decider.scheduler().cluster().freeAccelerators());
+          node.put("fragmentation", decider.scheduler().cluster().fragmentation());
+          node.put("waitingCount", decider.scheduler().waiting().size());
+          node.put("attemptCount", decider.gangs().all().size());
+          ArrayNode broken = node.putArray("guaranteesNotReclaimable");
+          decider.scheduler().brokenGuarantees().forEach(broken::add);
+          ArrayNode attempts = node.putArray("attempts");
+          for (GangAttempt attempt : decider.gangs().all()) {
+            if (attempts.size() == MAX_LISTED) {
+              break;
+            }
+            ObjectNode entry = attempts.addObject();
+            entry.put("id", attempt.attemptId());
+            entry.put("job", attempt.jobName());
+            entry.put("phase", attempt.phase().toString());
+            entry.set("hosts", Json.mapper().valueToTree(attempt.placement().tasksByHost()));
+          }
+          return node;
+        });
+  }
+
+  private void tick() {
+    decider.tick();
+    boolean orphaned =
+        decider.stage() == Decider.Stage.PASSIVE
+            && !membership.status().mayAct(clock.nowMs())
+            && configurationService.sinceHeadMs() > LeaseKeeper.LOG_SILENCE_MS;
+    if (orphaned) {
+      membership
+          .someMemberHeard()
+          .thenAcceptAsync(
+              heard -> {
+                if (!heard) {
+                  keeper.tick(workersOfZone());
+                }
+              },
+              loop);
+    }
+  }
+
+  private void onEpoch(MandateStatus status) {
+    boolean holds = holdsDuty(status.view());
+    boolean held = holdsDuty(lastStatus.view());
+    boolean directSuccessor =
+        status.view().isPresent()
+            && lastStatus.view().isPresent()
+            && status.view().get().previous().equals(lastStatus.view().get().members());
+    continuous = holds && held && directSuccessor;
+    lastStatus = status;
+    if (!holds) {
+      decider.loseDuty();
+    }
+  }
+
+  private boolean holdsDuty(Optional<ZoneView> view) {
+    Optional<Member> holder = view.flatMap(current -> MandateStatus.dutyHolder(DUTY, current));
+    return holder.map(membership.self()::equals).orElse(false);
+  }
+
+  private List<ListedHost> workersOfZone() {
+    List<ListedHost> found = new ArrayList<>();
+    for (ListedHost host : directory.workers()) {
+      if (host.zone().equals(zone)) {
+        found.add(host);
+      }
+    }
+    return found;
+  }
+
+  /** Connects the decider to the rest of the host; replies come back on the loop. */
+  private final class Surroundings implements Decider.Outside {
+    @Override
+    public Optional<Decider.Mandate> mandate() {
+      MandateStatus status = membership.status();
+      boolean may =
+          status.mayAct(clock.nowMs())
+              && status.epoch() == lastStatus.epoch()
+              && holdsDuty(status.view());
+      return may
+          ? Optional.of(
+              new Decider.Mandate(
+                  status.epoch(),
+                  status.actingUntilMs(),
+                  continuous,
+                  status.view().orElseThrow().first()))
+          : Optional.empty();
+    }
+
+    @Override
+    public CompletableFuture<WorkerReport> exchange(
+        String address, WorkerExchange exchange, long timeoutMs) {
+      return onLoop(workers.exchange(address, exchange, timeoutMs));
+    }
+
+    @Override
+    public CompletableFuture<Verdict> publish(Draft draft) {
+      return onLoop(configurationService.publish(draft));
+    }
+
+    @Override
+    public List<ListedHost> workers() {
+      return workersOfZone();
+    }
+
+    private <T> CompletableFuture<T> onLoop(CompletableFuture<T> future) {
+      CompletableFuture<T> result = new CompletableFuture<>();
+      future.whenCompleteAsync(
+          (value, failure) -> {
+            if (failure == null) {
+              result.complete(value);
+            } else {
+              result.completeExceptionally(failure);
+            }
+          },
+          loop);
+      return result;
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MandateStatus.java
@@ -0,0 +1,33 @@
+package org.wheatwall.entry.membership;
+
+import java.util.Optional;
+import org.wheatwall.core.common.RendezvousHash;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.membership.model.ZoneView;
+
+/**
+ * What this host may do for its zone, as last computed.
+ *
+ * @param epoch epoch of the view, 0 if there is none
+ * @param view view in force
+ * @param actingUntilMs monotonic time until which this host may act; in the past if it may not
+ */
+public record MandateStatus(long epoch, Optional<ZoneView> view, long actingUntilMs) {
+  /** No view. */
+  public static final MandateStatus NONE = new MandateStatus(0, Optional.empty(), Long.MIN_VALUE);
+
+  /** Returns whether this host may act at {@code nowMs}. */
+  public boolean mayAct(long nowMs) {
+    return nowMs < actingUntilMs;
+  }
+
+  /** Returns the member that has the duty named {@code duty}. */
+  public Optional<Member> dutyHolder(String duty) {
+    return view.flatMap(current -> dutyHolder(duty, current));
+  }
+
+  /** Returns the member of {@code view} that has the duty named {@code duty}. */
+  public static Optional<Member> dutyHolder(String duty, ZoneView view) {
+    return RendezvousHash.choose(duty, view.memberIds()).flatMap(view::member);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipListener.java
@@ -0,0 +1,15 @@
+package org.wheatwall.entry.membership;
+
+import org.wheatwall.wire.message.HeartbeatReply;
+
+/** Learns of views and of other members' state. Called on the state thread. */
+public interface MembershipListener {
+  /** Takes in a new status; called at every change of epoch. */
+  void epochChanged(MandateStatus status);
+
+  /** Takes in another member's reply to a heartbeat. */
+  void memberReplied(String memberId, HeartbeatReply reply);
+
+  /** Notes that a member stopped for good with nothing in flight. */
+  void memberRetired(String memberId);
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
@@ -0,0 +1,357 @@
+package org.wheatwall.entry.membership;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wheatwall.core.configuration.model.ResourceKey;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.membership.decision.ViewMandate;
+import org.wheatwall.core.membership.decision.ViewProposer;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.membership.model.ZoneView;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.configuration.ConfigurationService;
+import org.wheatwall.entry.configuration.Draft;
+import org.wheatwall.entry.platform.HostDirectory;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.json.LogRecordCodec;
+import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.Heartbeat;
+import org.wheatwall.wire.message.HeartbeatReply;
+import org.wheatwall.wire.message.PeerIdentity;
+import org.wheatwall.wire.message.Retire;
+import org.wheatwall.wire.message.SnapshotPage;
+import org.wheatwall.wire.message.SnapshotPull;
+import org.wheatwall.wire.peer.PeerClient;
+import org.wheatwall.wire.platform.ListedHost;
+
+/**
+ * Keeps the view of this host's zone: heartbeats to the zone's other entry hosts, proposals of new
+ * views through the log, and the mandate that rests on both. Confined to the state thread; the
+ * status is published for readers on any thread.
+ */
+public final class MembershipService {
+  private static final Logger LOG = LoggerFactory.getLogger(MembershipService.class);
+
+  /** How long a confirmation of a view holds. */
+  public static final long PROMISE_MS = 1500;
+
+  /** Silence after which a member is left out. */
+  public static final long SUSPECT_MS = 1200;
+
+  private static final long HEARTBEAT_MS = 250;
+  private static final long HEARTBEAT_TIMEOUT_MS = 1000;
+  private static final long LOG_STALE_MS = 3000;
+
+  private final Member self;
+  private final String zone;
+  private final Clock clock;
+  private final ScheduledExecutorService stateThread;
+  private final ConfigurationService configuration;
+  private final HostDirectory directory;
+  private final PeerClient peers;
+  private final ViewMandate mandate;
+  private final ViewProposer proposer;
+  private final List<MembershipListener> listeners = new CopyOnWriteArrayList<>();
+  private final Map<String, Member> known = new LinkedHashMap<>();
+  private final Map<String, Long> heardMs = new LinkedHashMap<>();
+  private Supplier<HeartbeatReply.Builder> replyDetails = HeartbeatReply::newBuilder;
+  private final Set<String> retiredMembers = ConcurrentHashMap.newKeySet();
+  private boolean proposing;
+  private boolean retired;
+  private boolean pulling;
+  private volatile MandateStatus status = MandateStatus.NONE;
+
+  /** Creates the service; {@link #start} begins. */
+  public MembershipService(
+      Member self,
+      String zone,
+      Clock clock,
+      ScheduledExecutorService stateThread,
+      ConfigurationService configuration,
+      HostDirectory directory,
+      PeerClient peers,
+      MetricRegistry metrics) {
+    this.self = self;
+    this.zone = zone;
+    this.clock = clock;
+    this.stateThread = stateThread;
+    this.configuration = configuration;
+    this.directory = directory;
+    this.peers = peers;
+    this.mandate = new ViewMandate(self.id(), PROMISE_MS);
+    this.proposer = new ViewProposer(self, SUSPECT_MS);
+    metrics.gauge("membership.epoch", () -> () -> status.epoch());
+    metrics.gauge("membership.acting", () -> () -> status.mayAct(clock.nowMs()) ? 1 : 0);
+  }
+
+  /** Adds a listener; call before {@link #start}. */
+  public void addListener(MembershipListener listener) {
+    listeners.add(listener);
+  }
+
+  /** Sets what supplies the free slots and busy runners of heartbeat replies. */
+  public void setReplyDetails(Supplier<HeartbeatReply.Builder> details) {
+    replyDetails = details;
+  }
+
+  /** Starts heartbeats. */
+  public void start() {
+    configuration.addListener(this::onConfiguration);
+    stateThread.scheduleAtFixedRate(this::tick, 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the status as last computed. */
+  public MandateStatus status() {
+    return status;
+  }
+
+  /** Returns whether a member of the view has stopped for good. */
+  public boolean isRetired(String memberId) {
+    return retiredMembers.contains(memberId);
+  }
+
+  /** Returns this host as a member. */
+  public Member self() {
+    return self;
+  }
+
+  /** Returns whether this host may act now and has the duty. */
+  public boolean holdsDuty(String duty) {
+    MandateStatus current = status;
+    return current.mayAct(clock.nowMs())
+        && current.dutyHolder(duty).map(self::equals).orElse(false);
+  }
+
+  /** Returns whether some member of the view has been heard of lately; for hosts outside it. */
+  public CompletableFuture<Boolean> someMemberHeard() {
+    return CompletableFuture.supplyAsync(
+        () ->
+            mandate.view().stream()
+                .flatMap(view -> view.members().stream())
+                .anyMatch(member -> isHeard(member.id())),
+        stateThread);
+  }
+
+  /** Answers a heartbeat of another entry host of the zone. */
+  public CompletableFuture<Envelope.Builder> onHeartbeat(Heartbeat heartbeat) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          Member sender = member(heartbeat.getSender());
+          hear(sender);
+          if (heartbeat.getNextOffset() > configuration.nextOffset()) {
+            pullIfLogIsDown(sender);
+          }
+          HeartbeatReply.Builder reply =
+              replyDetails
+                  .get()
+                  .setSender(identity())
+                  .setEpoch(retired ? 0 : mandate.epoch())
+                  .setActing(mandate.mayAct(clock.nowMs()))
+                  .setNextOffset(configuration.nextOffset());
+          return Envelope.newBuilder().setHeartbeatReply(reply);
+        },
+        stateThread);
+  }
+
+  /** Notes that another member stopped for good. */
+  public CompletableFuture<Envelope.Builder> onRetire(Retire retire) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          String id = member(retire.getSender()).id();
+          mandate.onRetired(id);
+          retiredMembers.add(id);
+          proposer.onRetired(id);
+          known.remove(id);
+          heardMs.remove(id);
+          listeners.forEach(listener -> listener.memberRetired(id));
+          publishStatus();
+          return Envelope.newBuilder().setRetire(retire);
+        },
+        stateThread);
+  }
+
+  /** Stops acting for good and tells the other members. */
+  public CompletableFuture<Void> retire() {
+    return CompletableFuture.supplyAsync(
+            () -> {
+              retired = true;
+              status = new MandateStatus(status.epoch(), status.view(), Long.MIN_VALUE);
+              List<CompletableFuture<Envelope>> told = new ArrayList<>();
+              Envelope.Builder message =
+                  Envelope.newBuilder().setRetire(Retire.newBuilder().setSender(identity()));
+              for (Member member : known.values()) {
+                told.add(peers.send(member.address(), message.clone(), HEARTBEAT_TIMEOUT_MS));
+              }
+              return CompletableFuture.allOf(told.toArray(CompletableFuture[]::new))
+                  .exceptionally(failure -> null);
+            },
+            stateThread)
+        .thenCompose(told -> told);
+  }
+
+  /** Returns how this host introduces itself. */
+  public PeerIdentity identity() {
+    return PeerIdentity.newBuilder()
+        .setName(self.name())
+        .setIncarnation(self.incarnation())
+        .setAddress(self.address())
+        .setZone(zone)
+        .build();
+  }
+
+  private void onConfiguration(java.util.Collection<StoredResource> changed) {
+    for (StoredResource stored : changed) {
+      boolean ofZone =
+          stored.key().kind() == ResourceKind.VIEWS && stored.key().name().equals(zone);
+      if (ofZone && stored.value().orElse(null) instanceof ZoneView view) {
+        install(stored.version(), view);
+      }
+    }
+  }
+
+  private void install(long epoch, ZoneView view) {
+    if (epoch <= mandate.epoch()) {
+      return;
+    }
+    mandate.install(epoch, view, clock.nowMs());
+    LOG.info("event=view-installed zone={} epoch={} members={}", zone, epoch, view.memberIds());
+    publishStatus();
+    listeners.forEach(listener -> listener.epochChanged(status));
+    sendHeartbeats();
+  }
+
+  private void tick() {
+    if (retired) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    mandate.tick(nowMs);
+    if (configuration.sinceHeadMs() < HEARTBEAT_MS * 4) {
+      mandate.onVerified();
+    }
+    publishStatus();
+    sendHeartbeats();
+    propose(nowMs);
+  }
+
+  private void publishStatus() {
+    if (retired) {
+      return;
+    }
+    long until = mandate.actingUntil(clock.nowMs()).orElse(Long.MIN_VALUE);
+    status = new MandateStatus(mandate.epoch(), mandate.view(), until);
+  }
+
+  private void sendHeartbeats() {
+    Heartbeat heartbeat =
+        Heartbeat.newBuilder()
+            .setSender(identity())
+            .setEpoch(mandate.epoch())
+            .setNextOffset(configuration.nextOffset())
+            .build();
+    for (String address : heartbeatTargets()) {
+      long sentMs = clock.nowMs();
+      peers
+          .send(address, Envelope.newBuilder().setHeartbeat(heartbeat), HEARTBEAT_TIMEOUT_MS)
+          .thenAcceptAsync(reply -> onReply(reply.getHeartbeatReply(), sentMs), stateThread);
+    }
+  }
+
+  private Set<String> heartbeatTargets() {
+    Set<String> targets = new HashSet<>();
+    for (ListedHost host : directory.entryHosts()) {
+      if (host.zone().equals(zone)) {
+        targets.add(host.address());
+      }
+    }
+    mandate.view().ifPresent(view -> view.members().forEach(m -> targets.add(m.address())));
+    targets.remove(self.address());
+    return targets;
+  }
+
+  private void onReply(HeartbeatReply reply, long sentMs) {
+    Member sender = member(reply.getSender());
+    hear(sender);
+    mandate.onConfirmation(sender.id(), reply.getEpoch(), reply.getActing(), sentMs);
+    publishStatus();
+    listeners.forEach(listener -> listener.memberReplied(sender.id(), reply));
+    if (reply.getNextOffset() > configuration.nextOffset()) {
+      pullIfLogIsDown(sender);
+    }
+  }
+
+  private void hear(Member sender) {
+    known.put(sender.id(), sender);
+    heardMs.put(sender.id(), clock.nowMs());
+    proposer.onHeard(sender, clock.nowMs());
+  }
+
+  private boolean isHeard(String memberId) {
+    return clock.nowMs() - heardMs.getOrDefault(memberId, Long.MIN_VALUE / 2) < SUSPECT_MS;
+  }
+
+  private void propose(long nowMs) {
+    boolean logIsCurrent = configuration.sinceHeadMs() < LOG_STALE_MS;
+    if (proposing || !logIsCurrent) {
+      return;
+    }
+    ResourceKey key = new ResourceKey(ResourceKind.VIEWS, zone);
+    Set<String> live = new HashSet<>();
+    directory.entryHosts().forEach(host -> live.add(host.name()));
+    Optional<ZoneView> proposal = proposer.propose(mandate.view(), live, nowMs);
+    if (proposal.isEmpty()) {
+      return;
+    }
+    proposing = true;
+    long base = mandate.epoch();
+    configuration
+        .publish(Draft.of(key, base, Optional.of(proposal.get()), Draft.Priority.VIEW))
+        .whenCompleteAsync((verdict, failure) -> proposing = false, stateThread);
+  }
+
+  private void pullIfLogIsDown(Member sender) {
+    if (pulling || configuration.sinceHeadMs() < LOG_STALE_MS) {
+      return;
+    }
+    pulling = true;
+    Envelope.Builder request =
+        Envelope.newBuilder()
+            .setSnapshotPull(SnapshotPull.newBuilder().setNewerThan(configuration.nextOffset()));
+    peers
+        .send(sender.address(), request, HEARTBEAT_TIMEOUT_MS * 3)
+        .whenCompleteAsync(
+            (reply, failure) -> {
+              pulling = false;
+              if (failure == null) {
+                takeSnapshot(reply.getSnapshotPage());
+              }
+            },
+            stateThread);
+  }
+
+  private void takeSnapshot(SnapshotPage page) {
+    if (page.getNextOffset() > configuration.nextOffset()) {
+      configuration.offerSnapshot(
+          LogRecordCodec.readSnapshot(Json.tree(page.getContent().toByteArray())));
+    }
+  }
+
+  private static Member member(PeerIdentity identity) {
+    return new Member(identity.getName(), identity.getIncarnation(), identity.getAddress());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/operator/AccessRule.java
@@ -0,0 +1,76 @@
+package org.wheatwall.entry.operator;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.List;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.entry.common.EntrySettings;
+import org.wheatwall.wire.http.HttpCall;
+
+/**
+ * Checks operators' tokens. Health checks need none; nor does anything if the settings have no
+ * tokens at all.
+ */
+public final class AccessRule {
+  private static final String SCHEME = "Bearer ";
+  private static final String HEALTH = "/v1/health/";
+
+  private final EntrySettings.Tokens tokens;
+
+  /** Creates the rule. */
+  public AccessRule(EntrySettings.Tokens tokens) {
+    this.tokens = tokens;
+  }
+
+  /** Refuses a call whose token does not permit it. */
+  public void check(HttpCall call) {
+    if (!tokens.required() || call.path().startsWith(HEALTH)) {
+      return;
+    }
+    String header = call.header("Authorization").orElse("");
+    if (!header.startsWith(SCHEME)) {
+      throw new Refusal(
+          RefusalKind.UNAUTHENTICATED,
+          "the call carries no token",
+          "send Authorization: Bearer with a token from the settings");
+    }
+    byte[] token = header.substring(SCHEME.length()).trim().getBytes(StandardCharsets.UTF_8);
+    List<String> known = new ArrayList<>(tokens.read());
+    known.addAll(tokens.write());
+    known.addAll(tokens.administer());
+    if (!isOneOf(token, known)) {
+      throw new Refusal(
+          RefusalKind.UNAUTHENTICATED, "the token is not known", "use a token from the settings");
+    }
+    if (!isOneOf(token, permitted(call))) {
+      throw new Refusal(
+          RefusalKind.FORBIDDEN,
+          "the token's role does not permit this call",
+          "use a token of a higher role");
+    }
+  }
+
+  private List<String> permitted(HttpCall call) {
+    List<String> permitted = new ArrayList<>(tokens.administer());
+    boolean read = call.method().equals("GET");
+    boolean job = call.path().startsWith("/v1/jobs/");
+    if (read) {
+      permitted.addAll(tokens.read());
+    }
+    if (read || job) {
+      permitted.addAll(tokens.write());
+    }
+    return permitted;
+  }
+
+  // Looks at every token whatever the result, so that time tells nothing about them.
+  private static boolean isOneOf(byte[] token, List<String> known) {
+    boolean found = false;
+    for (String candidate : known) {
+      found |= MessageDigest.isEqual(token, candidate.getBytes(StandardCharsets.UTF_8));
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/operator/OperatorApi.java
@@ -0,0 +1,290 @@
+package org.wheatwall.entry.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.core.common.Resource;
+import org.wheatwall.core.common.Selector;
+import org.wheatwall.core.configuration.model.CapacitySummary;
+import org.wheatwall.core.configuration.model.ResourceKey;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.configuration.model.Verdict;
+import org.wheatwall.core.job.decision.CapacitySummaries;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.WorkerHost;
+import org.wheatwall.entry.configuration.ConfigurationService;
+import org.wheatwall.entry.configuration.Draft;
+import org.wheatwall.entry.platform.HostDirectory;
+import org.wheatwall.wire.http.HttpCall;
+import org.wheatwall.wire.http.HttpReply;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.json.ResourceCodec;
+import org.wheatwall.wire.platform.ListedHost;
+
+/**
+ * The operator's HTTP under {@code /v1}: reads, and changes that name the version they are based
+ * on. A change is reported as accepted only after it was read back from the log.
+ */
+public final class OperatorApi {
+  private static final String PREFIX = "/v1/";
+  private static final int DEFAULT_PAGE = 100;
+  private static final int MAX_PAGE = 1000;
+  private static final long READ_BACK_MS = 3000;
+
+  private final ConfigurationService configuration;
+  private final HostDirectory directory;
+  private final JobExplainer explainer;
+  private final StateDump dump;
+  private final Supplier<Boolean> draining;
+
+  /** Creates the API. */
+  public OperatorApi(
+      ConfigurationService configuration,
+      HostDirectory directory,
+      JobExplainer explainer,
+      StateDump dump,
+      Supplier<Boolean> draining) {
+    this.configuration = configuration;
+    this.directory = directory;
+    this.explainer = explainer;
+    this.dump = dump;
+    this.draining = draining;
+  }
+
+  /** Answers one call. */
+  public CompletableFuture<HttpReply> handle(HttpCall call) {
+    String path = call.path();
+    if (!path.startsWith(PREFIX)) {
+      throw notFound(path);
+    }
+    String[] parts = path.substring(PREFIX.length()).split("/", -1);
+    return switch (parts[0]) {
+      case "state" -> dump.state().thenApply(state -> HttpReply.json(200, Json.bytes(state)));
+      case "metrics" ->
+          CompletableFuture.completedFuture(HttpReply.json(200, Json.bytes(dump.metrics())));
+      case "health" -> CompletableFuture.completedFuture(health(parts));
+      default -> resource(call, parts);
+    };
+  }
+
+  private HttpReply health(String[] parts) {
+    boolean live = parts.length == 2 && parts[1].equals("live");
+    if (live) {
+      return HttpReply.text(200, "live\n");
+    }
+    if (parts.length != 2 || !parts[1].equals("ready")) {
+      throw notFound("/v1/health");
+    }
+    boolean ready = configuration.ready().isDone() && !draining.get();
+    return HttpReply.text(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+  }
+
+  private CompletableFuture<HttpReply> resource(HttpCall call, String[] parts) {
+    ResourceKind kind =
+        ResourceKind.ofPath(parts[0])
+            .filter(found -> found != ResourceKind.VIEWS || call.method().equals("GET"))
+            .orElseThrow(() -> notFound(call.path()));
+    if (parts.length == 1 && call.method().equals("GET")) {
+      return list(kind, call);
+    }
+    if (parts.length == 3 && kind == ResourceKind.JOBS && parts[2].equals("explain")) {
+      return explain(parts[1]);
+    }
+    if (parts.length != 2) {
+      throw notFound(call.path());
+    }
+    ResourceKey key = new ResourceKey(kind, parts[1]);
+    return switch (call.method()) {
+      case "GET" -> get(key);
+      case "PUT" -> put(key, call);
+      case "DELETE" -> delete(key, call);
+      default -> throw Refusal.invalid("method " + call.method(), "use GET, PUT or DELETE");
+    };
+  }
+
+  private CompletableFuture<HttpReply> list(ResourceKind kind, HttpCall call) {
+    Selector selector = Selector.parse(call.query("labelSelector").orElse(""));
+    int limit = limit(call);
+    String after = call.query("continue").orElse("");
+    return configuration
+        .query(replica -> replica.list(kind))
+        .thenApply(
+            all -> {
+              ObjectNode page = Json.mapper().createObjectNode();
+              ArrayNode items = page.putArray("items");
+              for (StoredResource stored : all) {
+                boolean wanted =
+                    stored.key().name().compareTo(after) > 0
+                        && selector.matches(stored.value().orElseThrow().labels());
+                if (wanted && items.size() == limit) {
+                  page.put("continue", items.get(limit - 1).get("name").asText());
+                  break;
+                }
+                if (wanted) {
+                  items.add(document(stored));
+                }
+              }
+              return HttpReply.json(200, Json.bytes(page));
+            });
+  }
+
+  private static int limit(HttpCall call) {
+    try {
+      int limit = call.query("limit").map(Integer::parseInt).orElse(DEFAULT_PAGE);
+      return org.wheatwall.core.common.Names.requireRange("limit", limit, 1, MAX_PAGE);
+    } catch (NumberFormatException e) {
+      throw Refusal.invalid("limit is not a number", "give a whole number up to " + MAX_PAGE);
+    }
+  }
+
+  private CompletableFuture<HttpReply> get(ResourceKey key) {
+    return configuration
+        .query(replica -> replica.get(key))
+        .thenApply(
+            stored ->
+                stored
+                    .map(found -> HttpReply.json(200, Json.bytes(document(found))))
+                    .map(reply -> reply)
+                    .orElseThrow(() -> notFound(key.toString())));
+  }
+
+  private CompletableFuture<HttpReply> explain(String name) {
+    ResourceKey key = new ResourceKey(ResourceKind.JOBS, name);
+    return configuration
+        .query(replica -> replica.get(key))
+        .thenCompose(
+            stored -> {
+              if (stored.isEmpty()) {
+                throw notFound(key.toString());
+              }
+              return explainer.explain(name, ((Job) stored.get().value().orElseThrow()).zone());
+            })
+        .thenApply(document -> HttpReply.json(200, document));
+  }
+
+  private CompletableFuture<HttpReply> put(ResourceKey key, HttpCall call) {
+    Resource value = ResourceCodec.read(key.kind(), call.body());
+    checkJobPhase(value);
+    Optional<CapacitySummary> capacity =
+        key.kind() == ResourceKind.SHAPES ? Optional.of(capacity()) : Optional.empty();
+    return publish(key, call, Optional.of(value), capacity);
+  }
+
+  private static void checkJobPhase(Resource value) {
+    boolean ends =
+        value instanceof Job job
+            && (job.phase() == JobPhase.SUCCEEDED || job.phase() == JobPhase.FAILED);
+    if (ends) {
+      throw Refusal.invalid(
+          "a job's end is written by the decider", "leave phase out, or write cancelled");
+    }
+  }
+
+  private CompletableFuture<HttpReply> delete(ResourceKey key, HttpCall call) {
+    return configuration
+        .query(replica -> replica.get(key))
+        .thenCompose(
+            stored -> {
+              if (stored.isEmpty()) {
+                throw notFound(key.toString());
+              }
+              boolean running =
+                  stored.get().value().orElseThrow() instanceof Job job && !job.phase().isFinal();
+              if (running) {
+                throw Refusal.invalid(key + " has not ended", "cancel the job first");
+              }
+              return publish(key, call, Optional.empty(), Optional.empty());
+            });
+  }
+
+  private CompletableFuture<HttpReply> publish(
+      ResourceKey key,
+      HttpCall call,
+      Optional<Resource> value,
+      Optional<CapacitySummary> capacity) {
+    Optional<Long> ifMatch = ifMatch(call);
+    return configuration
+        .query(
+            replica -> base(replica.baseVersion(key), replica.get(key).isPresent(), ifMatch, key))
+        .thenCompose(
+            base ->
+                configuration
+                    .publish(new Draft(key, base, value, capacity, Draft.Priority.OPERATOR))
+                    .thenApply(verdict -> accepted(key, verdict))
+                    .completeOnTimeout(notReadBack(), READ_BACK_MS, TimeUnit.MILLISECONDS));
+  }
+
+  // Without If-Match only a creation is allowed; that is the change nobody can have raced.
+  private static long base(long current, boolean exists, Optional<Long> ifMatch, ResourceKey key) {
+    if (ifMatch.isEmpty() && exists) {
+      throw new Refusal(
+          RefusalKind.STALE_VERSION,
+          key + " exists at version " + current,
+          "send If-Match with the version that your change is based on");
+    }
+    if (ifMatch.isPresent() && ifMatch.get() != current) {
+      throw new Refusal(
+          RefusalKind.STALE_VERSION,
+          key + " is at version " + current + ", not " + ifMatch.get(),
+          "read the object again, apply your edit and repeat");
+    }
+    return current;
+  }
+
+  private static Optional<Long> ifMatch(HttpCall call) {
+    try {
+      return call.header("If-Match").map(text -> Long.parseLong(text.replace("\"", "").trim()));
+    } catch (NumberFormatException e) {
+      throw Refusal.invalid("If-Match is not a version", "send the version that a read returned");
+    }
+  }
+
+  private static HttpReply accepted(ResourceKey key, Verdict verdict) {
+    if (!verdict.accepted()) {
+      throw verdict.toRefusal();
+    }
+    ObjectNode document = Json.mapper().createObjectNode();
+    document.put("kind", key.kind().path());
+    document.put("name", key.name());
+    document.put("version", verdict.version());
+    return HttpReply.json(200, Json.bytes(document)).with("ETag", "\"" + verdict.version() + "\"");
+  }
+
+  private static HttpReply notReadBack() {
+    ObjectNode document = Json.mapper().createObjectNode();
+    document.put("status", "appended or queued, not yet read back from the log");
+    document.put("remedy", "read the object to see whether the change came into force");
+    return HttpReply.json(202, Json.bytes(document));
+  }
+
+  private CapacitySummary capacity() {
+    List<WorkerHost> hosts =
+        directory.workers().stream()
+            .filter(host -> host.state() == ListedHost.State.LIVE)
+            .map(ListedHost::toWorkerHost)
+            .toList();
+    return CapacitySummaries.of(hosts);
+  }
+
+  private static ObjectNode document(StoredResource stored) {
+    ObjectNode node = Json.mapper().createObjectNode();
+    node.put("kind", stored.key().kind().path());
+    node.put("name", stored.key().name());
+    node.put("version", stored.version());
+    node.set("spec", ResourceCodec.write(stored.value().orElseThrow()));
+    return node;
+  }
+
+  private static Refusal notFound(String what) {
+    return new Refusal(
+        RefusalKind.NOT_FOUND, what + " does not exist", "check the path, kind and name");
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/request/CallRequest.java
@@ -0,0 +1,138 @@
+package org.wheatwall.entry.request;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wheatwall.core.common.Names;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.wire.http.HttpCall;
+import org.wheatwall.wire.http.HttpClient;
+
+/**
+ * A caller's request, checked.
+ *
+ * @param service service asked for
+ * @param target path and query for the runner
+ * @param key name of the step, if it may not be repeated
+ * @param issuedMs when the caller first issued the step, wall clock, if it said so
+ * @param deadlineMs time that the caller gives, milliseconds
+ */
+record CallRequest(
+    HttpCall call,
+    String service,
+    String target,
+    String workspace,
+    Optional<String> key,
+    Optional<Long> issuedMs,
+    long deadlineMs) {
+  static final String PREFIX = "/call/";
+  static final String KEY_HEADER = "Idempotency-Key";
+  static final String ISSUED_HEADER = "Wheatwall-Issued-Ms";
+  static final String DEADLINE_HEADER = "Wheatwall-Deadline-Ms";
+  static final String WORKSPACE_HEADER = "Wheatwall-Workspace";
+  static final String OUTCOME_HEADER = "Wheatwall-Outcome";
+
+  private static final String DEFAULT_WORKSPACE = "default";
+  private static final int MAX_KEY = 128;
+  private static final Set<String> SAFE_TO_REPEAT =
+      Set.of("GET", "HEAD", "PUT", "DELETE", "OPTIONS");
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "host",
+          "content-length",
+          "expect",
+          "wheatwall-request",
+          "wheatwall-outcome",
+          "wheatwall-not-run");
+
+  /** Reads a request; malformed headers are refused. */
+  static CallRequest read(HttpCall call, int defaultDeadlineMs, int maxDeadlineMs) {
+    String rest = call.target().substring(PREFIX.length());
+    int end = rest.length();
+    for (int i = 0; i < rest.length() && end == rest.length(); i++) {
+      if (rest.charAt(i) == '/' || rest.charAt(i) == '?') {
+        end = i;
+      }
+    }
+    String target = rest.substring(end);
+    return new CallRequest(
+        call,
+        Names.require("service", rest.substring(0, end)),
+        target.startsWith("/") ? target : "/" + target,
+        Names.require("workspace", call.header(WORKSPACE_HEADER).orElse(DEFAULT_WORKSPACE)),
+        key(call),
+        number(call, ISSUED_HEADER).filter(issued -> issued > 0),
+        deadline(call, defaultDeadlineMs, maxDeadlineMs));
+  }
+
+  /** Returns whether the request may be sent again after it may have run. */
+  boolean repeatable() {
+    return key.isEmpty() && SAFE_TO_REPEAT.contains(call.method());
+  }
+
+  /** Returns the headers that travel to the runner, or back from it. */
+  static HttpHeaders endToEnd(HttpHeaders headers) {
+    HttpHeaders passed = new DefaultHttpHeaders();
+    Set<String> named =
+        Set.of(headers.get("Connection", "").toLowerCase(java.util.Locale.ROOT).split(" *, *"));
+    for (Map.Entry<String, String> header : headers) {
+      String name = header.getKey().toLowerCase(java.util.Locale.ROOT);
+      if (!HOP_BY_HOP.contains(name) && !named.contains(name)) {
+        passed.add(header.getKey(), header.getValue());
+      }
+    }
+    return passed;
+  }
+
+  /** Returns the call to send to a runner. */
+  HttpCall toRunner(long remainingMs) {
+    HttpHeaders headers = endToEnd(call.headers());
+    headers.remove(HttpClient.REQUEST_HEADER);
+    headers.set(DEADLINE_HEADER, remainingMs);
+    return new HttpCall(call.method(), target, headers, call.body());
+  }
+
+  private static Optional<String> key(HttpCall call) {
+    Optional<String> key = call.header(KEY_HEADER);
+    if (call.headers().getAll(KEY_HEADER).size() > 1) {
+      throw Refusal.invalid("more than one " + KEY_HEADER, "send one");
+    }
+    key.ifPresent(
+        text -> {
+          boolean printable = text.chars().allMatch(c -> c > ' ' && c < 127);
+          if (text.isEmpty() || text.length() > MAX_KEY || !printable) {
+            throw Refusal.invalid(
+                KEY_HEADER + " is malformed", "use 1 to " + MAX_KEY + " printable characters");
+          }
+        });
+    return key;
+  }
+
+  private static long deadline(HttpCall call, int defaultDeadlineMs, int maxDeadlineMs) {
+    long asked = number(call, DEADLINE_HEADER).orElse((long) defaultDeadlineMs);
+    if (asked <= 0) {
+      throw Refusal.invalid(
+          DEADLINE_HEADER + " is " + asked, "give the milliseconds left, above 0");
+    }
+    return Math.min(asked, maxDeadlineMs);
+  }
+
+  private static Optional<Long> number(HttpCall call, String header) {
+    try {
+      return call.header(header).map(text -> Long.parseLong(text.trim()));
+    } catch (NumberFormatException e) {
+      throw Refusal.invalid(
+          header + " is \"" + call.header(header).orElse("") + "\"", "give a whole number");
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/request/RateLimits.java
@@ -0,0 +1,70 @@
+package org.wheatwall.entry.request;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wheatwall.core.job.model.Workspace;
+import org.wheatwall.entry.common.Clock;
+
+/**
+ * Limits the requests of each workspace. Each entry host enforces its share of the limit, since the
+ * balancer spreads callers over all of them.
+ */
+final class RateLimits {
+  private static final double BURST_SECONDS = 1;
+
+  private final Clock clock;
+  private final Map<String, Bucket> buckets = new ConcurrentHashMap<>();
+  private final Map<String, Integer> weights = new ConcurrentHashMap<>();
+
+  private static final class Bucket {
+    private final double perSecond;
+    private double tokens;
+    private long lastMs;
+
+    private Bucket(double perSecond, long nowMs) {
+      this.perSecond = perSecond;
+      this.tokens = Math.max(1, perSecond * BURST_SECONDS);
+      this.lastMs = nowMs;
+    }
+
+    private synchronized boolean tryTake(long nowMs) {
+      double most = Math.max(1, perSecond * BURST_SECONDS);
+      tokens = Math.min(most, tokens + (nowMs - lastMs) * perSecond / 1000);
+      lastMs = nowMs;
+      if (tokens < 1) {
+        return false;
+      }
+      tokens -= 1;
+      return true;
+    }
+  }
+
+  RateLimits(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Sets a workspace's limit and weight; {@code entryHosts} share the limit. */
+  void configure(String name, Workspace workspace, int entryHosts) {
+    weights.put(name, workspace.weight());
+    if (workspace.requestsPerSecond() == 0) {
+      buckets.remove(name);
+    } else {
+      double share = (double) workspace.requestsPerSecond() / Math.max(1, entryHosts);
+      buckets.put(name, new Bucket(share, clock.nowMs()));
+    }
+  }
+
+  void remove(String name) {
+    weights.remove(name);
+    buckets.remove(name);
+  }
+
+  boolean tryTake(String workspace) {
+    Bucket bucket = buckets.get(workspace);
+    return bucket == null || bucket.tryTake(clock.nowMs());
+  }
+
+  int weight(String workspace) {
+    return weights.getOrDefault(workspace, 1);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/request/RemoteZones.java
@@ -0,0 +1,63 @@
+package org.wheatwall.entry.request;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.membership.model.ZoneView;
+import org.wheatwall.entry.configuration.ConfigurationListener;
+import org.wheatwall.entry.membership.MandateStatus;
+
+/** The views of all zones, as the configuration shows them. */
+public final class RemoteZones implements ConfigurationListener {
+  private final String ownZone;
+  private final Map<String, EpochView> views = new ConcurrentHashMap<>();
+
+  /** A view and its epoch. */
+  record EpochView(long epoch, ZoneView view) {}
+
+  /** Creates a table for a host of {@code ownZone}. */
+  public RemoteZones(String ownZone) {
+    this.ownZone = ownZone;
+  }
+
+  @Override
+  public void changed(Collection<StoredResource> objects) {
+    for (StoredResource stored : objects) {
+      if (stored.key().kind() == ResourceKind.VIEWS
+          && stored.value().orElse(null) instanceof ZoneView view) {
+        views.put(stored.key().name(), new EpochView(stored.version(), view));
+      }
+    }
+  }
+
+  /** Returns the view of a zone. */
+  Optional<EpochView> view(String zone) {
+    return Optional.ofNullable(views.get(zone));
+  }
+
+  /** Returns the member of a zone that has a duty there. */
+  public Optional<Member> dutyHolder(String zone, String duty) {
+    return view(zone).flatMap(entry -> MandateStatus.dutyHolder(duty, entry.view()));
+  }
+
+  /** Returns the address of one random member of each other zone. */
+  List<String> someMembers() {
+    List<String> addresses = new ArrayList<>();
+    views.forEach(
+        (zone, entry) -> {
+          List<Member> members = entry.view().members();
+          if (!zone.equals(ownZone) && !members.isEmpty()) {
+            int index = ThreadLocalRandom.current().nextInt(members.size());
+            addresses.add(members.get(index).address());
+          }
+        });
+    return addresses;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
@@ -0,0 +1,219 @@
+package org.wheatwall.entry.request;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.core.request.decision.FairQueue;
+import org.wheatwall.core.request.decision.RetryBudget;
+import org.wheatwall.core.request.decision.RunnerPool;
+import org.wheatwall.core.request.model.Runner;
+import org.wheatwall.core.request.model.ServiceSpec;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.wire.http.Addresses;
+
+/**
+ * The slots and the queue of one service on this entry host. Every field is guarded by this
+ * object's lock; futures are completed outside it.
+ */
+final class ServiceSlots {
+  private static final double SMOOTHING = 0.1;
+
+  private final String service;
+  private final Clock clock;
+  private final RunnerPool pool;
+  private ServiceSpec spec = ServiceSpec.DEFAULT;
+  private FairQueue<SlotWaiter> queue;
+  private RetryBudget retries;
+  private double holdMs = 1;
+  private int borrowed;
+
+  private record Match(SlotWaiter waiter, Slot slot) {}
+
+  ServiceSlots(String service, Clock clock, long seed) {
+    this.service = service;
+    this.clock = clock;
+    this.pool = new RunnerPool(seed);
+    this.queue = new FairQueue<>(spec.queueLimit());
+    this.retries = new RetryBudget(spec.retryPercent());
+  }
+
+  synchronized void configure(ServiceSpec next) {
+    spec = next;
+    retries = new RetryBudget(next.retryPercent());
+    if (queue.size() == 0) {
+      queue = new FairQueue<>(next.queueLimit());
+    }
+  }
+
+  synchronized ServiceSpec spec() {
+    return spec;
+  }
+
+  synchronized void onFirstTry() {
+    retries.onFirstTry();
+  }
+
+  synchronized boolean tryRetry() {
+    return retries.tryRetry();
+  }
+
+  synchronized void setOwned(Collection<Runner> owned, Set<String> takenOver, long fromMs) {
+    pool.setOwned(owned, takenOver, fromMs, clock.nowMs());
+  }
+
+  synchronized void releaseTakenOver(String runner) {
+    pool.releaseTakenOver(runner, clock.nowMs());
+  }
+
+  /** Waits for a slot; the future fails with a refusal that means "not run". */
+  CompletableFuture<Slot> acquire(
+      String workspace, int weight, Set<String> avoid, long deadlineMs, boolean mayTake) {
+    long nowMs = clock.nowMs();
+    SlotWaiter waiter = new SlotWaiter(avoid, deadlineMs, nowMs, new CompletableFuture<>());
+    Optional<SlotWaiter> displaced;
+    synchronized (this) {
+      double waitMs = expectedWaitMs();
+      if (waitMs > deadlineMs - nowMs) {
+        return CompletableFuture.failedFuture(overloaded("the queue is longer than the deadline"));
+      }
+      displaced = queue.add(workspace, weight, waiter, deadlineMs);
+    }
+    displaced.ifPresent(
+        loser -> loser.slot().completeExceptionally(overloaded("the queue is full")));
+    if (mayTake) {
+      dispatch();
+    }
+    return waiter.slot();
+  }
+
+  /** Gives free slots to those who wait. */
+  void dispatch() {
+    List<Match> matches = new ArrayList<>();
+    synchronized (this) {
+      long nowMs = clock.nowMs();
+      while (queue.size() > 0) {
+        Optional<Runner> runner = pool.take(Set.of(), nowMs);
+        if (runner.isEmpty()) {
+          break;
+        }
+        SlotWaiter waiter = queue.poll().orElseThrow();
+        matches.add(new Match(waiter, slot(better(runner.get(), waiter.avoid(), nowMs), nowMs)));
+      }
+    }
+    matches.forEach(match -> match.waiter().slot().complete(match.slot()));
+  }
+
+  // A request that a runner has failed goes to another one if there is any.
+  private Runner better(Runner runner, Set<String> avoid, long nowMs) {
+    if (!avoid.contains(runner.name())) {
+      return runner;
+    }
+    Optional<Runner> other = pool.take(avoid, nowMs);
+    other.ifPresent(found -> pool.giveBack(runner.name()));
+    return other.orElse(runner);
+  }
+
+  /** Takes a slot to lend it to another entry host. */
+  synchronized Optional<Slot> takeToLend(Set<String> avoid) {
+    long nowMs = clock.nowMs();
+    if (queue.size() > 0) {
+      return Optional.empty();
+    }
+    return pool.take(avoid, nowMs).map(runner -> slot(runner, nowMs));
+  }
+
+  /** Gives a slot that another entry host lent to the next who waits, or back at once. */
+  void offerBorrowed(Slot slot) {
+    Optional<SlotWaiter> waiter;
+    synchronized (this) {
+      waiter = queue.poll();
+    }
+    if (waiter.isPresent()) {
+      waiter.get().slot().complete(slot);
+    } else {
+      slot.giveBack(true);
+    }
+  }
+
+  /** Fails those whose deadline has passed. */
+  void expire() {
+    List<SlotWaiter> late;
+    synchronized (this) {
+      late = queue.expire(clock.nowMs());
+    }
+    late.forEach(
+        waiter -> waiter.slot().completeExceptionally(overloaded("no slot came free in time")));
+  }
+
+  /** Returns how many more slots to ask other entry hosts for now. */
+  synchronized int wantsToBorrow(int most) {
+    return Math.max(0, Math.min(queue.size(), most) - borrowed);
+  }
+
+  synchronized void borrowing(int change) {
+    borrowed += change;
+  }
+
+  synchronized int freeSlots() {
+    return queue.size() > 0 ? 0 : pool.freeSlots(clock.nowMs());
+  }
+
+  synchronized int takenSlots() {
+    return pool.takenSlots();
+  }
+
+  synchronized int queued() {
+    return queue.size();
+  }
+
+  synchronized int ownedRunners() {
+    return pool.runnerNames().size();
+  }
+
+  /** Returns the runners with requests in flight that are not in {@code owned}. */
+  synchronized List<String> busyExcept(Set<String> owned) {
+    List<String> busy = new ArrayList<>();
+    for (String runner : pool.runnerNames()) {
+      if (!owned.contains(runner) && pool.takenSlots(runner) > 0) {
+        busy.add(runner);
+      }
+    }
+    return busy;
+  }
+
+  /** Returns when a refused caller should come back, seconds. */
+  synchronized int retryAfterSeconds() {
+    return (int) Math.max(1, Math.ceil(expectedWaitMs() / 1000));
+  }
+
+  private double expectedWaitMs() {
+    return queue.size() * holdMs / Math.max(1, pool.takenSlots());
+  }
+
+  private Slot slot(Runner runner, long takenMs) {
+    return new Slot(
+        runner.name(),
+        Addresses.parse(runner.address()),
+        success -> {
+          synchronized (this) {
+            long nowMs = clock.nowMs();
+            pool.giveBack(runner.name());
+            pool.onResult(runner.name(), success, nowMs);
+            holdMs += SMOOTHING * (nowMs - takenMs - holdMs);
+          }
+          dispatch();
+        });
+  }
+
+  private Refusal overloaded(String detail) {
+    return new Refusal(
+        RefusalKind.UNAVAILABLE,
+        "service " + service + ": " + detail,
+        "repeat after the time in Retry-After");
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/request/Slot.java
@@ -0,0 +1,38 @@
+package org.wheatwall.entry.request;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+/** Leave to have one request in flight at a runner. Given back exactly once. */
+final class Slot {
+  private final String runner;
+  private final InetSocketAddress address;
+  private final Consumer<Boolean> giveBack;
+  private final AtomicBoolean given = new AtomicBoolean();
+
+  /**
+   * Creates a slot.
+   *
+   * @param giveBack told whether the request went well, once
+   */
+  Slot(String runner, InetSocketAddress address, Consumer<Boolean> giveBack) {
+    this.runner = runner;
+    this.address = address;
+    this.giveBack = giveBack;
+  }
+
+  String runner() {
+    return runner;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  void giveBack(boolean success) {
+    if (given.compareAndSet(false, true)) {
+      giveBack.accept(success);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wheatwall/standin/list/ListStandIn.java
@@ -0,0 +1,103 @@
+package org.wheatwall.standin.list;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.standin.common.FaultMode;
+import org.wheatwall.wire.http.HttpCall;
+import org.wheatwall.wire.http.HttpReply;
+import org.wheatwall.wire.http.HttpServer;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.platform.HostList;
+import org.wheatwall.wire.platform.ListedHost;
+
+/** Stand-in for the platform's list of hosts; what is put shows only after the lag. */
+public final class ListStandIn implements AutoCloseable {
+  private static final int MAX_BODY = 16 * 1024 * 1024;
+  private static final String HOSTS = "/hosts";
+
+  private final Map<String, ListedHost> shown = new TreeMap<>();
+  private final EventLoopGroup group;
+  private final long lagMs;
+  private final HttpServer server;
+  private volatile FaultMode fault = FaultMode.NONE;
+
+  private ListStandIn(EventLoopGroup group, InetSocketAddress address, long lagMs) {
+    this.group = group;
+    this.lagMs = lagMs;
+    this.server = HttpServer.start(group, address, MAX_BODY, this::handle);
+  }
+
+  /** Starts the stand-in. */
+  public static ListStandIn start(EventLoopGroup group, InetSocketAddress address, long lagMs) {
+    return new ListStandIn(group, address, lagMs);
+  }
+
+  /** Returns the port. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Sets the fault. */
+  public void setFault(FaultMode next) {
+    fault = next;
+  }
+
+  /** Adds or changes a host; shown after the lag. */
+  public void put(ListedHost host) {
+    afterLag(() -> shown.put(host.name(), host));
+  }
+
+  /** Removes a host; shown after the lag. */
+  public void remove(String name) {
+    afterLag(() -> shown.remove(name));
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private void afterLag(Runnable change) {
+    Runnable guarded =
+        () -> {
+          synchronized (shown) {
+            change.run();
+          }
+        };
+    if (lagMs == 0) {
+      guarded.run();
+    } else {
+      group.schedule(guarded, lagMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private CompletableFuture<HttpReply> handle(HttpCall call) {
+    if (call.path().equals("/fault")) {
+      fault = Json.read(call.body(), FaultMode.class);
+      return CompletableFuture.completedFuture(HttpReply.empty(204));
+    }
+    if (call.path().equals(HOSTS) && call.method().equals("PUT")) {
+      Json.read(call.body(), HostList.class).hosts().forEach(this::put);
+      return CompletableFuture.completedFuture(HttpReply.empty(204));
+    }
+    if (call.path().startsWith(HOSTS + "/") && call.method().equals("DELETE")) {
+      remove(call.path().substring(HOSTS.length() + 1));
+      return CompletableFuture.completedFuture(HttpReply.empty(204));
+    }
+    if (!call.path().equals(HOSTS) || fault.outage()) {
+      return CompletableFuture.failedFuture(
+          new Refusal(RefusalKind.UNAVAILABLE, "list outage or no such path", "use /hosts"));
+    }
+    synchronized (shown) {
+      HostList list = new HostList(List.copyOf(shown.values()));
+      return CompletableFuture.completedFuture(HttpReply.json(200, Json.bytes(list)));
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wheatwall/standin/proxy/FaultProxy.java
@@ -0,0 +1,165 @@
+package org.wheatwall.standin.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/** A TCP proxy that disturbs what passes through it, for tests. */
+public final class FaultProxy implements AutoCloseable {
+  /** What the proxy does. */
+  public enum Mode {
+    /** Passes everything on. */
+    PASS,
+    /** Closes every connection, new ones included. */
+    CUT,
+    /** Keeps connections open and drops what arrives, in both directions. */
+    HALF_OPEN,
+    /** Drops what clients send. */
+    DROP_TO_SERVER,
+    /** Drops what the server sends. */
+    DROP_TO_CLIENT,
+    /** Closes with a reset. */
+    RESET
+  }
+
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final EventLoopGroup group;
+  private final InetSocketAddress target;
+  private final Channel listener;
+  private volatile Mode mode = Mode.PASS;
+  private volatile long delayMs;
+
+  private FaultProxy(EventLoopGroup group, InetSocketAddress address, InetSocketAddress target) {
+    this.group = group;
+    this.target = target;
+    this.listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    accept(channel);
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Starts a proxy in front of {@code target}. */
+  public static FaultProxy start(
+      EventLoopGroup group, InetSocketAddress address, InetSocketAddress target) {
+    return new FaultProxy(group, address, target);
+  }
+
+  /** Returns the port. */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /** Sets what the proxy does from now on, to connections that are open too. */
+  public void setMode(Mode next) {
+    mode = next;
+    if (next == Mode.CUT || next == Mode.RESET) {
+      if (next == Mode.RESET) {
+        connections.forEach(channel -> channel.config().setOption(ChannelOption.SO_LINGER, 0));
+      }
+      connections.close();
+    }
+  }
+
+  /** Sets by how long everything is delayed, milliseconds. */
+  public void setDelayMs(long next) {
+    delayMs = next;
+  }
+
+  @Override
+  public void close() {
+    listener.close().syncUninterruptibly();
+    connections.close().awaitUninterruptibly(1000);
+  }
+
+  private void accept(SocketChannel client) {
+    if (mode == Mode.CUT || mode == Mode.RESET) {
+      client.config().setOption(ChannelOption.SO_LINGER, mode == Mode.RESET ? 0 : -1);
+      client.close();
+      return;
+    }
+    connections.add(client);
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.AUTO_READ, false)
+        .handler(new Relay(client, Mode.DROP_TO_CLIENT))
+        .connect(target)
+        .addListener(
+            (ChannelFuture future) -> {
+              if (!future.isSuccess()) {
+                client.close();
+                return;
+              }
+              connections.add(future.channel());
+              client.pipeline().addLast(new Relay(future.channel(), Mode.DROP_TO_SERVER));
+              client.config().setAutoRead(true);
+              future.channel().config().setAutoRead(true);
+            });
+  }
+
+  private final class Relay extends ChannelInboundHandlerAdapter {
+    private final Channel other;
+    private final Mode dropMode;
+
+    private Relay(Channel other, Mode dropMode) {
+      this.other = other;
+      this.dropMode = dropMode;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (mode == Mode.HALF_OPEN || mode == dropMode) {
+        ReferenceCountUtil.release(message);
+        return;
+      }
+      ByteBuf bytes = (ByteBuf) message;
+      if (delayMs == 0) {
+        other.writeAndFlush(bytes);
+      } else {
+        other
+            .eventLoop()
+            .schedule(() -> other.writeAndFlush(bytes), delayMs, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      if (mode != Mode.HALF_OPEN) {
+        other.close();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
