--- /dev/null
+++ b/standin/src/main/java/org/wheatwall/standin/worker/WorkerModel.java
@@ -0,0 +1,211 @@
+package org.wheatwall.standin.worker;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wheatwall.core.gang.model.TaskPhase;
+import org.wheatwall.core.gang.model.TaskReport;
+import org.wheatwall.core.gang.model.WorkerOperation;
+import org.wheatwall.core.gang.model.WorkerOperation.Reservation;
+import org.wheatwall.core.gang.model.WorkerReport;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.wire.platform.WorkerExchange;
+
+/**
+ * A worker's side of the gang protocol, without sockets or a clock of its own: leases, epochs,
+ * reservations, and a ledger of what ran when. Used by the worker stand-in and by tests.
+ */
+public final class WorkerModel {
+  private static final long FAIL_AFTER_MS = 50;
+  private static final long KEEP_RESULT_MS = 600_000;
+
+  private final String host;
+  private final ResourceAmount capacity;
+  private final Map<String, Part> parts = new LinkedHashMap<>();
+  private final List<TaskEvent> ledger = new ArrayList<>();
+  private WorkerBehavior behavior = WorkerBehavior.SOUND;
+  private long highestEpoch;
+
+  private static final class Part {
+    private final Reservation reservation;
+    private TaskPhase phase = TaskPhase.RESERVED;
+    private long leaseUntilMs;
+    private long endsAtMs;
+
+    private Part(Reservation reservation) {
+      this.reservation = reservation;
+    }
+  }
+
+  /** Creates an idle worker. */
+  public WorkerModel(String host, ResourceAmount capacity) {
+    this.host = host;
+    this.capacity = capacity;
+  }
+
+  /** Sets how the worker behaves from now on. */
+  public void setBehavior(WorkerBehavior next) {
+    behavior = next;
+  }
+
+  /** Returns how the worker behaves. */
+  public WorkerBehavior behavior() {
+    return behavior;
+  }
+
+  /** Returns the ledger so far. */
+  public List<TaskEvent> ledger() {
+    return List.copyOf(ledger);
+  }
+
+  /** Returns the number of parts that run now. */
+  public int running() {
+    return (int) parts.values().stream().filter(WorkerModel::runs).count();
+  }
+
+  /** Carries out an exchange at time {@code nowMs} of this worker's clock. */
+  public WorkerReport exchange(WorkerExchange exchange, long nowMs, long wallMs) {
+    tick(nowMs, wallMs);
+    Optional<String> refusal = refusal(exchange, nowMs);
+    if (refusal.isEmpty()) {
+      if (!exchange.operations().isEmpty()) {
+        highestEpoch = Math.max(highestEpoch, exchange.epoch());
+      }
+      for (WorkerOperation operation : exchange.operations()) {
+        refusal = merge(refusal, carryOut(operation, nowMs, wallMs));
+      }
+    }
+    return report(nowMs, refusal);
+  }
+
+  /** Ends what is due by {@code nowMs}: leases that lapsed and tasks that are done. */
+  public void tick(long nowMs, long wallMs) {
+    List<String> lapsed = new ArrayList<>();
+    for (Map.Entry<String, Part> entry : parts.entrySet()) {
+      Part part = entry.getValue();
+      if (runs(part) && part.endsAtMs <= nowMs) {
+        part.phase = behavior.failsEverything() ? TaskPhase.FAILED : TaskPhase.SUCCEEDED;
+        note(entry.getKey(), part, "stop", part.phase.toString(), wallMs);
+      } else if (part.phase.ended()) {
+        // A result stays until the decider has it in the log, or until it is of no more use.
+        if (part.endsAtMs + KEEP_RESULT_MS <= nowMs) {
+          lapsed.add(entry.getKey());
+        }
+      } else if (part.leaseUntilMs <= nowMs) {
+        lapsed.add(entry.getKey());
+      }
+    }
+    lapsed.forEach(attemptId -> end(attemptId, "lease lapsed", wallMs));
+  }
+
+  private Optional<String> refusal(WorkerExchange exchange, long nowMs) {
+    if (exchange.operations().isEmpty()) {
+      return Optional.empty();
+    }
+    if (exchange.epoch() < highestEpoch) {
+      return Optional.of("epoch " + exchange.epoch() + " is older than " + highestEpoch);
+    }
+    if (nowMs >= exchange.validUntilMs()) {
+      return Optional.of("the command is too old");
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> carryOut(WorkerOperation operation, long nowMs, long wallMs) {
+    Part part = parts.get(operation.attemptId());
+    switch (operation.kind()) {
+      case RESERVE -> {
+        return part == null ? reserve(operation, nowMs) : Optional.empty();
+      }
+      case STOP -> end(operation.attemptId(), "stopped", wallMs);
+      case START -> start(operation, part, nowMs, wallMs);
+      case RENEW -> renew(operation, part, nowMs);
+      case CHECKPOINT -> checkpoint(operation, part, nowMs);
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> reserve(WorkerOperation operation, long nowMs) {
+    Reservation reservation = operation.reservation();
+    ResourceAmount need = reservation.taskAmount().times(reservation.tasks());
+    if (!free().covers(need)) {
+      return Optional.of("no room for " + operation.attemptId());
+    }
+    Part part = new Part(reservation);
+    part.leaseUntilMs = nowMs + operation.leaseMs();
+    parts.put(operation.attemptId(), part);
+    return Optional.empty();
+  }
+
+  private void start(WorkerOperation operation, Part part, long nowMs, long wallMs) {
+    if (part == null || part.phase != TaskPhase.RESERVED) {
+      return;
+    }
+    part.phase = TaskPhase.RUNNING;
+    part.leaseUntilMs = nowMs + operation.leaseMs();
+    long declaredMs = part.reservation.declaredSeconds() * 1000L;
+    part.endsAtMs =
+        nowMs
+            + (behavior.failsEverything()
+                ? FAIL_AFTER_MS
+                : declaredMs * behavior.runTimePercent() / 100);
+    note(operation.attemptId(), part, "start", "", wallMs);
+  }
+
+  private static void renew(WorkerOperation operation, Part part, long nowMs) {
+    if (part != null) {
+      part.leaseUntilMs = Math.max(part.leaseUntilMs, nowMs + operation.leaseMs());
+    }
+  }
+
+  private void checkpoint(WorkerOperation operation, Part part, long nowMs) {
+    if (part == null || !runs(part)) {
+      return;
+    }
+    renew(operation, part, nowMs);
+    if (!behavior.ignoresCheckpoint()) {
+      part.phase = TaskPhase.CHECKPOINTED;
+    }
+  }
+
+  private void end(String attemptId, String reason, long wallMs) {
+    Part part = parts.remove(attemptId);
+    if (part != null && runs(part)) {
+      note(attemptId, part, "stop", reason, wallMs);
+    }
+  }
+
+  private ResourceAmount free() {
+    ResourceAmount free = capacity;
+    for (Part part : parts.values()) {
+      if (!part.phase.ended()) {
+        free = free.minus(part.reservation.taskAmount().times(part.reservation.tasks()));
+      }
+    }
+    return free;
+  }
+
+  private WorkerReport report(long nowMs, Optional<String> refusal) {
+    List<TaskReport> tasks = new ArrayList<>();
+    parts.forEach(
+        (attemptId, part) ->
+            tasks.add(
+                new TaskReport(
+                    attemptId, part.reservation.jobName(), part.reservation.hosts(), part.phase)));
+    return new WorkerReport(host, nowMs, highestEpoch, refusal, tasks);
+  }
+
+  private void note(String attemptId, Part part, String event, String reason, long wallMs) {
+    ledger.add(new TaskEvent(host, attemptId, part.reservation.jobName(), event, wallMs, reason));
+  }
+
+  private static boolean runs(Part part) {
+    return part.phase == TaskPhase.RUNNING || part.phase == TaskPhase.CHECKPOINTED;
+  }
+
+  private static Optional<String> merge(Optional<String> first, Optional<String> second) {
+    return first.isPresent() ? first : second;
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -0,0 +1,161 @@
+package org.wheatwall.wire.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * An HTTP/1.1 client that never mixes answers up. A connection is used again only after a response
+ * that repeated the request's own identifier in {@value #REQUEST_HEADER}; without that proof a
+ * second, late answer could be taken for the answer to the next request. A connection on which
+ * anything unexpected happens is closed.
+ */
+public final class HttpClient {
+  /** Header that carries the request's identifier and comes back in the answer. */
+  public static final String REQUEST_HEADER = "Wheatwall-Request";
+
+  private static final int CONNECT_TIMEOUT_MS = 1000;
+  private static final int MAX_IDLE_PER_ADDRESS = 8;
+
+  private final EventLoopGroup group;
+  private final int maxBody;
+  private final Map<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
+
+  /** Creates a client that accepts response bodies of up to {@code maxBody} bytes. */
+  public HttpClient(EventLoopGroup group, int maxBody) {
+    this.group = group;
+    this.maxBody = maxBody;
+  }
+
+  /**
+   * Sends a call. The future fails with {@link HttpFailure}.
+   *
+   * @param requestId unique identifier of this request
+   * @param timeoutMs time for the whole exchange, milliseconds
+   */
+  public CompletableFuture<HttpReply> send(
+      InetSocketAddress address, HttpCall call, String requestId, long timeoutMs) {
+    CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    call.headers().set(REQUEST_HEADER, requestId);
+    Channel pooled = takeIdle(address);
+    if (pooled != null) {
+      exchange(pooled, address, call, requestId, timeoutMs, result);
+      return result;
+    }
+    connect(address)
+        .whenComplete(
+            (channel, failure) -> {
+              if (failure != null) {
+                result.completeExceptionally(
+                    new HttpFailure(
+                        HttpFailure.Kind.NOT_SENT,
+                        "cannot connect to " + address + ": " + failure));
+                return;
+              }
+              exchange(channel, address, call, requestId, timeoutMs, result);
+            });
+    return result;
+  }
+
+  /** Closes idle connections to an address, for example because it is leaving. */
+  public void closeIdle(InetSocketAddress address) {
+    Deque<Channel> channels = idle.remove(address);
+    if (channels != null) {
+      synchronized (channels) {
+        channels.forEach(Channel::close);
+      }
+    }
+  }
+
+  private void exchange(
+      Channel channel,
+      InetSocketAddress address,
+      HttpCall call,
+      String requestId,
+      long timeoutMs,
+      CompletableFuture<HttpReply> result) {
+    HttpClientConnection connection = channel.pipeline().get(HttpClientConnection.class);
+    connection
+        .exchange(address, call, requestId, timeoutMs)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure != null) {
+                result.completeExceptionally(failure);
+                return;
+              }
+              if (connection.reusable()) {
+                putIdle(address, channel);
+              } else {
+                channel.close();
+              }
+              result.complete(reply);
+            });
+  }
+
+  private CompletableFuture<Channel> connect(InetSocketAddress address) {
+    CompletableFuture<Channel> connected = new CompletableFuture<>();
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(maxBody, true))
+                    .addLast(new HttpClientConnection());
+              }
+            })
+        .connect(address)
+        .addListener(
+            (io.netty.channel.ChannelFuture future) -> {
+              if (future.isSuccess()) {
+                connected.complete(future.channel());
+              } else {
+                connected.completeExceptionally(future.cause());
+              }
+            });
+    return connected;
+  }
+
+  private Channel takeIdle(InetSocketAddress address) {
+    Deque<Channel> channels = idle.get(address);
+    if (channels == null) {
+      return null;
+    }
+    synchronized (channels) {
+      Channel channel = channels.pollLast();
+      while (channel != null && !channel.isActive()) {
+        channel = channels.pollLast();
+      }
+      return channel;
+    }
+  }
+
+  private void putIdle(InetSocketAddress address, Channel channel) {
+    Deque<Channel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
+    synchronized (channels) {
+      if (channels.size() >= MAX_IDLE_PER_ADDRESS) {
+        channel.close();
+      } else {
+        channels.addLast(channel);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpFailure.java
@@ -0,0 +1,27 @@
+package org.wheatwall.wire.http;
+
+/** Why no whole response came, and whether the request can have been received. */
+public final class HttpFailure extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  /** Kinds of failure. */
+  public enum Kind {
+    /** No byte of the request was handed to the network. */
+    NOT_SENT,
+    /** The request may have been received; no whole response came. */
+    LOST
+  }
+
+  private final Kind kind;
+
+  /** Creates a failure. */
+  public HttpFailure(Kind kind, String message) {
+    super(message, null, false, false);
+    this.kind = kind;
+  }
+
+  /** Returns the kind. */
+  public Kind kind() {
+    return kind;
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
@@ -0,0 +1,100 @@
+package org.wheatwall.wire.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An HTTP/1.1 server over Netty's codec. */
+public final class HttpServer {
+  private static final int IDLE_SECONDS = 60;
+  private static final int BACKLOG = 1024;
+
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private final Channel listener;
+
+  private HttpServer(
+      EventLoopGroup group, InetSocketAddress address, int maxBody, HttpHandler handler) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    connections.add(channel);
+                    channel
+                        .pipeline()
+                        .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpServerKeepAliveHandler())
+                        .addLast(new HttpObjectAggregator(maxBody))
+                        .addLast(new HttpServerConnection(handler, inFlight, draining));
+                  }
+                });
+    listener = bootstrap.bind(address).syncUninterruptibly().channel();
+  }
+
+  /** Starts a server that accepts bodies of up to {@code maxBody} bytes. */
+  public static HttpServer start(
+      EventLoopGroup group, InetSocketAddress address, int maxBody, HttpHandler handler) {
+    return new HttpServer(group, address, maxBody, handler);
+  }
+
+  /** Returns the port. */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /** Returns the number of calls without a complete answer. */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  /**
+   * Stops accepting, answers what is under way with {@code Connection: close}, and completes when
+   * the last answer is written.
+   */
+  public CompletableFuture<Void> drain() {
+    draining.set(true);
+    CompletableFuture<Void> drained = new CompletableFuture<>();
+    listener.close().addListener(closed -> whenIdle(drained));
+    return drained;
+  }
+
+  /** Closes everything at once. */
+  public void close() {
+    listener.close().syncUninterruptibly();
+    connections.close().awaitUninterruptibly(1000);
+  }
+
+  private void whenIdle(CompletableFuture<Void> drained) {
+    if (inFlight.get() == 0) {
+      drained.complete(null);
+      return;
+    }
+    listener
+        .eventLoop()
+        .schedule(() -> whenIdle(drained), 10, java.util.concurrent.TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
@@ -0,0 +1,145 @@
+package org.wheatwall.wire.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.wheatwall.core.common.Refusal;
+
+/**
+ * One connection of a caller. Requests that arrive together are answered one after another, in
+ * order, and nothing more is read while one is under way or its answer is not yet written, so a
+ * slow reader bounds only itself.
+ */
+final class HttpServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+  private static final int MAX_PIPELINED = 16;
+
+  private final HttpHandler handler;
+  private final AtomicInteger inFlight;
+  private final AtomicBoolean draining;
+  private final Deque<HttpCall> waiting = new ArrayDeque<>();
+  private boolean busy;
+
+  HttpServerConnection(HttpHandler handler, AtomicInteger inFlight, AtomicBoolean draining) {
+    this.handler = handler;
+    this.inFlight = inFlight;
+    this.draining = draining;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    if (isAmbiguous(request)) {
+      Refusal refusal =
+          Refusal.invalid(
+              "the request's framing is malformed or ambiguous",
+              "send one Content-Length or chunked encoding, not both, in well-formed HTTP/1.1");
+      write(context, Problems.reply(400, refusal), true);
+      return;
+    }
+    HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
+    HttpCall call =
+        new HttpCall(
+            request.method().name(),
+            request.uri(),
+            headers,
+            ByteBufUtil.getBytes(request.content()));
+    if (waiting.size() >= MAX_PIPELINED) {
+      context.close();
+      return;
+    }
+    waiting.add(call);
+    next(context);
+  }
+
+  // A request that two servers could split differently is never passed on (RFC 9112, 6.3).
+  private static boolean isAmbiguous(FullHttpRequest request) {
+    HttpHeaders headers = request.headers();
+    boolean twoLengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1;
+    boolean twoHosts = headers.getAll(HttpHeaderNames.HOST).size() > 1;
+    return request.decoderResult().isFailure() || twoLengths || twoHosts;
+  }
+
+  private void next(ChannelHandlerContext context) {
+    HttpCall call = busy ? null : waiting.poll();
+    if (call == null) {
+      return;
+    }
+    busy = true;
+    context.channel().config().setAutoRead(false);
+    inFlight.incrementAndGet();
+    boolean close =
+        HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(call.header("Connection").orElse(""));
+    handle(call)
+        .whenComplete(
+            (reply, failure) -> {
+              HttpReply result = failure == null ? reply : Problems.reply(failure);
+              context.executor().execute(() -> write(context, result, close));
+            });
+  }
+
+  private CompletableFuture<HttpReply> handle(HttpCall call) {
+    try {
+      return handler.handle(call);
+    } catch (RuntimeException failure) {
+      return CompletableFuture.failedFuture(failure);
+    }
+  }
+
+  private void write(ChannelHandlerContext context, HttpReply reply, boolean close) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(reply.status()),
+            Unpooled.wrappedBuffer(reply.body()));
+    response.headers().set(reply.headers());
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+    boolean last = close || draining.get();
+    if (last) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    context
+        .writeAndFlush(response)
+        .addListener(
+            written -> {
+              if (busy) {
+                busy = false;
+                inFlight.decrementAndGet();
+              }
+              if (last || !written.isSuccess()) {
+                context.close();
+                return;
+              }
+              context.channel().config().setAutoRead(true);
+              next(context);
+            });
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+    if (event instanceof IdleStateEvent && !busy) {
+      context.close();
+    }
+    super.userEventTriggered(context, event);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wheatwall/wire/peer/PeerServer.java
@@ -0,0 +1,121 @@
+package org.wheatwall.wire.peer;
+
+import com.google.protobuf.ByteString;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.wire.http.Problems;
+import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.Hello;
+import org.wheatwall.wire.message.Problem;
+
+/** Accepts connections of other entry hosts that prove to hold the shared key. */
+public final class PeerServer {
+  /** Version of the protocol between entry hosts. */
+  public static final int PROTOCOL_VERSION = 1;
+
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Channel listener;
+  private final byte[] key;
+  private final PeerHandler handler;
+
+  private PeerServer(
+      EventLoopGroup group, InetSocketAddress address, String key, PeerHandler handler) {
+    this.key = key.getBytes(StandardCharsets.UTF_8);
+    this.handler = handler;
+    listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    connections.add(channel);
+                    PeerCodec.addTo(channel.pipeline());
+                    channel.pipeline().addLast(new Connection());
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Starts a server. */
+  public static PeerServer start(
+      EventLoopGroup group, InetSocketAddress address, String key, PeerHandler handler) {
+    return new PeerServer(group, address, key, handler);
+  }
+
+  /** Returns the port. */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /** Closes everything. */
+  public void close() {
+    listener.close().syncUninterruptibly();
+    connections.close().awaitUninterruptibly(1000);
+  }
+
+  private final class Connection extends SimpleChannelInboundHandler<Envelope> {
+    private boolean admitted;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope request) {
+      if (!admitted) {
+        admitted = admits(request);
+        if (!admitted) {
+          context.close();
+        }
+        return;
+      }
+      handler
+          .handle(request)
+          .whenComplete(
+              (reply, failure) -> {
+                Envelope.Builder answer = failure == null ? reply : problem(failure);
+                context.writeAndFlush(answer.setId(request.getId()).setReply(true).build());
+              });
+    }
+
+    private boolean admits(Envelope first) {
+      Hello hello = first.getHello();
+      ByteString proof = hello.getKeyProof();
+      return hello.getProtocolVersion() == PROTOCOL_VERSION
+          && MessageDigest.isEqual(key, proof.toByteArray());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+
+  private static Envelope.Builder problem(Throwable failure) {
+    Throwable cause = Problems.unwrap(failure);
+    Problem.Builder problem = Problem.newBuilder().setDetail(String.valueOf(cause.getMessage()));
+    if (cause instanceof Refusal refusal) {
+      problem
+          .setKind(refusal.kind().label())
+          .setDetail(refusal.detail())
+          .setRemedy(refusal.remedy());
+    }
+    return Envelope.newBuilder().setProblem(problem);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wheatwall/wire/settings/SettingsSection.java
@@ -0,0 +1,160 @@
+package org.wheatwall.wire.settings;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.wheatwall.core.common.Names;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.wire.http.Addresses;
+
+/**
+ * One object of a settings file. Reading a key checks it and notes a fault instead of throwing, so
+ * that one pass reports every fault; {@link #finish} reports keys that nobody asked for.
+ */
+public final class SettingsSection {
+  private final String path;
+  private final int line;
+  private final Map<String, SettingsNode> entries;
+  private final List<SettingsFault> faults;
+  private final Set<String> asked = new HashSet<>();
+  private final List<SettingsSection> sections = new ArrayList<>();
+
+  SettingsSection(
+      String path, int line, Map<String, SettingsNode> entries, List<SettingsFault> faults) {
+    this.path = path;
+    this.line = line;
+    this.entries = entries;
+    this.faults = faults;
+  }
+
+  /** Returns a required name. */
+  public String name(String key) {
+    String text = text(key, null);
+    return text == null ? "invalid" : checked(key, "invalid", () -> Names.require(key, text));
+  }
+
+  /** Returns a text; required if {@code fallback} is null. */
+  public String text(String key, String fallback) {
+    SettingsNode node = node(key, fallback == null, "a text");
+    if (node == null) {
+      return fallback;
+    }
+    if (node.value() instanceof String text) {
+      return text;
+    }
+    fault(node.line(), key, "is not a text", "write it between double quotes");
+    return fallback;
+  }
+
+  /** Returns a required address. */
+  public InetSocketAddress address(String key) {
+    InetSocketAddress none = new InetSocketAddress(0);
+    String text = text(key, null);
+    return text == null ? none : checked(key, none, () -> Addresses.parse(text));
+  }
+
+  /** Returns a whole number within bounds. */
+  public int integer(String key, int low, int high, int fallback) {
+    SettingsNode node = node(key, false, "a number");
+    if (node == null) {
+      return fallback;
+    }
+    if (node.value() instanceof Long number && number >= low && number <= high) {
+      return number.intValue();
+    }
+    fault(
+        node.line(), key, "is " + node.value(), "write a whole number from " + low + " to " + high);
+    return fallback;
+  }
+
+  /** Returns a list of texts; empty if absent. */
+  public List<String> texts(String key) {
+    SettingsNode node = node(key, false, "a list");
+    List<String> texts = new ArrayList<>();
+    if (node == null) {
+      return texts;
+    }
+    if (!(node.value() instanceof List<?> list)) {
+      fault(node.line(), key, "is not a list", "write a list of texts, as [\"a\", \"b\"]");
+      return texts;
+    }
+    for (Object item : list) {
+      if (item instanceof SettingsNode entry && entry.value() instanceof String text) {
+        texts.add(text);
+      } else {
+        fault(node.line(), key, "has an entry that is not a text", "write texts only");
+      }
+    }
+    return texts;
+  }
+
+  /** Returns a subsection; one without keys if absent. */
+  public SettingsSection section(String key) {
+    SettingsNode node = node(key, false, "an object");
+    SettingsSection section = subsection(key, node);
+    sections.add(section);
+    return section;
+  }
+
+  /** Returns the keys of this section, for sections with keys of the user's choosing. */
+  public Set<String> keys() {
+    return entries.keySet();
+  }
+
+  /** Notes a fault at a key. */
+  public void fault(String key, String detail, String remedy) {
+    SettingsNode node = entries.get(key);
+    fault(node == null ? line : node.line(), key, detail, remedy);
+  }
+
+  /** Notes every key that was not asked for, here and in the subsections read. */
+  public void finish() {
+    for (Map.Entry<String, SettingsNode> entry : entries.entrySet()) {
+      if (!asked.contains(entry.getKey())) {
+        fault(
+            entry.getValue().line(),
+            entry.getKey(),
+            "is not a known key",
+            "remove it, or use one of " + new java.util.TreeSet<>(asked));
+      }
+    }
+    sections.forEach(SettingsSection::finish);
+  }
+
+  private SettingsSection subsection(String key, SettingsNode node) {
+    if (node == null) {
+      return new SettingsSection(path + key + ".", line, Map.of(), faults);
+    }
+    if (node.value() instanceof Map<?, ?> map) {
+      Map<String, SettingsNode> entriesOfNode = SettingsNode.entries(map);
+      return new SettingsSection(path + key + ".", node.line(), entriesOfNode, faults);
+    }
+    fault(node.line(), key, "is not an object", "write an object between braces");
+    return new SettingsSection(path + key + ".", line, Map.of(), faults);
+  }
+
+  private SettingsNode node(String key, boolean required, String what) {
+    asked.add(key);
+    SettingsNode node = entries.get(key);
+    if (node == null && required) {
+      fault(line, key, "is missing", "add " + what + " for this key");
+    }
+    return node;
+  }
+
+  private <T> T checked(String key, T fallback, java.util.function.Supplier<T> read) {
+    try {
+      return read.get();
+    } catch (Refusal refusal) {
+      fault(key, refusal.detail(), refusal.remedy());
+      return fallback;
+    }
+  }
+
+  private void fault(int atLine, String key, String detail, String remedy) {
+    faults.add(new SettingsFault(atLine, path + key, detail, remedy));
+  }
+}
