Gangs under random fault schedules: five faults found and mended

Cause: the decider had only met a healthy path. Random schedules (lost, late and repeated messages, crashed and silent workers, dead and paused deciders, cancellations, log outages) showed: - one lost exchange broke a gang (silence limit equal to two heartbeats); now two may be lost in a row; - a gang that ended while it was being given up ran again: STOP erased its result; STOP now keeps the result of an ended part and FORGET erases it once the log has it; - two starved jobs stopped each other in turn for ever; now the older stops the younger only; - a part reserved but never started by a dead decider was renewed for ever; it is stopped now; - results were never forgotten on workers.

--- a/core/src/main/java/org/wheatwall/core/gang/decision/GangAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/gang/decision/GangAttempt.java
@@ -170,7 +170,7 @@
   public Optional<WorkerOperation> operationFor(String host, long nowMs) {
     Member member = members.get(host);
     if (member == null || member.gone) {
-      return forgetEnded(member);
+      return Optional.empty();
     }
     Optional<WorkerOperation> operation = wanted(member);
     operation
@@ -182,13 +182,6 @@
     return operation;
   }
 
-  private Optional<WorkerOperation> forgetEnded(Member member) {
-    boolean lingers = member != null && member.phase != null && member.phase.ended();
-    return lingers && (phase == GangPhase.STOPPING || phase == GangPhase.ENDED)
-        ? Optional.of(WorkerOperation.simple(Kind.STOP, attemptId, 0))
-        : Optional.empty();
-  }
-
   private Optional<WorkerOperation> wanted(Member member) {
     return switch (phase) {
       case WAITING_FOR_ROOM, ENDED -> Optional.empty();
@@ -249,11 +242,17 @@
       stop(EndReason.FAILED, nowMs);
     } else if (members.values().stream().allMatch(member -> member.phase == TaskPhase.SUCCEEDED)) {
       stop(EndReason.SUCCEEDED, nowMs);
-    } else if (anyGoneTooEarly() || anySilent(nowMs)) {
+    } else if (anyGoneTooEarly() || anySilent(nowMs) || anyNotStarted()) {
       stop(EndReason.INTERRUPTED, nowMs);
     }
   }
 
+  // An earlier decider may have died between the start of one part and that of another.
+  private boolean anyNotStarted() {
+    return members.values().stream()
+        .anyMatch(member -> member.phase != null && !member.runsOrSucceeded());
+  }
+
   private void advanceCheckpointing(long nowMs) {
     boolean saved =
         members.values().stream()
@@ -268,6 +267,10 @@
       member.gone = member.gone || nowMs > member.lapsesAtMs;
     }
     if (members.values().stream().allMatch(member -> member.gone)) {
+      // The gang may have reached its end while it was being given up.
+      if (members.values().stream().allMatch(member -> member.phase == TaskPhase.SUCCEEDED)) {
+        endReason = EndReason.SUCCEEDED;
+      }
       enter(GangPhase.ENDED, nowMs);
     }
   }
@@ -322,7 +325,7 @@
     return phase;
   }
 
-  /** Returns how the attempt ends; final once the stage is {@link GangPhase#STOPPING}. */
+  /** Returns how the attempt ends; final once the stage is {@link GangPhase#ENDED}. */
   public EndReason endReason() {
     return endReason;
   }
--- a/core/src/main/java/org/wheatwall/core/gang/decision/GangTimes.java
+++ b/core/src/main/java/org/wheatwall/core/gang/decision/GangTimes.java
@@ -22,8 +22,8 @@
     int checkpointMs,
     int commandMs,
     int driftPercent) {
-  /** Times for ordinary use. */
-  public static final GangTimes DEFAULT = new GangTimes(1000, 1500, 4000, 2000, 1500, 1000, 1);
+  /** Times for ordinary use; two exchanges in a row may be lost before a part counts as lost. */
+  public static final GangTimes DEFAULT = new GangTimes(1000, 1500, 4500, 2600, 1500, 700, 1);
 
   private static final int MAX = 3_600_000;
 
--- a/core/src/main/java/org/wheatwall/core/gang/model/WorkerOperation.java
+++ b/core/src/main/java/org/wheatwall/core/gang/model/WorkerOperation.java
@@ -21,8 +21,10 @@
     RENEW,
     /** Let the tasks save their state. */
     CHECKPOINT,
-    /** Stop the tasks, free the resources and forget the attempt. */
-    STOP;
+    /** Stop the tasks and free the resources; a part that has ended keeps its result. */
+    STOP,
+    /** Forget the result of a part that has ended. */
+    FORGET;
 
     @Override
     public String toString() {
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -56,8 +56,8 @@
     return Optional.ofNullable(best);
   }
 
-  // A job that only waited too long may stop what overtook it and nothing else; so two jobs can
-  // never stop each other in turn.
+  // Without a strict order two jobs that both waited too long would stop each other in turn, for
+  // ever. So urgent work stops what is not urgent, and otherwise the older stops the younger.
   private static Predicate<RunningAttempt> mayStop(QueuedJob queued) {
     if (queued.job().shape().isPresent()) {
       return attempt -> true;
@@ -65,7 +65,7 @@
     if (queued.job().urgent()) {
       return attempt -> !attempt.job().urgent();
     }
-    return attempt -> !attempt.job().urgent() && attempt.startedAtMs() > queued.submittedAtMs();
+    return attempt -> !attempt.job().urgent() && attempt.isYoungerThan(queued);
   }
 
   private static Placement trim(Placement place, Job job) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
@@ -2,6 +2,7 @@
 
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.policy.QueuedJob;
 
 /** An attempt that holds resources, from the decision to start it until it has ended. */
 public final class RunningAttempt {
@@ -10,21 +11,20 @@
   private final Job job;
   private final Placement placement;
   private final long startedAtMs;
+  private final long submittedAtMs;
   private final double expectedSeconds;
   private boolean stopping;
 
-  RunningAttempt(String attemptId, QueuedJobStart start, Placement placement, long startedAtMs) {
+  RunningAttempt(String attemptId, QueuedJob start, Placement placement, long startedAtMs) {
     this.attemptId = attemptId;
     this.jobName = start.name();
     this.job = start.job();
     this.placement = placement;
     this.startedAtMs = startedAtMs;
+    this.submittedAtMs = start.submittedAtMs();
     this.expectedSeconds = start.expectedSeconds();
   }
 
-  /** The job of an attempt and how long it is expected to run. */
-  record QueuedJobStart(String name, Job job, double expectedSeconds) {}
-
   /** Returns the identifier of the attempt. */
   public String attemptId() {
     return attemptId;
@@ -50,6 +50,13 @@
     return startedAtMs;
   }
 
+  /** Returns whether its job was submitted after {@code other}; a strict order over all jobs. */
+  public boolean isYoungerThan(QueuedJob other) {
+    return submittedAtMs != other.submittedAtMs()
+        ? submittedAtMs > other.submittedAtMs()
+        : jobName.compareTo(other.name()) > 0;
+  }
+
   /** Returns when it is expected to end, milliseconds of the decision loop's clock. */
   public double expectedEndMs() {
     return startedAtMs + expectedSeconds * 1000;
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.wheatwall.core.job.decision.RunningAttempt.QueuedJobStart;
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.GuaranteedShape;
 import org.wheatwall.core.job.model.Job;
@@ -114,15 +113,18 @@
   }
 
   /** Counts an attempt that was found running on the workers. */
-  public void adopt(String attemptId, String jobName, Job job, Placement placement, long nowMs) {
+  public void adopt(
+      String attemptId,
+      String jobName,
+      Job job,
+      long submittedAtMs,
+      Placement placement,
+      long nowMs) {
     waiting.remove(jobName);
     cluster.hold(attemptId, placement, job.taskAmount(), job.reclaimable());
     job.shape().ifPresent(shape -> plan.adopt(attemptId, shape));
-    track(
-        attemptId,
-        new QueuedJobStart(jobName, job, estimator.expectedSeconds(job)),
-        placement,
-        nowMs);
+    double expectedSeconds = estimator.expectedSeconds(job);
+    track(attemptId, new QueuedJob(jobName, job, submittedAtMs, expectedSeconds), placement, nowMs);
   }
 
   /** Notes that an attempt has ended on every worker; an interrupted job waits again. */
@@ -217,7 +219,7 @@
     cluster.setUsable(host, !cordoned.contains(host) && !health.isQuarantined(host));
   }
 
-  private void track(String attemptId, QueuedJobStart start, Placement placement, long nowMs) {
+  private void track(String attemptId, QueuedJob start, Placement placement, long nowMs) {
     running.put(attemptId, new RunningAttempt(attemptId, start, placement, nowMs));
     attemptOfJob.put(start.name(), attemptId);
     reasons.remove(start.name());
@@ -326,11 +328,7 @@
       attemptCounter++;
       started++;
       waiting.remove(queued.name());
-      track(
-          attemptId,
-          new QueuedJobStart(queued.name(), job, queued.expectedSeconds()),
-          place,
-          nowMs);
+      track(attemptId, queued, place, nowMs);
       List<String> victimIds = new ArrayList<>();
       for (RunningAttempt victim : victims) {
         victim.markStopping();
--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -78,7 +78,8 @@
   private static final long SWEEP_MS = 250;
   private static final long DECIDE_MS = 200;
   private static final int MAX_FAILED_ATTEMPTS = 3;
-  private static final long EXCHANGE_TIMEOUT_MS = 1000;
+  private static final long EXCHANGE_TIMEOUT_MS = 500;
+  private static final long FIRST_INVENTORY_MS = 1000;
 
   private final Clock clock;
   private final Outside outside;
@@ -205,7 +206,7 @@
     scheduler.setAttemptPrefix(Long.toString(next.epoch(), 36));
     stage = Stage.INVENTORY;
     long lapseMs = links.times().lapseMs(links.times().leaseMs());
-    inventoryUntilMs = nowMs + (next.first() ? EXCHANGE_TIMEOUT_MS : lapseMs);
+    inventoryUntilMs = nowMs + (next.first() ? FIRST_INVENTORY_MS : lapseMs);
     links.all().forEach(WorkerLink::want);
     LOG.info("event=decider-inventory epoch={} workers={}", next.epoch(), links.all().size());
   }
@@ -240,7 +241,7 @@
       JobEntry entry = configuration.jobs().get(task.jobName());
       boolean wanted = entry != null && !entry.job().phase().isFinal();
       if (wanted && scheduler.attemptOf(task.jobName()).isEmpty()) {
-        adopt(task, entry.job(), nowMs, lapsesAtMs);
+        adopt(task, entry, nowMs, lapsesAtMs);
       }
     }
     for (WorkerLink link : links.all()) {
@@ -253,9 +254,10 @@
     }
   }
 
-  private void adopt(TaskReport task, Job job, long nowMs, long lapsesAtMs) {
+  private void adopt(TaskReport task, JobEntry entry, long nowMs, long lapsesAtMs) {
     Placement placement = new Placement(task.hosts());
-    scheduler.adopt(task.attemptId(), task.jobName(), job, placement, nowMs);
+    Job job = entry.job();
+    scheduler.adopt(task.attemptId(), task.jobName(), job, entry.seenMs(), placement, nowMs);
     gangs.add(
         GangAttempt.adopt(
             task.attemptId(), task.jobName(), job, placement, links.times(), nowMs, lapsesAtMs));
@@ -479,6 +481,7 @@
               }
               if (failure != null) {
                 link.failed();
+                link.want();
               } else {
                 onReport(link, report, nowMs, epoch);
               }
@@ -504,7 +507,9 @@
   // During the inventory everything found is kept alive; after it, what is not ours is stopped.
   private Optional<WorkerOperation> unknownPart(TaskReport task) {
     if (stage == Stage.DECIDING) {
-      return Optional.of(WorkerOperation.simple(WorkerOperation.Kind.STOP, task.attemptId(), 0));
+      WorkerOperation.Kind kind =
+          task.phase().ended() ? WorkerOperation.Kind.FORGET : WorkerOperation.Kind.STOP;
+      return Optional.of(WorkerOperation.simple(kind, task.attemptId(), 0));
     }
     boolean runs = task.phase() == TaskPhase.RUNNING;
     return runs
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/job/FaultSchedule.java
@@ -0,0 +1,352 @@
+package org.wheatwall.entry.job;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.core.configuration.model.ResourceKey;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.configuration.model.StoredResource;
+import org.wheatwall.core.configuration.model.Verdict;
+import org.wheatwall.core.gang.model.WorkerReport;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.entry.configuration.Draft;
+import org.wheatwall.standin.worker.TaskEvent;
+import org.wheatwall.standin.worker.WorkerModel;
+import org.wheatwall.wire.platform.ListedHost;
+import org.wheatwall.wire.platform.WorkerExchange;
+
+/**
+ * The real decider against worker models under random faults: lost, delayed and repeated messages,
+ * workers that crash or stop answering, deciders that die or are paused, cancellations, and a log
+ * that is out for a while. Deciders follow each other as the zone's views allow: the next one acts
+ * only after the mandate of the one before has ended, but messages of the old one may still arrive.
+ */
+final class FaultSchedule {
+  private static final String ZONE = "zone-1";
+  private static final long TICK_MS = 25;
+  private static final long PROMISE_MS = 1500;
+  private static final ResourceAmount CAPACITY = new ResourceAmount(32, 65536, 8);
+
+  private final VirtualTime time = new VirtualTime();
+  private final SplittableRandom random;
+  private final Map<String, SimulatedWorker> workers = new TreeMap<>();
+  private final Map<ResourceKey, StoredResource> log = new TreeMap<>();
+  private final List<Incarnation> incarnations = new ArrayList<>();
+  private final Set<String> lostSightOf = new HashSet<>();
+  private long version = 1;
+  private long epoch;
+  private boolean logOut;
+  private Incarnation current;
+
+  FaultSchedule(long seed) {
+    random = new SplittableRandom(seed);
+  }
+
+  private static final class SimulatedWorker {
+    private final long clockOffsetMs;
+    private final double clockRate;
+    private final List<TaskEvent> earlierLedger = new ArrayList<>();
+    private WorkerModel model;
+    private boolean answering = true;
+
+    private SimulatedWorker(String name, SplittableRandom random) {
+      clockOffsetMs = random.nextLong(1_000_000);
+      clockRate = 0.996 + random.nextDouble() * 0.008;
+      model = new WorkerModel(name, CAPACITY);
+    }
+
+    private long clock(long nowMs) {
+      return clockOffsetMs + (long) (nowMs * clockRate);
+    }
+  }
+
+  /** Runs 40 virtual seconds of faults and 60 of quiet; returns what the workers recorded. */
+  List<TaskEvent> run(int workerCount, int jobCount) {
+    for (int i = 0; i < workerCount; i++) {
+      workers.put("worker-" + i, new SimulatedWorker("worker-" + i, random));
+    }
+    time.after(0, this::workerTick);
+    replaceDecider();
+    for (int i = 0; i < jobCount; i++) {
+      String name = "job-" + i;
+      time.after(random.nextLong(20_000), () -> submit(name));
+    }
+    for (int i = 0; i < 12; i++) {
+      time.after(1000 + random.nextLong(38_000), this::injectFault);
+    }
+    time.runUntil(time.nowMs() + 40_000);
+    heal();
+    time.runUntil(time.nowMs() + 60_000);
+    List<TaskEvent> ledger = new ArrayList<>();
+    for (SimulatedWorker worker : workers.values()) {
+      ledger.addAll(worker.earlierLedger);
+      ledger.addAll(worker.model.ledger());
+    }
+    return ledger;
+  }
+
+  /** Returns the phase of every job at the end, by name. */
+  Map<String, JobPhase> phases() {
+    Map<String, JobPhase> phases = new TreeMap<>();
+    log.forEach(
+        (key, stored) -> phases.put(key.name(), ((Job) stored.value().orElseThrow()).phase()));
+    return phases;
+  }
+
+  /** Returns the workers that crashed or stopped answering at some time. */
+  Set<String> lostSightOf() {
+    return lostSightOf;
+  }
+
+  /** Returns the number of parts that workers still hold. */
+  int partsLeft() {
+    int parts = 0;
+    for (SimulatedWorker worker : workers.values()) {
+      long clockMs = worker.clock(time.nowMs());
+      WorkerExchange inventory = new WorkerExchange(0, 0, List.of());
+      parts += worker.model.exchange(inventory, clockMs, time.nowMs()).tasks().size();
+    }
+    return parts;
+  }
+
+  private void submit(String name) {
+    int accelerators = 1 + random.nextInt(8);
+    Adjacency adjacency = random.nextBoolean() ? Adjacency.ANY : Adjacency.SAME_RACK;
+    Job job =
+        new Job(
+            Labels.NONE,
+            "workspace-" + random.nextInt(2),
+            ZONE,
+            Optional.empty(),
+            1 + random.nextInt(4),
+            new ResourceAmount(1, 64, accelerators),
+            adjacency,
+            1 + random.nextInt(8),
+            random.nextBoolean(),
+            random.nextInt(5) == 0,
+            JobPhase.SUBMITTED);
+    store(new ResourceKey(ResourceKind.JOBS, name), job);
+    if (random.nextInt(4) == 0) {
+      time.after(random.nextLong(10_000), () -> cancel(name));
+    }
+  }
+
+  private void cancel(String name) {
+    ResourceKey key = new ResourceKey(ResourceKind.JOBS, name);
+    Job job = (Job) log.get(key).value().orElseThrow();
+    if (!job.phase().isFinal()) {
+      store(key, job.withPhase(JobPhase.CANCELLED));
+    }
+  }
+
+  private void store(ResourceKey key, Job job) {
+    StoredResource stored = new StoredResource(key, ++version, Optional.of(job));
+    log.put(key, stored);
+    for (Incarnation incarnation : incarnations) {
+      time.after(random.nextLong(50), () -> incarnation.learn(stored));
+    }
+  }
+
+  private void workerTick() {
+    for (SimulatedWorker worker : workers.values()) {
+      worker.model.tick(worker.clock(time.nowMs()), time.nowMs());
+    }
+    time.after(10, this::workerTick);
+  }
+
+  private void injectFault() {
+    SimulatedWorker worker = workers.get("worker-" + random.nextInt(workers.size()));
+    long lastsMs = 500 + random.nextLong(9_000);
+
+    switch (random.nextInt(6)) {
+      case 0 -> crash(worker);
+      case 1 -> {
+        worker.answering = false;
+        lostSightOf.add(worker.model.host());
+        time.after(lastsMs, () -> worker.answering = true);
+      }
+      case 2, 3 -> replaceDecider();
+      case 4 -> {
+        current.pausedUntilMs = time.nowMs() + lastsMs;
+        time.after(400, this::replaceDecider);
+      }
+      default -> {
+        logOut = true;
+
+        time.after(lastsMs, () -> logOut = false);
+      }
+    }
+  }
+
+  private void crash(SimulatedWorker worker) {
+    long nowMs = time.nowMs();
+    worker.earlierLedger.addAll(worker.model.ledger());
+    String host = worker.model.host();
+    for (TaskEvent event : worker.model.stopAll(nowMs)) {
+      worker.earlierLedger.add(event);
+    }
+    worker.model = new WorkerModel(host, CAPACITY);
+    lostSightOf.add(host);
+  }
+
+  private void heal() {
+    logOut = false;
+    workers.values().forEach(worker -> worker.answering = true);
+  }
+
+  private void replaceDecider() {
+
+    long oldEndsMs = current == null ? time.nowMs() : current.stopExtending();
+    Incarnation next = new Incarnation(++epoch, oldEndsMs, epoch == 1);
+    incarnations.add(next);
+    current = next;
+    log.values().forEach(next::learn);
+    next.tick();
+  }
+
+  /** One life of a decider. */
+  private final class Incarnation implements Decider.Outside {
+    private final long ownEpoch;
+    private final long actsFromMs;
+    private final boolean first;
+    private final Decider decider;
+    private long mandateUntilMs;
+    private long pausedUntilMs;
+    private boolean extending = true;
+
+    private Incarnation(long ownEpoch, long actsFromMs, boolean first) {
+      this.ownEpoch = ownEpoch;
+      this.actsFromMs = actsFromMs;
+      this.first = first;
+      this.mandateUntilMs = actsFromMs;
+      this.decider =
+          new Decider(
+              time,
+              this,
+              new JobConfiguration(ZONE),
+              new SchedulerSettings(5_000, 500, 64),
+              200,
+              new MetricRegistry());
+    }
+
+    private long stopExtending() {
+      extending = false;
+      return Math.max(mandateUntilMs, time.nowMs());
+    }
+
+    private void learn(StoredResource stored) {
+      decider.configurationChanged(List.of(stored));
+    }
+
+    private void tick() {
+      long nowMs = time.nowMs();
+      boolean finished = !extending && nowMs > mandateUntilMs + 20_000;
+      if (finished) {
+        return;
+      }
+      if (nowMs >= pausedUntilMs) {
+        if (extending && nowMs >= actsFromMs) {
+          mandateUntilMs = nowMs + PROMISE_MS;
+        }
+        decider.tick();
+      }
+      time.after(TICK_MS, this::tick);
+    }
+
+    @Override
+    public Optional<Decider.Mandate> mandate() {
+      long nowMs = time.nowMs();
+      boolean may = nowMs >= actsFromMs && nowMs < mandateUntilMs;
+      return may
+          ? Optional.of(new Decider.Mandate(ownEpoch, mandateUntilMs, false, first))
+          : Optional.empty();
+    }
+
+    @Override
+    public CompletableFuture<WorkerReport> exchange(
+        String address, WorkerExchange exchange, long timeoutMs) {
+      CompletableFuture<WorkerReport> future = new CompletableFuture<>();
+      time.after(timeoutMs, () -> deliver(() -> future.completeExceptionally(lost())));
+      if (random.nextInt(100) < 4) {
+        return future;
+      }
+      // One message in thirty is held up for longer than any mandate.
+      long delayMs = random.nextInt(30) == 0 ? random.nextLong(6_000) : 1 + random.nextLong(30);
+      time.after(delayMs, () -> arrive(address, exchange, future));
+      return future;
+    }
+
+    private void arrive(
+        String address, WorkerExchange exchange, CompletableFuture<WorkerReport> future) {
+      SimulatedWorker worker = workers.get(address);
+      if (!worker.answering) {
+        return;
+      }
+      long nowMs = time.nowMs();
+      WorkerReport report = worker.model.exchange(exchange, worker.clock(nowMs), nowMs);
+      if (random.nextInt(100) < 4) {
+        return;
+      }
+      time.after(1 + random.nextLong(30), () -> deliver(() -> future.complete(report)));
+    }
+
+    // A paused process takes in what arrived for it when it wakes.
+    private void deliver(Runnable action) {
+      if (time.nowMs() < pausedUntilMs) {
+        time.after(pausedUntilMs - time.nowMs(), action);
+      } else {
+        action.run();
+      }
+    }
+
+    @Override
+    public CompletableFuture<Verdict> publish(Draft draft) {
+      CompletableFuture<Verdict> future = new CompletableFuture<>();
+      append(draft, future);
+      return future;
+    }
+
+    private void append(Draft draft, CompletableFuture<Verdict> future) {
+      if (logOut) {
+        time.after(200, () -> append(draft, future));
+        return;
+      }
+      boolean accepted = log.get(draft.key()).version() == draft.baseVersion();
+      if (accepted) {
+        store(draft.key(), (Job) draft.value().orElseThrow());
+      }
+      Verdict.Decision decision =
+          accepted ? Verdict.Decision.ACCEPTED : Verdict.Decision.STALE_VERSION;
+      time.after(
+          60, () -> deliver(() -> future.complete(new Verdict("change", decision, version, ""))));
+    }
+
+    @Override
+    public List<ListedHost> workers() {
+      List<ListedHost> listed = new ArrayList<>();
+      int index = 0;
+      for (String name : workers.keySet()) {
+        listed.add(ListedHost.worker(name, ZONE, "rack-" + index++ / 4, name, CAPACITY));
+      }
+      return listed;
+    }
+
+    private Refusal lost() {
+      return new Refusal(RefusalKind.UNKNOWN, "no answer", "repeat");
+    }
+  }
+}
--- a/standin/src/main/java/org/wheatwall/standin/worker/WorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/worker/WorkerModel.java
@@ -45,6 +45,11 @@
     this.capacity = capacity;
   }
 
+  /** Returns the name of the host. */
+  public String host() {
+    return host;
+  }
+
   /** Sets how the worker behaves from now on. */
   public void setBehavior(WorkerBehavior next) {
     behavior = next;
@@ -100,6 +105,13 @@
     lapsed.forEach(attemptId -> end(attemptId, "lease lapsed", wallMs));
   }
 
+  /** Ends every part at once, as a crash does; returns the stops that were recorded. */
+  public List<TaskEvent> stopAll(long wallMs) {
+    int before = ledger.size();
+    List.copyOf(parts.keySet()).forEach(attemptId -> end(attemptId, "crashed", wallMs));
+    return List.copyOf(ledger.subList(before, ledger.size()));
+  }
+
   private Optional<String> refusal(WorkerExchange exchange, long nowMs) {
     if (exchange.operations().isEmpty()) {
       return Optional.empty();
@@ -119,7 +131,16 @@
       case RESERVE -> {
         return part == null ? reserve(operation, nowMs) : Optional.empty();
       }
-      case STOP -> end(operation.attemptId(), "stopped", wallMs);
+      case STOP -> {
+        if (part != null && !part.phase.ended()) {
+          end(operation.attemptId(), "stopped", wallMs);
+        }
+      }
+      case FORGET -> {
+        if (part != null && part.phase.ended()) {
+          parts.remove(operation.attemptId());
+        }
+      }
       case START -> start(operation, part, nowMs, wallMs);
       case RENEW -> renew(operation, part, nowMs);
       case CHECKPOINT -> checkpoint(operation, part, nowMs);
@@ -198,7 +219,10 @@
   }
 
   private void note(String attemptId, Part part, String event, String reason, long wallMs) {
-    ledger.add(new TaskEvent(host, attemptId, part.reservation.jobName(), event, wallMs, reason));
+    Reservation reservation = part.reservation;
+    int gangHosts = (int) reservation.hosts().stream().distinct().count();
+    ledger.add(
+        new TaskEvent(host, attemptId, reservation.jobName(), gangHosts, event, wallMs, reason));
   }
 
   private static boolean runs(Part part) {
