--- a/core/src/main/java/org/wheatwall/core/request/decision/RequestLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/RequestLifecycle.java
@@ -30,6 +30,12 @@
     stage = Stage.QUEUED;
   }
 
+  /** Notes that the request, still unsent, goes back to wait for something else. */
+  public void waitAgain() {
+    require(stage == Stage.QUEUED);
+    stage = Stage.RECEIVED;
+  }
+
   /** Notes, before the first byte is handed to the network, that the request leaves. */
   public void sending() {
     require(stage == Stage.RECEIVED || stage == Stage.QUEUED);
--- a/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
@@ -59,7 +59,9 @@
     /** It ran or may have run. */
     UNKNOWN,
     /** There is no room for another record. */
-    FULL
+    FULL,
+    /** The keeper cannot be reached, or the view of its zone is changing; ask again. */
+    REFUSED
   }
 
   /** Sets since when every leave is recorded here, wall clock milliseconds. */
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -110,6 +110,7 @@
             steps,
             directory,
             new HttpClient(group, settings.requests().maxBodyBytes()),
+            this::pause,
             settings.host() + "-" + Long.toString(self.incarnation(), 36) + "-",
             metrics);
     StateDump dump = new StateDump(metrics, this::state);
@@ -233,6 +234,12 @@
     LOG.info("event=entry-stopped host={}", settings.host());
   }
 
+  private CompletableFuture<Void> pause(long pauseMs) {
+    CompletableFuture<Void> waited = new CompletableFuture<>();
+    timer.schedule(() -> waited.complete(null), pauseMs, TimeUnit.MILLISECONDS);
+    return waited;
+  }
+
   private CompletableFuture<HttpReply> onCall(HttpCall call) {
     if (call.target().startsWith("/call/")) {
       return requests.handle(call);
--- a/entry/src/main/java/org/wheatwall/entry/request/CallAttempts.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/CallAttempts.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongFunction;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.request.decision.RequestLifecycle;
@@ -24,6 +24,9 @@
 final class CallAttempts {
   private static final String NOT_RUN_HEADER = "Wheatwall-Not-Run";
   private static final int SERVER_ERROR = 500;
+  private static final long FIRST_PAUSE_MS = 5;
+  private static final long LONGEST_PAUSE_MS = 200;
+  private static final int MAX_DOUBLINGS = 6;
   private static final String REPEAT_SAME_KEY =
       "repeat with the same Idempotency-Key; the step will not run twice";
   private static final String CHECK_FIRST =
@@ -37,18 +40,24 @@
   private final ServiceSlots service;
   private final RequestLifecycle lifecycle = new RequestLifecycle();
   private final Set<String> avoid = new HashSet<>();
-  private final AtomicInteger asks = new AtomicInteger();
+  private boolean leaveFirst;
+  private int asks;
   private GrantId grant;
   private int attempts;
 
-  /** What an attempt works with. */
+  /**
+   * What an attempt works with.
+   *
+   * @param pause completes after a time in milliseconds
+   */
   record Means(
       Clock clock,
       SlotService slots,
       StepCoordinator steps,
       HttpClient client,
       int weight,
-      Meter retries) {}
+      Meter retries,
+      LongFunction<CompletableFuture<Void>> pause) {}
 
   CallAttempts(
       CallRequest request, String requestId, long deadlineMs, Means means, ServiceSlots service) {
@@ -61,60 +70,95 @@
 
   /** Runs the request; the future never fails. */
   CompletableFuture<CallResult> run() {
+    return attempt().exceptionally(this::failed);
+  }
+
+  private CompletableFuture<CallResult> attempt() {
     lifecycle.queued();
+    return leaveFirst ? leaveThenSlot() : slotThenLeave();
+  }
+
+  // The usual order: a step is recorded only when it is about to leave, so that a request that
+  // never gets a slot leaves no trace.
+  private CompletableFuture<CallResult> slotThenLeave() {
+    return acquire()
+        .thenCompose(
+            slot ->
+                request.key().isEmpty()
+                    ? send(slot)
+                    : askLeave().thenCompose(decided -> afterLeave(decided, Optional.of(slot))));
+  }
+
+  // After another try was found under way: waiting for it must not hold a slot.
+  private CompletableFuture<CallResult> leaveThenSlot() {
+    return askLeave().thenCompose(decided -> afterLeave(decided, Optional.empty()));
+  }
+
+  private CompletableFuture<Slot> acquire() {
     return means
         .slots()
-        .acquire(request.service(), request.workspace(), means.weight(), avoid, deadlineMs)
-        .thenCompose(this::withSlot)
-        .exceptionally(this::failed);
+        .acquire(request.service(), request.workspace(), means.weight(), avoid, deadlineMs);
   }
 
-  private CompletableFuture<CallResult> withSlot(Slot slot) {
-    if (means.clock().nowMs() >= deadlineMs) {
-      slot.giveBack(true);
-      return CompletableFuture.failedFuture(
-          new Refusal(
-              RefusalKind.UNAVAILABLE,
-              "the deadline passed before a slot came free",
-              "repeat after the time in Retry-After"));
-    }
-    if (request.key().isEmpty()) {
-      return send(slot);
-    }
-    return means
-        .steps()
-        .ask(request.key().get(), requestId, asks, request.issuedMs(), deadlineMs)
-        .whenComplete(
-            (decided, failure) -> {
-              if (failure != null || decided.leave() != Leave.RUN) {
-                slot.giveBack(true);
-              }
-            })
-        .thenCompose(decided -> afterLeave(decided, slot));
+  private CompletableFuture<StepCoordinator.Decided> askLeave() {
+    grant = new GrantId(requestId, ++asks);
+    return means.steps().ask(request.key().orElseThrow(), grant, request.issuedMs());
   }
 
-  private CompletableFuture<CallResult> afterLeave(StepCoordinator.Decided decided, Slot slot) {
-    grant = decided.grant();
+  private CompletableFuture<CallResult> afterLeave(
+      StepCoordinator.Decided decided, Optional<Slot> held) {
+    if (decided.leave() == Leave.RUN) {
+      return held.map(this::send).orElseGet(this::slotWithLeave);
+    }
+    held.ifPresent(slot -> slot.giveBack(true));
     return switch (decided.leave()) {
-      case RUN -> send(slot);
       case KEPT ->
           CompletableFuture.completedFuture(
               decided
                   .answer()
                   .map(CallResult::kept)
                   .orElseGet(() -> unknownStep("it ran, but its answer was too large to keep")));
-      case FULL ->
-          CompletableFuture.failedFuture(
-              new Refusal(
-                  RefusalKind.UNAVAILABLE,
-                  "no room for another step that may not be repeated",
-                  "repeat with the same key after the time in Retry-After"));
+      case FULL -> CompletableFuture.failedFuture(unavailable("no room for another such step"));
+      case IN_PROGRESS, REFUSED -> askAgain(decided.leave());
       default ->
           CompletableFuture.completedFuture(
               unknownStep("an earlier try of this step ran or may have run"));
     };
   }
 
+  private CompletableFuture<CallResult> slotWithLeave() {
+    return acquire()
+        .thenCompose(this::send)
+        .whenComplete(
+            (result, failure) -> {
+              if (failure != null) {
+                endStep(StepState.RELEASED, Optional.empty());
+              }
+            });
+  }
+
+  private CompletableFuture<CallResult> askAgain(Leave leave) {
+    long pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS << Math.min(asks, MAX_DOUBLINGS));
+    if (means.clock().nowMs() + pauseMs < deadlineMs) {
+      leaveFirst = true;
+      lifecycle.waitAgain();
+      return means.pause().apply(pauseMs).thenCompose(waited -> attempt());
+    }
+    if (leave == Leave.IN_PROGRESS) {
+      return CompletableFuture.completedFuture(
+          unknownStep("another try of this step has not ended in time"));
+    }
+    // An ask whose reply was lost may have been recorded; releasing it lets a repeat run.
+    endStep(StepState.RELEASED, Optional.empty());
+    return CompletableFuture.failedFuture(
+        unavailable("the zone that keeps this key cannot be reached or changes members"));
+  }
+
+  private static Refusal unavailable(String detail) {
+    return new Refusal(
+        RefusalKind.UNAVAILABLE, detail, "repeat with the same key after the time in Retry-After");
+  }
+
   private static CallResult unknownStep(String detail) {
     return CallResult.unknown(
         detail, "look the step up in your own records; it will not be run again");
@@ -154,7 +198,7 @@
     slot.giveBack(reply.status() < SERVER_ERROR);
     if (reply.status() >= SERVER_ERROR && request.repeatable() && mayTryAgain(slot)) {
       lifecycle.repeat();
-      return run();
+      return attempt();
     }
     lifecycle.complete();
     endStep(StepState.ANSWERED, Optional.of(answer(reply)));
@@ -165,7 +209,7 @@
     lifecycle.provenNotRun();
     endStep(StepState.RELEASED, Optional.empty());
     if (mayTryAgain(slot)) {
-      return run();
+      return attempt();
     }
     return CompletableFuture.failedFuture(
         new Refusal(
@@ -177,7 +221,7 @@
   private CompletableFuture<CallResult> lost(Slot slot, Throwable failure) {
     if (request.repeatable() && mayTryAgain(slot)) {
       lifecycle.repeat();
-      return run();
+      return attempt();
     }
     lifecycle.fail();
     endStep(StepState.UNKNOWN, Optional.empty());
--- a/entry/src/main/java/org/wheatwall/entry/request/RequestPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/RequestPlane.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.configuration.model.ResourceKind;
@@ -34,6 +35,7 @@
   private final HostDirectory directory;
   private final HttpClient client;
   private final RateLimits limits;
+  private final LongFunction<CompletableFuture<Void>> pause;
   private final String requestPrefix;
   private final AtomicLong nextRequest = new AtomicLong();
   private final Map<Outcome, Meter> outcomes = new EnumMap<>(Outcome.class);
@@ -43,6 +45,7 @@
   /**
    * Creates the plane.
    *
+   * @param pause completes after a time in milliseconds
    * @param requestPrefix start of request identifiers, unique to this process
    */
   public RequestPlane(
@@ -52,6 +55,7 @@
       StepCoordinator steps,
       HostDirectory directory,
       HttpClient client,
+      LongFunction<CompletableFuture<Void>> pause,
       String requestPrefix,
       MetricRegistry metrics) {
     this.bounds = bounds;
@@ -60,6 +64,7 @@
     this.steps = steps;
     this.directory = directory;
     this.client = client;
+    this.pause = pause;
     this.limits = new RateLimits(clock);
     this.requestPrefix = requestPrefix;
     this.timer = metrics.timer("requests.time");
@@ -101,7 +106,7 @@
             requestId,
             clock.nowMs() + request.deadlineMs(),
             new CallAttempts.Means(
-                clock, slots, steps, client, limits.weight(request.workspace()), retries),
+                clock, slots, steps, client, limits.weight(request.workspace()), retries, pause),
             service);
     return attempts.run();
   }
--- a/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.common.RendezvousHash;
@@ -47,8 +46,7 @@
   private static final int MAX_KEPT_BODY = 16 * 1024;
   private static final long RECORD_TIMEOUT_MS = 500;
   private static final long ASK_TIMEOUT_MS = 1000;
-  private static final long FIRST_PAUSE_MS = 10;
-  private static final long LONGEST_PAUSE_MS = 200;
+  private static final long RETRY_PAUSE_MS = 200;
   private static final int FINISH_TRIES = 5;
   private static final int PAGE = 500;
 
@@ -63,7 +61,6 @@
   private final ScheduledExecutorService timer;
   private final StepLedger ledger;
   private final Meter granted;
-  private final Meter refused;
   private boolean syncing;
 
   /** Creates the coordinator. */
@@ -84,7 +81,6 @@
     this.timer = timer;
     this.ledger = new StepLedger(keepAnswersMs, MAX_RECORDS);
     this.granted = metrics.meter("steps.leave-given");
-    this.refused = metrics.meter("steps.leave-refused");
     metrics.gauge("steps.records", () -> this::recordCount);
   }
 
@@ -102,15 +98,11 @@
     }
   }
 
-  /**
-   * Asks for leave to run a step, again and again while the zone's view is changing or another try
-   * is under way, until the deadline. Each ask has a leave of its own that supersedes the earlier.
-   *
-   * @param asks counts the asks of the request {@code owner}
-   */
-  CompletableFuture<Decided> ask(
-      String key, String owner, AtomicInteger asks, Optional<Long> issuedMs, long deadlineMs) {
-    return new Asking(key, owner, asks, issuedMs, deadlineMs).ask(FIRST_PAUSE_MS);
+  /** Asks once for leave to run a step; the future never fails. */
+  CompletableFuture<Decided> ask(String key, GrantId grant, Optional<Long> issuedMs) {
+    return askOnce(key, grant, issuedMs)
+        .exceptionally(failure -> reply(StepReply.Leave.REFUSED))
+        .thenApply(reply -> decided(reply, grant));
   }
 
   /** Reports how a step ended to the zone that gave leave. */
@@ -221,59 +213,6 @@
   @Override
   public void memberRetired(String memberId) {}
 
-  /** One request's asks for leave. */
-  private final class Asking {
-    private final String key;
-    private final String owner;
-    private final AtomicInteger asks;
-    private final Optional<Long> issuedMs;
-    private final long deadlineMs;
-
-    private Asking(
-        String key, String owner, AtomicInteger asks, Optional<Long> issuedMs, long deadlineMs) {
-      this.key = key;
-      this.owner = owner;
-      this.asks = asks;
-      this.issuedMs = issuedMs;
-      this.deadlineMs = deadlineMs;
-    }
-
-    private CompletableFuture<Decided> ask(long pauseMs) {
-      GrantId grant = new GrantId(owner, asks.incrementAndGet());
-      return askOnce(key, grant, issuedMs)
-          .exceptionally(failure -> reply(StepReply.Leave.REFUSED))
-          .thenCompose(reply -> conclude(reply, grant, pauseMs));
-    }
-
-    private CompletableFuture<Decided> conclude(StepReply reply, GrantId grant, long pauseMs) {
-      boolean again =
-          reply.getLeave() == StepReply.Leave.REFUSED
-              || reply.getLeave() == StepReply.Leave.IN_PROGRESS;
-      if (!again) {
-        return CompletableFuture.completedFuture(decided(reply, grant));
-      }
-      if (clock.nowMs() + pauseMs >= deadlineMs) {
-        return giveUp(reply, grant);
-      }
-      return pause(pauseMs).thenCompose(waited -> ask(Math.min(LONGEST_PAUSE_MS, pauseMs * 2)));
-    }
-
-    // An ask whose reply was lost may have been recorded; releasing it lets a repeat run.
-    private CompletableFuture<Decided> giveUp(StepReply reply, GrantId grant) {
-      refused.mark();
-      if (reply.getLeave() == StepReply.Leave.IN_PROGRESS) {
-        return CompletableFuture.completedFuture(
-            new Decided(Leave.UNKNOWN, grant, Optional.empty()));
-      }
-      finish(key, grant, StepState.RELEASED, Optional.empty());
-      return CompletableFuture.failedFuture(
-          new Refusal(
-              RefusalKind.UNAVAILABLE,
-              "the availability zone that keeps this key cannot be reached or changes members",
-              "repeat with the same key after the time in Retry-After"));
-    }
-  }
-
   private CompletableFuture<StepReply> askOnce(String key, GrantId grant, Optional<Long> issuedMs) {
     Optional<RemoteZones.EpochView> home = remoteZones.view(homeZone(key));
     Optional<Member> keeper = home.flatMap(entry -> keeper(key, entry.view().memberIds(), entry));
@@ -457,7 +396,7 @@
           if (failure != null && triesLeft > 1) {
             timer.schedule(
                 () -> finish(key, grant, state, answer, triesLeft - 1),
-                LONGEST_PAUSE_MS,
+                RETRY_PAUSE_MS,
                 TimeUnit.MILLISECONDS);
           }
         });
@@ -526,7 +465,7 @@
             syncFromOldMembers(status);
           }
         },
-        LONGEST_PAUSE_MS,
+        RETRY_PAUSE_MS,
         TimeUnit.MILLISECONDS);
   }
 
@@ -538,12 +477,6 @@
     return others;
   }
 
-  private CompletableFuture<Void> pause(long pauseMs) {
-    CompletableFuture<Void> waited = new CompletableFuture<>();
-    timer.schedule(() -> waited.complete(null), pauseMs, TimeUnit.MILLISECONDS);
-    return waited;
-  }
-
   private static StepReply reply(StepReply.Leave leave) {
     return StepReply.newBuilder().setLeave(leave).build();
   }
@@ -551,11 +484,15 @@
   private static Decided decided(StepReply reply, GrantId grant) {
     Optional<Answer> answer =
         reply.hasAnswer() ? Optional.of(StepCodec.read(reply.getAnswer())) : Optional.empty();
-    return switch (reply.getLeave()) {
-      case RUN -> new Decided(Leave.RUN, grant, Optional.empty());
-      case KEPT -> new Decided(Leave.KEPT, grant, answer);
-      case FULL -> new Decided(Leave.FULL, grant, Optional.empty());
-      default -> new Decided(Leave.UNKNOWN, grant, Optional.empty());
-    };
+    Leave leave =
+        switch (reply.getLeave()) {
+          case RUN -> Leave.RUN;
+          case KEPT -> Leave.KEPT;
+          case FULL -> Leave.FULL;
+          case IN_PROGRESS -> Leave.IN_PROGRESS;
+          case REFUSED -> Leave.REFUSED;
+          default -> Leave.UNKNOWN;
+        };
+    return new Decided(leave, grant, answer);
   }
 }
--- a/wire/src/main/java/org/wheatwall/wire/json/Json.java
+++ b/wire/src/main/java/org/wheatwall/wire/json/Json.java
@@ -90,9 +90,10 @@
   private static ObjectMapper create() {
     SimpleModule module = new SimpleModule();
     module.addSerializer(Labels.class, new LabelsWriter());
-    module.addDeserializer(Labels.class, new LabelsReader());
     module.addSerializer(new OptionalWriter());
-    module.setDeserializers(new OptionalDeserializers());
+    OptionalDeserializers readers = new OptionalDeserializers();
+    readers.addDeserializer(Labels.class, new LabelsReader());
+    module.setDeserializers(readers);
     return JsonMapper.builder()
         .addModule(module)
         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
