Load generator with an open schedule; answers of services are matched by identifier

Cause: no way to measure the request plane; calls to the platform opened a connection each, because its answers named no request. Change: wheatwall load (open loop, HdrHistogram, times from the moment a request was due, warm-up apart); servers repeat the caller's identifier.

--- a/app/src/main/java/org/wheatwall/app/load/LoadGenerator.java
+++ b/app/src/main/java/org/wheatwall/app/load/LoadGenerator.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import org.wheatwall.wire.http.AnswerMatching;
 import org.wheatwall.wire.http.HttpCall;
 import org.wheatwall.wire.http.HttpClient;
 import org.wheatwall.wire.http.HttpReply;
@@ -23,6 +24,7 @@
   private static final long WAIT_FOR_LAST_SECONDS = 35;
 
   private final LoadPlan plan;
+  private long nextKey;
   private final String run = Long.toString(System.nanoTime(), 36);
 
   /** Creates a generator. */
@@ -34,15 +36,22 @@
   public LoadResult run() throws InterruptedException {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
     try {
-      return run(new HttpClient(group, MAX_BODY, plan.connections()));
+      return run(new HttpClient(group, MAX_BODY, plan.connections(), AnswerMatching.BY_ORDER));
     } finally {
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
   }
 
   private LoadResult run(HttpClient client) throws InterruptedException {
+    sendAll(client, new LoadResult(), plan.warmUpSeconds());
     LoadResult result = new LoadResult();
-    int total = plan.perSecond() * plan.seconds();
+    sendAll(client, result, plan.seconds());
+    return result;
+  }
+
+  private void sendAll(HttpClient client, LoadResult result, int seconds)
+      throws InterruptedException {
+    int total = plan.perSecond() * seconds;
     AtomicInteger open = new AtomicInteger(total);
     Semaphore done = new Semaphore(0);
     long startNs = System.nanoTime();
@@ -52,8 +61,9 @@
       send(client, i, dueNs, result, open, done);
     }
     result.finish((System.nanoTime() - startNs) / (double) NANOS_PER_SECOND);
-    done.tryAcquire(WAIT_FOR_LAST_SECONDS, TimeUnit.SECONDS);
-    return result;
+    if (total > 0) {
+      done.tryAcquire(WAIT_FOR_LAST_SECONDS, TimeUnit.SECONDS);
+    }
   }
 
   private void send(
@@ -67,7 +77,7 @@
     HttpCall call = HttpCall.of(plan.keyed() ? "POST" : "GET", plan.path());
     call.with("Wheatwall-Deadline-Ms", String.valueOf(plan.deadlineMs()));
     if (plan.keyed()) {
-      call.with("Idempotency-Key", run + "-" + index);
+      call.with("Idempotency-Key", run + "-" + nextKey++);
     }
     client
         .send(target, call, run + index, plan.deadlineMs() + 5000L)
--- a/app/src/main/java/org/wheatwall/app/load/LoadPlan.java
+++ b/app/src/main/java/org/wheatwall/app/load/LoadPlan.java
@@ -10,6 +10,7 @@
  * @param targets addresses to which requests go in turn
  * @param path path of every request
  * @param perSecond requests a second, sent on schedule whether answers come or not
+ * @param warmUpSeconds duration before anything is counted
  * @param seconds duration
  * @param keyed whether each request names a step that may not be repeated
  * @param deadlineMs deadline that each request carries
@@ -19,6 +20,7 @@
     List<InetSocketAddress> targets,
     String path,
     int perSecond,
+    int warmUpSeconds,
     int seconds,
     boolean keyed,
     int deadlineMs,
--- a/app/src/main/java/org/wheatwall/app/load/LoadVerb.java
+++ b/app/src/main/java/org/wheatwall/app/load/LoadVerb.java
@@ -30,6 +30,7 @@
             .value("target", "addresses on 127.0.0.0/8 that get the requests in turn")
             .value("path", "path of the requests, default /call/refill/load")
             .value("rate", "requests a second, default 100")
+            .value("warm-up", "seconds before anything is counted, default 3")
             .value("seconds", "duration, default 5")
             .value("deadline-ms", "deadline of each request, default 2000")
             .value("connections", "most idle connections kept to each target, default 256")
@@ -46,6 +47,7 @@
             targets,
             options.text("path", "/call/refill/load"),
             options.integer("rate", 100),
+            options.integer("warm-up", 3),
             options.integer("seconds", 5),
             options.has("keyed"),
             options.integer("deadline-ms", 2000),
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -55,7 +55,7 @@
 public final class EntryHost {
   private static final Logger LOG = LoggerFactory.getLogger(EntryHost.class);
   private static final int MAX_PLATFORM_BODY = 16 * 1024 * 1024;
-  private static final long REQUEST_TICK_MS = 5;
+  private static final long REQUEST_TICK_MS = 20;
   private static final long LEDGER_TICK_MS = 1000;
   private static final long QUERY_TIMEOUT_MS = 1500;
 
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -44,7 +44,7 @@
   /** Name of the duty of deciding for the zone. */
   public static final String DUTY = "decider";
 
-  private static final long TICK_MS = 25;
+  private static final long TICK_MS = 50;
   private static final int MAX_LISTED = 500;
 
   private final String zone;
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -32,18 +32,20 @@
   private final EventLoopGroup group;
   private final int maxBody;
   private final int maxIdle;
+  private final AnswerMatching matching;
   private final Map<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
 
   /** Creates a client that accepts response bodies of up to {@code maxBody} bytes. */
   public HttpClient(EventLoopGroup group, int maxBody) {
-    this(group, maxBody, DEFAULT_IDLE);
+    this(group, maxBody, DEFAULT_IDLE, AnswerMatching.BY_IDENTIFIER);
   }
 
   /** Creates a client that keeps up to {@code maxIdle} idle connections to each address. */
-  public HttpClient(EventLoopGroup group, int maxBody, int maxIdle) {
+  public HttpClient(EventLoopGroup group, int maxBody, int maxIdle, AnswerMatching matching) {
     this.group = group;
     this.maxBody = maxBody;
     this.maxIdle = maxIdle;
+    this.matching = matching;
   }
 
   /**
@@ -126,7 +128,7 @@
                     .pipeline()
                     .addLast(new HttpClientCodec())
                     .addLast(new HttpObjectAggregator(maxBody, true))
-                    .addLast(new HttpClientConnection());
+                    .addLast(new HttpClientConnection(matching));
               }
             })
         .connect(address)
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
@@ -19,12 +19,17 @@
 
 /** One connection to a server; carries one exchange at a time. */
 final class HttpClientConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+  private final AnswerMatching matching;
   private ChannelHandlerContext context;
   private CompletableFuture<HttpReply> pending;
   private ScheduledFuture<?> timeout;
   private String requestId;
   private volatile boolean reusable;
 
+  HttpClientConnection(AnswerMatching matching) {
+    this.matching = matching;
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     context = handlerContext;
@@ -95,7 +100,8 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext ignored, FullHttpResponse response) {
-    boolean own = requestId != null && requestId.equals(echo(response));
+    boolean byOrder = matching == AnswerMatching.BY_ORDER;
+    boolean own = byOrder || (requestId != null && requestId.equals(echo(response)));
     boolean foreign = echo(response) != null && !own;
     if (pending == null || foreign || response.decoderResult().isFailure()) {
       failAndClose("an answer that belongs to no request, or is malformed");
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
@@ -88,11 +88,21 @@
     handle(call)
         .whenComplete(
             (reply, failure) -> {
-              HttpReply result = failure == null ? reply : Problems.reply(failure);
+              HttpReply result =
+                  withIdentifier(call, failure == null ? reply : Problems.reply(failure));
               context.executor().execute(() -> write(context, result, close));
             });
   }
 
+  // A client that names its request can so tell that the answer is its own.
+  private static HttpReply withIdentifier(HttpCall call, HttpReply reply) {
+    boolean named = reply.header(HttpClient.REQUEST_HEADER).isPresent();
+    return call.header(HttpClient.REQUEST_HEADER)
+        .filter(id -> !named)
+        .map(id -> reply.with(HttpClient.REQUEST_HEADER, id))
+        .orElse(reply);
+  }
+
   private CompletableFuture<HttpReply> handle(HttpCall call) {
     try {
       return handler.handle(call);
