--- a/app/src/main/java/org/wheatwall/app/command/Verbs.java
+++ b/app/src/main/java/org/wheatwall/app/command/Verbs.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.wheatwall.app.compare.CompareVerb;
 import org.wheatwall.app.demo.DemoVerb;
 import org.wheatwall.app.load.LoadVerb;
 import org.wheatwall.app.operator.ApplyVerb;
@@ -28,7 +29,8 @@
           new CancelVerb(),
           new ExplainVerb(),
           new DumpVerb(),
-          new LoadVerb());
+          new LoadVerb(),
+          new CompareVerb());
 
   private Verbs() {}
 
