Configuration and gangs proved across retention, outages, pauses and replaced hosts

Change: ConfigurationIT (30% lost answers, retention of 6 s, an outage, a start from peers, every host killed at once; ten races of six operators) and ZoneRestartIT (every entry host killed during a log outage; a decider paused and another killed).

--- /dev/null
+++ b/app/src/test/java/org/wheatwall/app/ConfigurationIT.java
@@ -0,0 +1,142 @@
+package org.wheatwall.app;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.wheatwall.app.TestCluster.until;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * An accepted configuration stays, whatever happens to the log and to the hosts. Catches a host
+ * that starts from a log whose early records are gone, blind repeats after a lost answer, last
+ * writer wins, and an older copy that wins over a newer one.
+ */
+final class ConfigurationIT {
+  private static final int RETENTION_MS = 6000;
+
+  @TempDir Path directory;
+
+  @Test
+  void acceptedChangesOutliveRetentionOutagesAndEveryHost() throws Exception {
+    try (TestCluster cluster = new TestCluster(directory, List.of("z1"), RETENTION_MS)) {
+      TestProcess first = cluster.entry("entry-1", "z1");
+      TestProcess second = cluster.entry("entry-2", "z1");
+      Map<String, Long> accepted = new HashMap<>();
+      cluster.logFault(false, 30);
+      for (int i = 0; i < 12; i++) {
+        accept(cluster, i % 2 == 0 ? first : second, "workspace-" + i, accepted);
+      }
+      cluster.logFault(false, 0);
+      removeOne(cluster, first, accepted);
+      until(
+          "both show all",
+          () -> shows(cluster, first, accepted) && shows(cluster, second, accepted));
+
+      Thread.sleep(RETENTION_MS + 3000);
+      TestProcess late = cluster.entry("entry-3", "z1");
+      assertWithMessage("a host that starts after retention")
+          .that(versions(cluster, late))
+          .isEqualTo(accepted);
+
+      cluster.logFault(true, 0);
+      TestProcess duringOutage = cluster.entry("entry-4", "z1");
+      assertWithMessage("a host that starts from its peers while the log is out")
+          .that(versions(cluster, duringOutage))
+          .isEqualTo(accepted);
+      assertThat(cluster.put(first, "/v1/workspaces/during", "{}").statusCode()).isEqualTo(202);
+      cluster.logFault(false, 0);
+      until(
+          "the change made during the outage", () -> versions(cluster, late).containsKey("during"));
+      // Long enough for a snapshot, shorter than the retention: the log alone keeps the state now.
+      Thread.sleep(RETENTION_MS * 2 / 3);
+      for (TestProcess entry : List.of(first, second, late, duringOutage)) {
+        entry.kill();
+      }
+      TestProcess reborn = cluster.entry("entry-5", "z1");
+      Map<String, Long> after = versions(cluster, reborn);
+      after.remove("during");
+      assertWithMessage("after every host was replaced").that(after).isEqualTo(accepted);
+    }
+  }
+
+  @Test
+  void ofRacingOperatorsExactlyOneIsAccepted() throws Exception {
+    try (TestCluster cluster = new TestCluster(directory, List.of("z1", "z2"))) {
+      List<TestProcess> entries =
+          List.of(cluster.entry("entry-1", "z1"), cluster.entry("entry-2", "z2"));
+      for (int round = 0; round < 10; round++) {
+        String path = "/v1/workspaces/contended-" + round;
+        List<CompletableFuture<Integer>> racers = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+          TestProcess entry = entries.get(i % 2);
+          String body = "{\"acceleratorQuota\": " + i + "}";
+          racers.add(
+              CompletableFuture.supplyAsync(
+                  () -> {
+                    try {
+                      return cluster.put(entry, path, body).statusCode();
+                    } catch (Exception e) {
+                      throw new IllegalStateException(e);
+                    }
+                  }));
+        }
+        List<Integer> statuses = racers.stream().map(CompletableFuture::join).toList();
+        assertThat(statuses.stream().filter(status -> status == 200).count()).isEqualTo(1);
+        assertThat(statuses.stream().filter(status -> status == 412).count()).isEqualTo(5);
+        until("same content", () -> sameEverywhere(cluster, entries, path));
+      }
+    }
+  }
+
+  private static boolean sameEverywhere(TestCluster cluster, List<TestProcess> entries, String path)
+      throws Exception {
+    HttpResponse<String> one = cluster.get(entries.get(0), path);
+    HttpResponse<String> other = cluster.get(entries.get(1), path);
+    return one.statusCode() == 200 && one.body().equals(other.body());
+  }
+
+  private static void accept(
+      TestCluster cluster, TestProcess entry, String name, Map<String, Long> accepted)
+      throws Exception {
+    HttpResponse<String> reply = cluster.put(entry, "/v1/workspaces/" + name, "{}");
+    if (reply.statusCode() == 202) {
+      // Not read back in time; it is in force or not once the object can be read.
+      until("in force", () -> cluster.get(entry, "/v1/workspaces/" + name).statusCode() == 200);
+    } else {
+      assertThat(reply.statusCode()).isEqualTo(200);
+    }
+    accepted.put(name, cluster.json(entry, "/v1/workspaces/" + name).path("version").asLong());
+  }
+
+  private static void removeOne(TestCluster cluster, TestProcess entry, Map<String, Long> accepted)
+      throws Exception {
+    String version = String.valueOf(accepted.remove("workspace-3"));
+    HttpResponse<String> reply =
+        cluster.send(
+            entry, "DELETE", "/v1/workspaces/workspace-3", new byte[0], "If-Match", version);
+    assertThat(reply.statusCode()).isEqualTo(200);
+  }
+
+  private static boolean shows(TestCluster cluster, TestProcess entry, Map<String, Long> accepted)
+      throws Exception {
+    return versions(cluster, entry).equals(accepted);
+  }
+
+  private static Map<String, Long> versions(TestCluster cluster, TestProcess entry)
+      throws Exception {
+    Map<String, Long> versions = new HashMap<>();
+    for (JsonNode item : cluster.json(entry, "/v1/workspaces?limit=1000").path("items")) {
+      versions.put(item.path("name").asText(), item.path("version").asLong());
+    }
+    return versions;
+  }
+}
--- a/app/src/test/java/org/wheatwall/app/TestCluster.java
+++ b/app/src/test/java/org/wheatwall/app/TestCluster.java
@@ -29,18 +29,21 @@
   private final Path directory;
   private final Path log;
   private final List<String> zones;
+  private final int retentionMs;
   private final TestProcess logService;
   private final TestProcess hostList;
 
-  TestCluster(Path directory, List<String> zones, String... logOptions) throws IOException {
+  TestCluster(Path directory, List<String> zones) throws IOException {
+    this(directory, zones, 3_600_000);
+  }
+
+  /** Starts a platform whose log keeps records for {@code retentionMs}. */
+  TestCluster(Path directory, List<String> zones, int retentionMs) throws IOException {
+    this.retentionMs = retentionMs;
     this.directory = directory;
     this.log = directory.resolve("processes.log");
     this.zones = zones;
-    String[] logCommand = new String[logOptions.length + 2];
-    logCommand[0] = "standin";
-    logCommand[1] = "log";
-    System.arraycopy(logOptions, 0, logCommand, 2, logOptions.length);
-    logService = start(logCommand);
+    logService = start("standin", "log", "--retention-ms", String.valueOf(retentionMs));
     hostList = start("standin", "list");
   }
 
@@ -78,7 +81,19 @@
     return entry(name, zone, freePort(), logService.address());
   }
 
+  /** Starts an entry host that is not expected to become ready yet. */
+  TestProcess startEntryWithoutWaiting(String name, String zone) throws Exception {
+    return startEntry(name, zone, freePort(), logService.address());
+  }
+
   TestProcess entry(String name, String zone, int peerPort, String logAddress) throws Exception {
+    TestProcess entry = startEntry(name, zone, peerPort, logAddress);
+    until("ready " + name, () -> get(entry, "/v1/health/ready").statusCode() == 200);
+    return entry;
+  }
+
+  private TestProcess startEntry(String name, String zone, int peerPort, String logAddress)
+      throws Exception {
     String settings =
         """
         {
@@ -87,7 +102,7 @@
           "zone": "%s",
           "zones": %s,
           "listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:%d"},
-          "platform": {"log": "%s", "list": "%s", "listPollMs": 100},
+          "platform": {"log": "%s", "list": "%s", "listPollMs": 100, "retentionMs": %d},
           "peerKey": "%s",
           "requests": {"maxDeadlineMs": 5000},
         }
@@ -99,19 +114,31 @@
                 peerPort,
                 logAddress,
                 hostList.address(),
+                retentionMs,
                 KEY);
     Path file = directory.resolve(name + ".json");
     Files.writeString(file, settings);
     list(ListedHost.entry(name, zone, "127.0.0.1:" + peerPort));
-    TestProcess entry = start("entry", "--settings", file.toString());
-    until("ready " + name, () -> get(entry, "/v1/health/ready").statusCode() == 200);
-    return entry;
+    return start("entry", "--settings", file.toString());
+  }
+
+  /** Sets a fault of the log: an outage, and the share of answers that get lost. */
+  void logFault(boolean outage, int loseAnswersPercent) throws Exception {
+    String fault =
+        "{\"outage\": %s, \"loseAnswersPercent\": %d, \"delayMs\": 0}"
+            .formatted(outage, loseAnswersPercent);
+    put(logService, "/fault", fault);
   }
 
   void list(ListedHost host) throws Exception {
     send(hostList, "PUT", "/hosts", Json.bytes(new HostList(List.of(host))));
   }
 
+  /** Removes a host from the platform's list, as the platform does when it finds it dead. */
+  void unlist(String name) throws Exception {
+    send(hostList, "DELETE", "/hosts/" + name, new byte[0]);
+  }
+
   HttpResponse<String> get(TestProcess process, String path) throws Exception {
     return client.send(request(process, path).GET().build(), HttpResponse.BodyHandlers.ofString());
   }
--- /dev/null
+++ b/app/src/test/java/org/wheatwall/app/ZoneRestartIT.java
@@ -0,0 +1,121 @@
+package org.wheatwall.app;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.wheatwall.app.TestCluster.until;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Gangs go on and nothing starts twice when the decider dies, is paused, or every entry host of the
+ * zone is replaced at once while the log is out. Catches a new host that starts everything again,
+ * leases that lapse for want of a decider, and a paused decider that acts on old knowledge.
+ */
+final class ZoneRestartIT {
+  private static final String ZONE = "z1";
+  private static final String JOB =
+      """
+      {"workspace": "delta", "zone": "z1", "tasks": 2, "adjacency": "same-rack",
+       "taskAmount": {"processors": 4, "memoryMb": 1024, "accelerators": 8},
+       "declaredSeconds": %d}
+      """;
+
+  @TempDir Path directory;
+
+  @Test
+  void gangOutlivesTheReplacementOfEveryHostDuringALogOutage() throws Exception {
+    try (TestCluster cluster = new TestCluster(directory, List.of(ZONE))) {
+      List<TestProcess> workers = workers(cluster);
+      TestProcess first = cluster.entry("entry-1", ZONE);
+      TestProcess second = cluster.entry("entry-2", ZONE);
+      cluster.put(first, "/v1/jobs/long", JOB.formatted(22));
+      until("the gang", () -> events(cluster, workers, "start").size() == 2);
+      cluster.logFault(true, 0);
+      first.kill();
+      second.kill();
+      cluster.unlist("entry-1");
+      cluster.unlist("entry-2");
+      // A host that starts now finds neither log nor peers, so it is not ready; it keeps leases.
+      cluster.startEntryWithoutWaiting("entry-3", ZONE);
+      Thread.sleep(9000);
+      assertWithMessage("gangs stopped while no decider could be had")
+          .that(events(cluster, workers, "stop"))
+          .isEmpty();
+      cluster.logFault(false, 0);
+      TestProcess later = cluster.entry("entry-4", ZONE);
+      until("the job's end", () -> phase(cluster, later, "long").equals("succeeded"));
+      assertThat(events(cluster, workers, "start")).hasSize(2);
+      assertThat(events(cluster, workers, "stop")).containsExactly("succeeded", "succeeded");
+    }
+  }
+
+  @Test
+  void aDeciderThatDiesOrIsPausedIsReplacedWithoutASecondStart() throws Exception {
+    try (TestCluster cluster = new TestCluster(directory, List.of(ZONE))) {
+      List<TestProcess> workers = workers(cluster);
+      List<TestProcess> entries = new ArrayList<>();
+      for (int i = 1; i <= 3; i++) {
+        entries.add(cluster.entry("entry-" + i, ZONE));
+      }
+      cluster.put(entries.get(0), "/v1/jobs/long", JOB.formatted(25));
+      until("the gang", () -> events(cluster, workers, "start").size() == 2);
+      TestProcess paused = decider(cluster, entries);
+      paused.signal("STOP");
+      List<TestProcess> others = new ArrayList<>(entries);
+      others.remove(paused);
+      long beganNs = System.nanoTime();
+      until("another decider", () -> decider(cluster, others) != null);
+      System.out.printf("takeOverMs=%d%n", (System.nanoTime() - beganNs) / 1_000_000);
+      paused.signal("CONT");
+      Thread.sleep(2000);
+      until("a decider after the pause", () -> decider(cluster, entries) != null);
+      TestProcess killed = decider(cluster, entries);
+      killed.kill();
+      entries.remove(killed);
+      until("a third decider", () -> decider(cluster, entries) != null);
+      until("the job's end", () -> phase(cluster, entries.get(0), "long").equals("succeeded"));
+      assertThat(events(cluster, workers, "start")).hasSize(2);
+      assertThat(events(cluster, workers, "stop")).containsExactly("succeeded", "succeeded");
+    }
+  }
+
+  private static List<TestProcess> workers(TestCluster cluster) throws Exception {
+    return List.of(
+        cluster.worker("worker-1", ZONE, "rack-1"), cluster.worker("worker-2", ZONE, "rack-1"));
+  }
+
+  private static TestProcess decider(TestCluster cluster, List<TestProcess> entries)
+      throws Exception {
+    for (TestProcess entry : entries) {
+      JsonNode state = cluster.json(entry, "/v1/state");
+      boolean decides = state.path("jobs").path("stage").asText().equals("DECIDING");
+      if (decides && state.path("view").path("acting").asBoolean()) {
+        return entry;
+      }
+    }
+    return null;
+  }
+
+  /** Returns the reasons of all events of one kind on all workers. */
+  private static List<String> events(TestCluster cluster, List<TestProcess> workers, String kind)
+      throws Exception {
+    List<String> reasons = new ArrayList<>();
+    for (TestProcess worker : workers) {
+      for (JsonNode event : cluster.json(worker, "/ledger")) {
+        if (event.path("event").asText().equals(kind)) {
+          reasons.add(event.path("reason").asText());
+        }
+      }
+    }
+    return reasons;
+  }
+
+  private static String phase(TestCluster cluster, TestProcess entry, String job) throws Exception {
+    return cluster.json(entry, "/v1/jobs/" + job).path("spec").path("phase").asText();
+  }
+}
