--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
@@ -0,0 +1,53 @@
+package org.wheatwall.app.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.cli.ParseException;
+import org.wheatwall.app.command.Console;
+import org.wheatwall.app.command.Verb;
+import org.wheatwall.app.command.VerbOptions;
+
+/** Measures what each role costs and works it out at the target size. */
+public final class BenchVerb implements Verb {
+  @Override
+  public String name() {
+    return "bench";
+  }
+
+  @Override
+  public String summary() {
+    return "measure what each role costs and work it out at the target size";
+  }
+
+  @Override
+  public int run(List<String> arguments, Console console) throws ParseException {
+    VerbOptions options =
+        new VerbOptions("bench capacity | bench process --pid PID [--seconds N]")
+            .value("pid", "process: the process to watch")
+            .value("seconds", "process: how long to watch, default 10");
+    if (!options.parse(arguments, console)) {
+      return DONE;
+    }
+    if (options.rest().equals(List.of("process"))) {
+      return watch(options, console);
+    }
+    if (!options.rest().equals(List.of("capacity"))) {
+      throw new ParseException("name what to measure: capacity or process");
+    }
+    List<Slope> slopes = new ArrayList<>(StateBench.run());
+    slopes.addAll(MessageBench.run());
+    new CapacityReport(slopes).lines().forEach(console::out);
+    return DONE;
+  }
+
+  private static int watch(VerbOptions options, Console console) throws ParseException {
+    options.required("pid");
+    try {
+      console.out(ProcessMeter.watch(options.integer("pid", 0), options.integer("seconds", 10)));
+      return DONE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return FAILED;
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/bench/MessageBench.java
@@ -0,0 +1,181 @@
+package org.wheatwall.app.bench;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.wheatwall.core.gang.model.TaskPhase;
+import org.wheatwall.core.gang.model.TaskReport;
+import org.wheatwall.core.gang.model.WorkerOperation;
+import org.wheatwall.core.gang.model.WorkerReport;
+import org.wheatwall.wire.http.HttpCall;
+import org.wheatwall.wire.http.HttpClient;
+import org.wheatwall.wire.http.HttpReply;
+import org.wheatwall.wire.http.HttpServer;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.Heartbeat;
+import org.wheatwall.wire.message.HeartbeatReply;
+import org.wheatwall.wire.message.PeerIdentity;
+import org.wheatwall.wire.peer.PeerClient;
+import org.wheatwall.wire.peer.PeerServer;
+import org.wheatwall.wire.platform.WorkerExchange;
+
+/** Measures the messages between processes: bytes, and processor time of both ends together. */
+final class MessageBench {
+  private static final int[] COUNTS = {1000, 2000, 4000, 8000};
+  private static final int[] TASKS = {0, 2, 4, 8, 16};
+  private static final InetSocketAddress ANY_PORT =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+  private static final int IN_FLIGHT = 8;
+  private static final int HTTP_HEAD_BYTES = 160;
+
+  private MessageBench() {}
+
+  static List<Slope> run() {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    try {
+      List<Slope> slopes = new ArrayList<>();
+      slopes.add(
+          Slope.of("worker exchange, both ways", "task on the worker", "B", exchangeBytes()));
+      slopes.add(
+          Slope.of("heartbeat and reply, both ends", "exchange", "us cpu", heartbeats(group)));
+      slopes.add(
+          Slope.of(
+              "worker exchange of 5 tasks, both ends", "exchange", "us cpu", exchanges(group)));
+      return slopes;
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Returns the size of a heartbeat and its reply, bytes. */
+  static int heartbeatBytes() {
+    return heartbeat().build().getSerializedSize() + heartbeatReply().build().getSerializedSize();
+  }
+
+  private static PeerIdentity identity() {
+    return PeerIdentity.newBuilder()
+        .setName("entry-host-1")
+        .setIncarnation(1_790_000_000_000L)
+        .setAddress("10.20.30.40:7401")
+        .setZone("rosario-norte")
+        .build();
+  }
+
+  private static Envelope.Builder heartbeat() {
+    return Envelope.newBuilder()
+        .setHeartbeat(
+            Heartbeat.newBuilder().setSender(identity()).setEpoch(123_456).setNextOffset(234_567));
+  }
+
+  private static Envelope.Builder heartbeatReply() {
+    return Envelope.newBuilder()
+        .setHeartbeatReply(
+            HeartbeatReply.newBuilder()
+                .setSender(identity())
+                .setEpoch(123_456)
+                .setNextOffset(234_567)
+                .setActing(true));
+  }
+
+  private static WorkerExchange exchange(int tasks) {
+    List<WorkerOperation> renewals = new ArrayList<>();
+    for (int i = 0; i < tasks; i++) {
+      renewals.add(
+          WorkerOperation.simple(
+              WorkerOperation.Kind.RENEW, "screening-job-" + i + ".2n9c.1", 4500));
+    }
+    return new WorkerExchange(123_456, 123_456_789, renewals);
+  }
+
+  private static WorkerReport report(int tasks) {
+    List<TaskReport> reports = new ArrayList<>();
+    for (int i = 0; i < tasks; i++) {
+      reports.add(
+          new TaskReport(
+              "screening-job-" + i + ".2n9c.1",
+              "screening-job-" + i,
+              List.of("worker-1", "worker-2"),
+              TaskPhase.RUNNING));
+    }
+    return new WorkerReport("worker-1", 123_456_789, 123_456, Optional.empty(), reports);
+  }
+
+  private static List<LineFit.Point> exchangeBytes() {
+    List<LineFit.Point> points = new ArrayList<>();
+    for (int tasks : TASKS) {
+      int bytes = Json.bytes(exchange(tasks)).length + Json.bytes(report(tasks)).length;
+      points.add(new LineFit.Point(tasks, bytes + 2 * HTTP_HEAD_BYTES));
+    }
+    return points;
+  }
+
+  private static List<LineFit.Point> heartbeats(EventLoopGroup group) {
+    PeerServer server =
+        PeerServer.start(
+            group, ANY_PORT, "key", request -> CompletableFuture.completedFuture(heartbeatReply()));
+    PeerClient client = new PeerClient(group, identity(), "key");
+    String address = "127.0.0.1:" + server.port();
+    List<LineFit.Point> points = timed(() -> client.send(address, heartbeat(), 2000));
+    client.close();
+    server.close();
+    return points;
+  }
+
+  private static List<LineFit.Point> exchanges(EventLoopGroup group) {
+    HttpServer server =
+        HttpServer.start(
+            group,
+            ANY_PORT,
+            1 << 20,
+            call -> {
+              Json.read(call.body(), WorkerExchange.class);
+              return CompletableFuture.completedFuture(HttpReply.json(200, Json.bytes(report(5))));
+            });
+    HttpClient client = new HttpClient(group, 1 << 20);
+    InetSocketAddress address =
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
+    long[] next = {0};
+    List<LineFit.Point> points =
+        timed(
+            () -> {
+              HttpCall call = HttpCall.of("POST", "/exchange");
+              byte[] body = Json.bytes(exchange(5));
+              return client
+                  .send(
+                      address,
+                      new HttpCall(call.method(), call.target(), call.headers(), body),
+                      "id" + next[0]++,
+                      2000)
+                  .thenApply(reply -> Json.read(reply.body(), WorkerReport.class));
+            });
+    server.close();
+    return points;
+  }
+
+  private static List<LineFit.Point> timed(java.util.function.Supplier<CompletableFuture<?>> send) {
+    repeat(send, COUNTS[0]);
+    List<LineFit.Point> points = new ArrayList<>();
+    for (int count : COUNTS) {
+      points.add(new LineFit.Point(count, Meters.cpuMicros(() -> repeat(send, count))));
+    }
+    return points;
+  }
+
+  private static void repeat(java.util.function.Supplier<CompletableFuture<?>> send, int count) {
+    for (int i = 0; i < count; i += IN_FLIGHT) {
+      List<CompletableFuture<?>> open = new ArrayList<>();
+      for (int j = 0; j < IN_FLIGHT; j++) {
+        open.add(send.get());
+      }
+      open.forEach(CompletableFuture::join);
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/bench/Slope.java
@@ -0,0 +1,36 @@
+package org.wheatwall.app.bench;
+
+import java.util.List;
+
+/**
+ * A cost that was measured at several sizes.
+ *
+ * @param name what costs
+ * @param per what it grows with
+ * @param unit unit of the cost
+ */
+record Slope(String name, String per, String unit, List<LineFit.Point> points, LineFit fit) {
+  private static final double LINE = 0.15;
+
+  static Slope of(String name, String per, String unit, List<LineFit.Point> points) {
+    return new Slope(name, per, unit, points, LineFit.of(points));
+  }
+
+  String row() {
+    StringBuilder measured = new StringBuilder();
+    for (LineFit.Point point : points) {
+      measured.append(String.format("%.0f: %.3g; ", point.size(), point.value()));
+    }
+    return String.format(
+        "| %s | %.4g %s per %s | %.2g | %s | %s |",
+        name,
+        fit.slope(),
+        unit,
+        per,
+        fit.slopeError(),
+        fit.worstResidual() <= LINE
+            ? "yes"
+            : String.format("off by %.0f%%", fit.worstResidual() * 100),
+        measured.toString().trim());
+  }
+}
--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/bench/StateBench.java
@@ -0,0 +1,191 @@
+package org.wheatwall.app.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.HdrHistogram.Histogram;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.configuration.decision.ConfigurationReplica;
+import org.wheatwall.core.configuration.model.Change;
+import org.wheatwall.core.configuration.model.ResourceKey;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.job.decision.EndReason;
+import org.wheatwall.core.job.decision.Scheduler;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+import org.wheatwall.core.request.decision.StepLedger;
+import org.wheatwall.core.request.model.Answer;
+import org.wheatwall.core.request.model.GrantId;
+import org.wheatwall.core.request.model.StepState;
+import org.wheatwall.wire.json.LogRecord;
+import org.wheatwall.wire.json.LogRecordCodec;
+
+/** Measures the state and the decisions of each role in memory. */
+final class StateBench {
+  private static final String ZONE = "zone-1";
+  private static final ResourceAmount HOST = new ResourceAmount(32, 131_072, 8);
+  private static final int[] SMALL = {10_000, 20_000, 40_000, 80_000};
+  private static final int[] ZONE_SIZES = {30, 325, 1300, 5000, 17_000};
+  private static final int ANSWER_BYTES = 512;
+  private static final int DECISIONS = 400;
+  private static final int BUSY_SHARE = 4;
+
+  private StateBench() {}
+
+  static List<Slope> run() {
+    List<Slope> slopes = new ArrayList<>();
+    slopes.add(
+        Slope.of(
+            "configuration replica: a job object",
+            "object",
+            "B",
+            Meters.heap(SMALL, StateBench::replica)));
+    slopes.add(Slope.of("replay of a change", "change", "us cpu", replayTimes()));
+    slopes.add(Slope.of("decider: a worker", "worker", "B", Meters.heap(SMALL, StateBench::zone)));
+    slopes.add(
+        Slope.of(
+            "decider: a running task", "task", "B", Meters.heap(SMALL, StateBench::runningTasks)));
+    slopes.add(
+        Slope.of("decider: a waiting job", "job", "B", Meters.heap(SMALL, StateBench::waiting)));
+    slopes.add(
+        Slope.of(
+            "step keeper: a kept answer of 512 B",
+            "key",
+            "B",
+            Meters.heap(SMALL, StateBench::ledger)));
+    slopes.add(Slope.of("decision, 99th percentile", "worker", "us", decisionTimes()));
+    return slopes;
+  }
+
+  private static Change change(int index) {
+    return new Change(
+        "change-identifier-of-usual-length-" + index,
+        new ResourceKey(ResourceKind.JOBS, "job-" + index),
+        0,
+        index - 1L,
+        Optional.of(job(1, 1)),
+        Optional.empty());
+  }
+
+  private static Job job(int tasks, int accelerators) {
+    return new Job(
+        Labels.NONE,
+        "workspace",
+        ZONE,
+        Optional.empty(),
+        tasks,
+        new ResourceAmount(1, 64, accelerators),
+        Adjacency.ANY,
+        600,
+        true,
+        false,
+        JobPhase.SUBMITTED);
+  }
+
+  private static ConfigurationReplica replica(int objects) {
+    ConfigurationReplica replica = new ConfigurationReplica((c, r) -> Optional.empty());
+    for (int i = 0; i < objects; i++) {
+      // Through the codec, so that every object has strings of its own, as on a real host.
+      byte[] record = LogRecordCodec.write(LogRecord.ofChanges(List.of(change(i))));
+      replica.apply(i, LogRecordCodec.read(record).changes());
+    }
+    return replica;
+  }
+
+  private static List<LineFit.Point> replayTimes() {
+    replayMicros(SMALL[0]);
+    List<LineFit.Point> points = new ArrayList<>();
+    for (int size : SMALL) {
+      points.add(new LineFit.Point(size, replayMicros(size)));
+    }
+    return points;
+  }
+
+  private static double replayMicros(int size) {
+    List<byte[]> records = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      records.add(LogRecordCodec.write(LogRecord.ofChanges(List.of(change(i)))));
+    }
+    ConfigurationReplica replica = new ConfigurationReplica((c, r) -> Optional.empty());
+    return Meters.cpuMicros(
+        () -> {
+          for (int i = 0; i < records.size(); i++) {
+            replica.apply(i, LogRecordCodec.read(records.get(i)).changes());
+          }
+        });
+  }
+
+  private static Scheduler zone(int hosts) {
+    Scheduler scheduler = new Scheduler(SchedulerSettings.DEFAULT);
+    for (int i = 0; i < hosts; i++) {
+      scheduler.cluster().add(new WorkerHost("worker-" + i, ZONE, "rack-" + i / 8, HOST));
+    }
+    return scheduler;
+  }
+
+  private static Scheduler runningTasks(int tasks) {
+    Scheduler scheduler = zone(1000);
+    for (int i = 0; i < tasks; i++) {
+      Placement place = new Placement(List.of("worker-" + i % 1000));
+      scheduler.adopt("attempt-" + i, "job-" + i, job(1, 1), 0, place, 0);
+    }
+    return scheduler;
+  }
+
+  private static Scheduler waiting(int jobs) {
+    Scheduler scheduler = zone(1);
+    for (int i = 0; i < jobs; i++) {
+      scheduler.submit("job-" + i, job(1, 1), i);
+    }
+    return scheduler;
+  }
+
+  private static StepLedger ledger(int keys) {
+    StepLedger ledger = new StepLedger(600_000, 30_000, 1_000_000);
+    for (int i = 0; i < keys; i++) {
+      GrantId grant = new GrantId("entry-1-abcdefgh-" + i, 1);
+      ledger.start("key-of-usual-length-" + i, grant, i);
+      Answer answer = new Answer(200, "application/json", new byte[ANSWER_BYTES]);
+      ledger.finish("key-of-usual-length-" + i, grant, StepState.ANSWERED, Optional.of(answer), i);
+    }
+    return ledger;
+  }
+
+  // One job at a time on a zone that is three quarters full, the ends interleaved.
+  private static List<LineFit.Point> decisionTimes() {
+    List<LineFit.Point> points = new ArrayList<>();
+    for (int size : ZONE_SIZES) {
+      decide(size);
+      points.add(new LineFit.Point(size, decide(size)));
+    }
+    return points;
+  }
+
+  private static double decide(int hosts) {
+    Scheduler scheduler = zone(hosts);
+    for (int i = 0; i < hosts; i++) {
+      if (i % BUSY_SHARE != 0) {
+        Placement place = new Placement(List.of("worker-" + i));
+        scheduler.adopt("attempt-" + i, "old-" + i, job(1, 8), 0, place, 0);
+      }
+    }
+    Histogram nanos = new Histogram(10_000_000_000L, 3);
+    for (int i = 0; i < DECISIONS; i++) {
+      String name = "job-" + i;
+      scheduler.submit(name, job(1 + i % 4, 1 + i % 8), i);
+      long before = System.nanoTime();
+      scheduler.decide(i);
+      nanos.recordValue(System.nanoTime() - before);
+      scheduler
+          .attemptOf(name)
+          .ifPresent(id -> scheduler.attemptEnded(id, EndReason.SUCCEEDED, 10));
+      scheduler.withdraw(name);
+    }
+    return nanos.getValueAtPercentile(99) / 1000.0;
+  }
+}
--- a/app/src/main/java/org/wheatwall/app/command/Verbs.java
+++ b/app/src/main/java/org/wheatwall/app/command/Verbs.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.wheatwall.app.bench.BenchVerb;
 import org.wheatwall.app.compare.CompareVerb;
 import org.wheatwall.app.demo.DemoVerb;
 import org.wheatwall.app.load.LoadVerb;
@@ -30,7 +31,8 @@
           new ExplainVerb(),
           new DumpVerb(),
           new LoadVerb(),
-          new CompareVerb());
+          new CompareVerb(),
+          new BenchVerb());
 
   private Verbs() {}
 
--- a/app/src/main/launcher/wheatwall.sh
+++ b/app/src/main/launcher/wheatwall.sh
@@ -4,7 +4,8 @@
 case "$1" in
   entry) memory="-Xms16m -Xmx40m -XX:MaxDirectMemorySize=16m -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m -Xss384k -XX:TieredStopAtLevel=1" ;;
   standin) memory="-Xmx64m -XX:MaxDirectMemorySize=32m -XX:ReservedCodeCacheSize=32m -Xss384k -XX:TieredStopAtLevel=1" ;;
-  demo|load|compare|bench) memory="-Xmx1g" ;;
+  demo|load|compare) memory="-Xmx1g" ;;
+  bench) memory="-Xmx1g -XX:TieredStopAtLevel=1 -XX:MarkSweepAlwaysCompactCount=1" ;;
   *) memory="-Xmx64m -XX:TieredStopAtLevel=1" ;;
 esac
 # shellcheck disable=SC2086
--- a/app/src/test/java/org/wheatwall/app/TestCluster.java
+++ b/app/src/test/java/org/wheatwall/app/TestCluster.java
@@ -83,17 +83,26 @@
 
   /** Starts an entry host that is not expected to become ready yet. */
   TestProcess startEntryWithoutWaiting(String name, String zone) throws Exception {
-    return startEntry(name, zone, freePort(), logService.address());
+    int peerPort = freePort();
+    return startEntry(name, zone, peerPort, peerPort, logService.address());
+  }
+
+  /** Starts an entry host that others reach at {@code shownPort}, where a proxy stands. */
+  TestProcess entryBehind(String name, String zone, int peerPort, int shownPort, String logAddress)
+      throws Exception {
+    TestProcess entry = startEntry(name, zone, peerPort, shownPort, logAddress);
+    until("ready " + name, () -> get(entry, "/v1/health/ready").statusCode() == 200);
+    return entry;
   }
 
   TestProcess entry(String name, String zone, int peerPort, String logAddress) throws Exception {
-    TestProcess entry = startEntry(name, zone, peerPort, logAddress);
+    TestProcess entry = startEntry(name, zone, peerPort, peerPort, logAddress);
     until("ready " + name, () -> get(entry, "/v1/health/ready").statusCode() == 200);
     return entry;
   }
 
-  private TestProcess startEntry(String name, String zone, int peerPort, String logAddress)
-      throws Exception {
+  private TestProcess startEntry(
+      String name, String zone, int peerPort, int shownPort, String logAddress) throws Exception {
     String settings =
         """
         {
@@ -101,7 +110,7 @@
           "host": "%s",
           "zone": "%s",
           "zones": %s,
-          "listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:%d"},
+          "listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:%d", "shown": "127.0.0.1:%d"},
           "platform": {"log": "%s", "list": "%s", "listPollMs": 100, "retentionMs": %d},
           "peerKey": "%s",
           "requests": {"maxDeadlineMs": 5000},
@@ -112,13 +121,14 @@
                 zone,
                 new String(Json.bytes(zones), java.nio.charset.StandardCharsets.UTF_8),
                 peerPort,
+                shownPort,
                 logAddress,
                 hostList.address(),
                 retentionMs,
                 KEY);
     Path file = directory.resolve(name + ".json");
     Files.writeString(file, settings);
-    list(ListedHost.entry(name, zone, "127.0.0.1:" + peerPort));
+    list(ListedHost.entry(name, zone, "127.0.0.1:" + shownPort));
     return start("entry", "--settings", file.toString());
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -82,7 +82,7 @@
   private EntryHost(EntrySettings settings, EventLoopGroup group) {
     this.settings = settings;
     Member self =
-        new Member(settings.host(), clock.wallMs(), Addresses.text(settings.listen().peer()));
+        new Member(settings.host(), clock.wallMs(), Addresses.text(settings.listen().shown()));
     HttpPlatform platform =
         new HttpPlatform(
             new HttpClient(group, MAX_PLATFORM_BODY),
--- a/entry/src/main/java/org/wheatwall/entry/common/EntrySettings.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/EntrySettings.java
@@ -25,8 +25,12 @@
     Jobs jobs) {
   private static final int MAX_MS = 86_400_000;
 
-  /** Addresses on which the entry host listens. */
-  public record Listen(InetSocketAddress http, InetSocketAddress peer) {}
+  /**
+   * Addresses on which the entry host listens.
+   *
+   * @param shown address under which other entry hosts reach {@code peer}, if it is another one
+   */
+  public record Listen(InetSocketAddress http, InetSocketAddress peer, InetSocketAddress shown) {}
 
   /**
    * Where the platform's services are.
@@ -97,7 +101,9 @@
   }
 
   private static Listen listen(SettingsSection section) {
-    return new Listen(section.address("http"), section.address("peer"));
+    InetSocketAddress peer = section.address("peer");
+    boolean another = section.keys().contains("shown");
+    return new Listen(section.address("http"), peer, another ? section.address("shown") : peer);
   }
 
   private static Platform platform(SettingsSection section) {
