--- /dev/null
+++ b/app/src/test/java/org/wheatwall/app/PlannedStopIT.java
@@ -0,0 +1,87 @@
+package org.wheatwall.app;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Every entry host of a zone is stopped as planned and replaced, one after another, under load, and
+ * no request is cut. Catches a stop that closes the listener before the balancer has noticed, or
+ * the connections before the answers are written. The slots of the runners are never exceeded.
+ */
+final class PlannedStopIT {
+  private static final int CALLERS = 12;
+
+  @TempDir Path directory;
+
+  @Test
+  void rollingReplacementCutsNothing() throws Exception {
+    try (TestCluster cluster = new TestCluster(directory, List.of("z1"))) {
+      List<TestProcess> runners = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        runners.add(cluster.runner("runner-" + i, "z1", "refill", 10));
+      }
+      StepCallers callers = StepCallers.reading();
+      List<TestProcess> entries = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        entries.add(cluster.entry("entry-" + i, "z1"));
+        callers.add(entries.get(i));
+      }
+      TestCluster.until(
+          "slots", () -> cluster.get(entries.get(0), "/call/refill/warm").statusCode() == 200);
+      callers.start(CALLERS);
+      Thread.sleep(1500);
+      for (int i = 0; i < 3; i++) {
+        TestProcess next = cluster.entry("entry-" + (i + 3), "z1");
+        callers.add(next);
+        TestProcess old = entries.get(i);
+        Thread stopping = stopping(old);
+        stopping.start();
+        // The balancer takes the host out once it reports that it is not ready.
+        TestCluster.until(
+            "not ready", () -> cluster.get(old, "/v1/health/ready").statusCode() == 503);
+        callers.remove(old);
+        stopping.join();
+        Thread.sleep(500);
+      }
+      callers.stop();
+      check(cluster, runners, callers);
+    }
+  }
+
+  private static Thread stopping(TestProcess entry) {
+    return new Thread(
+        () -> {
+          try {
+            entry.stopAsPlanned();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
+  private static void check(TestCluster cluster, List<TestProcess> runners, StepCallers callers)
+      throws Exception {
+    Map<String, Integer> counts = new HashMap<>();
+    callers.outcomesByKey().values().forEach(o -> counts.merge(o.get(0), 1, Integer::sum));
+    System.out.printf("rollingReplacement outcomes=%s%n", counts);
+    assertWithMessage("outcomes " + counts)
+        .that(counts.keySet())
+        .containsNoneOf("lost", "none", "unknown");
+    assertThat(counts.get("answered")).isGreaterThan(1000);
+    assertThat(callers.mixedUp()).isEqualTo(0);
+    for (TestProcess runner : runners) {
+      JsonNode ledger = cluster.json(runner, "/standin/ledger");
+      assertThat(ledger.path("rejected").asLong()).isEqualTo(0);
+      assertThat(ledger.path("mostSlots").asInt()).isAtMost(8);
+    }
+  }
+}
--- a/app/src/test/java/org/wheatwall/app/StepCallers.java
+++ b/app/src/test/java/org/wheatwall/app/StepCallers.java
@@ -28,10 +28,21 @@
   private final HttpClient client =
       HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
   private final String prefix;
+  private final boolean keyed;
   private volatile boolean stopped;
 
   StepCallers(String prefix) {
+    this(prefix, true);
+  }
+
+  private StepCallers(String prefix, boolean keyed) {
     this.prefix = prefix;
+    this.keyed = keyed;
+  }
+
+  /** Returns callers that send each request once, as a read that may be repeated. */
+  static StepCallers reading() {
+    return new StepCallers("read-", false);
   }
 
   void add(TestProcess entry) {
@@ -89,7 +100,8 @@
       String key = prefix + nextKey.getAndIncrement();
       String issuedMs = String.valueOf(System.currentTimeMillis());
       List<String> outcomes = new ArrayList<>();
-      for (int i = 0; i < TRIES && !outcomes.contains("answered"); i++) {
+      int tries = keyed ? TRIES : 1;
+      for (int i = 0; i < tries && !outcomes.contains("answered"); i++) {
         String entry = entryHosts.get(random.nextInt(entryHosts.size()));
         outcomes.add(send(entry, key, issuedMs));
       }
@@ -99,14 +111,15 @@
   }
 
   private String send(String entry, String key, String issuedMs) {
-    HttpRequest request =
+    HttpRequest.Builder builder =
         HttpRequest.newBuilder(URI.create("http://" + entry + "/call/refill/dispense"))
             .timeout(Duration.ofSeconds(5))
-            .header("Idempotency-Key", key)
-            .header("Wheatwall-Issued-Ms", issuedMs)
             .header("Wheatwall-Deadline-Ms", "2000")
-            .POST(HttpRequest.BodyPublishers.ofString("mark-" + key))
-            .build();
+            .method(keyed ? "POST" : "PUT", HttpRequest.BodyPublishers.ofString("mark-" + key));
+    if (keyed) {
+      builder.header("Idempotency-Key", key).header("Wheatwall-Issued-Ms", issuedMs);
+    }
+    HttpRequest request = builder.build();
     try {
       HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
       String outcome = response.headers().firstValue("Wheatwall-Outcome").orElse("none");
