Leases kept until the next decider acts; throttling before guards; bad input answered with a remedy

Ruled out: the decider's inventory (it renews what it finds in its second exchange). Change: the keeper goes on until a member acts. Parts that use more than they declared are throttled before the worker's guard kills them; usage lags in reports; bodies above the limit and malformed requests get a problem document, with an outcome under /call.

--- a/app/src/main/java/org/wheatwall/app/bench/MessageBench.java
+++ b/app/src/main/java/org/wheatwall/app/bench/MessageBench.java
@@ -103,7 +103,9 @@
               "screening-job-" + i + ".2n9c.1",
               "screening-job-" + i,
               List.of("worker-1", "worker-2"),
-              TaskPhase.RUNNING));
+              TaskPhase.RUNNING,
+              100,
+              false));
     }
     return new WorkerReport("worker-1", 123_456_789, 123_456, Optional.empty(), reports);
   }
--- a/core/src/main/java/org/wheatwall/core/gang/decision/GangAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/gang/decision/GangAttempt.java
@@ -25,6 +25,8 @@
  * {@link GangTimes#leaseMs} later, even if the decider dies: the leases lapse by themselves.
  */
 public final class GangAttempt {
+  private static final int DECLARED_PERCENT = 100;
+
   private final String attemptId;
   private final String jobName;
   private final Job job;
@@ -43,6 +45,7 @@
     private long seenMs;
     private long lapsesAtMs;
     private boolean gone;
+    private boolean exceeds;
 
     private Member(int tasks) {
       this.tasks = tasks;
@@ -112,6 +115,12 @@
     }
     member.seenMs = sentMs;
     Optional<TaskPhase> reported = report.task(attemptId).map(task -> task.phase());
+    // A part that uses more than it declared is throttled first; it harms its neighbours.
+    member.exceeds =
+        report
+            .task(attemptId)
+            .map(task -> task.throttled() || task.usagePercent() > DECLARED_PERCENT)
+            .orElse(false);
     boolean wasSet = member.phase != null;
     member.phase = reported.orElse(null);
     if (reported.isEmpty() && (phase == GangPhase.STOPPING || phase == GangPhase.CHECKPOINTING)) {
@@ -193,7 +202,8 @@
           member.phase == TaskPhase.RESERVED
               ? Optional.of(simple(Kind.START, times.startMs()))
               : Optional.empty();
-      case RUNNING -> Optional.of(simple(Kind.RENEW, times.leaseMs()));
+      case RUNNING ->
+          Optional.of(simple(member.exceeds ? Kind.THROTTLE : Kind.RENEW, times.leaseMs()));
       case CHECKPOINTING ->
           member.phase == TaskPhase.RUNNING
               ? Optional.of(simple(Kind.CHECKPOINT, times.checkpointMs() + times.startMs()))
--- a/core/src/main/java/org/wheatwall/core/gang/model/TaskReport.java
+++ b/core/src/main/java/org/wheatwall/core/gang/model/TaskReport.java
@@ -9,8 +9,16 @@
  * @param jobName job of the attempt
  * @param hosts host of every task of the whole gang, by task index
  * @param phase state of the part
+ * @param usagePercent what the part uses, percent of what it declared; lags, 0 while unknown
+ * @param throttled whether the part is held to what it declared
  */
-public record TaskReport(String attemptId, String jobName, List<String> hosts, TaskPhase phase) {
+public record TaskReport(
+    String attemptId,
+    String jobName,
+    List<String> hosts,
+    TaskPhase phase,
+    int usagePercent,
+    boolean throttled) {
   /** Copies the list. */
   public TaskReport {
     hosts = List.copyOf(hosts);
--- a/core/src/main/java/org/wheatwall/core/gang/model/WorkerOperation.java
+++ b/core/src/main/java/org/wheatwall/core/gang/model/WorkerOperation.java
@@ -19,6 +19,8 @@
     START,
     /** Keep the part for another lease. */
     RENEW,
+    /** Keep the part for another lease, held to what it declared. */
+    THROTTLE,
     /** Let the tasks save their state. */
     CHECKPOINT,
     /** Stop the tasks and free the resources; a part that has ended keeps its result. */
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -33,6 +33,7 @@
 import org.wheatwall.wire.http.Addresses;
 import org.wheatwall.wire.http.HttpCall;
 import org.wheatwall.wire.http.HttpClient;
+import org.wheatwall.wire.http.HttpHandler;
 import org.wheatwall.wire.http.HttpReply;
 import org.wheatwall.wire.http.HttpServer;
 import org.wheatwall.wire.json.Json;
@@ -121,7 +122,7 @@
         PeerServer.start(group, settings.listen().peer(), settings.peerKey(), this::onPeer);
     httpServer =
         HttpServer.start(
-            group, settings.listen().http(), settings.requests().maxBodyBytes(), this::onCall);
+            group, settings.listen().http(), settings.requests().maxBodyBytes(), new Calls());
   }
 
   /** Starts an entry host on {@code group}. */
@@ -241,12 +242,23 @@
     return waited;
   }
 
-  private CompletableFuture<HttpReply> onCall(HttpCall call) {
-    if (call.target().startsWith("/call/")) {
-      return requests.handle(call);
+  /** Divides calls between the two planes. */
+  private final class Calls implements HttpHandler {
+    @Override
+    public CompletableFuture<HttpReply> handle(HttpCall call) {
+      if (RequestPlane.serves(call.target())) {
+        return requests.handle(call);
+      }
+      access.check(call);
+      return operators.handle(call);
+    }
+
+    @Override
+    public HttpReply refuse(String target, Refusal refusal) {
+      return RequestPlane.serves(target)
+          ? requests.refuse(refusal)
+          : HttpHandler.super.refuse(target, refusal);
     }
-    access.check(call);
-    return operators.handle(call);
   }
 
   private CompletableFuture<Envelope.Builder> onPeer(Envelope request) {
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -178,11 +178,11 @@
 
   private void tick() {
     decider.tick();
-    boolean orphaned =
-        decider.stage() == Decider.Stage.PASSIVE
-            && !membership.status().mayAct(clock.nowMs())
-            && configurationService.sinceHeadMs() > LeaseKeeper.LOG_SILENCE_MS;
-    if (orphaned) {
+    // Also while a new view is being agreed on: between the return of the log and the first act of
+    // a new decider the leases of running gangs must not lapse.
+    boolean mayBeOrphaned =
+        decider.stage() == Decider.Stage.PASSIVE && !membership.status().mayAct(clock.nowMs());
+    if (mayBeOrphaned) {
       membership
           .someMemberHeard()
           .thenAcceptAsync(
--- a/entry/src/main/java/org/wheatwall/entry/job/LeaseKeeper.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/LeaseKeeper.java
@@ -16,14 +16,12 @@
 import org.wheatwall.wire.platform.WorkerExchange;
 
 /**
- * Keeps running gangs alive when a zone has no decider and cannot get one: every entry host was
- * replaced while the log is out. It starts nothing and stops nothing; it only renews what runs,
- * under the epoch that the worker itself names, so any later decider overrides it.
+ * Keeps running gangs alive while a zone has no decider and no member of its view answers: every
+ * entry host was replaced, perhaps while the log is out. It starts nothing and stops nothing; it
+ * only renews what runs, under the epoch that the worker itself names, so any later decider
+ * overrides it.
  */
 final class LeaseKeeper {
-  /** How long the log must have been silent. */
-  static final long LOG_SILENCE_MS = 2000;
-
   private static final Logger LOG = LoggerFactory.getLogger(LeaseKeeper.class);
   private static final long INTERVAL_MS = 1000;
   private static final long TIMEOUT_MS = 800;
--- a/entry/src/main/java/org/wheatwall/entry/request/CallResult.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/CallResult.java
@@ -11,6 +11,7 @@
 record CallResult(Outcome outcome, HttpReply reply) {
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
+  private static final int TOO_LARGE = 413;
   private static final int TOO_MANY = 429;
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -38,6 +39,7 @@
         switch (refusal.kind()) {
           case INVALID -> BAD_REQUEST;
           case NOT_FOUND -> NOT_FOUND;
+          case TOO_LARGE -> TOO_LARGE;
           case LIMIT -> TOO_MANY;
           default -> UNAVAILABLE;
         };
--- a/entry/src/main/java/org/wheatwall/entry/request/RequestPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/RequestPlane.java
@@ -74,22 +74,40 @@
     }
   }
 
+  /** Returns whether a request for {@code target} belongs to this plane. */
+  public static boolean serves(String target) {
+    return target.startsWith(CallRequest.PREFIX);
+  }
+
   /** Answers one call. */
   public CompletableFuture<HttpReply> handle(HttpCall call) {
-    String requestId = requestPrefix + Long.toString(nextRequest.getAndIncrement(), 36);
+    String requestId = newRequestId();
     long startedNs = System.nanoTime();
     return begin(call, requestId)
         .thenApply(
             result -> {
-              outcomes.get(result.outcome()).mark();
               timer.update(System.nanoTime() - startedNs, TimeUnit.NANOSECONDS);
-              return result
-                  .reply()
-                  .with(CallRequest.OUTCOME_HEADER, result.outcome().label())
-                  .with(HttpClient.REQUEST_HEADER, requestId);
+              return finish(result, requestId);
             });
   }
 
+  /** Answers a request that was refused before it could be read as a call. */
+  public HttpReply refuse(Refusal refusal) {
+    return finish(CallResult.notRun(refusal, 1), newRequestId());
+  }
+
+  private String newRequestId() {
+    return requestPrefix + Long.toString(nextRequest.getAndIncrement(), 36);
+  }
+
+  private HttpReply finish(CallResult result, String requestId) {
+    outcomes.get(result.outcome()).mark();
+    return result
+        .reply()
+        .with(CallRequest.OUTCOME_HEADER, result.outcome().label())
+        .with(HttpClient.REQUEST_HEADER, requestId);
+  }
+
   private CompletableFuture<CallResult> begin(HttpCall call, String requestId) {
     CallRequest request;
     try {
--- a/standin/src/main/java/org/wheatwall/standin/worker/WorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/worker/WorkerModel.java
@@ -33,6 +33,8 @@
     private TaskPhase phase = TaskPhase.RESERVED;
     private long leaseUntilMs;
     private long endsAtMs;
+    private long startedAtMs;
+    private boolean throttled;
 
     private Part(Reservation reservation) {
       this.reservation = reservation;
@@ -90,7 +92,11 @@
     List<String> lapsed = new ArrayList<>();
     for (Map.Entry<String, Part> entry : parts.entrySet()) {
       Part part = entry.getValue();
-      if (runs(part) && part.endsAtMs <= nowMs) {
+      if (runs(part) && guardKills(part, nowMs)) {
+        part.phase = TaskPhase.FAILED;
+        part.endsAtMs = nowMs;
+        note(entry.getKey(), part, "stop", "guard", wallMs);
+      } else if (runs(part) && part.endsAtMs <= nowMs) {
         part.phase = behavior.failsEverything() ? TaskPhase.FAILED : TaskPhase.SUCCEEDED;
         note(entry.getKey(), part, "stop", part.phase.toString(), wallMs);
       } else if (part.phase.ended()) {
@@ -112,6 +118,22 @@
     return List.copyOf(ledger.subList(before, ledger.size()));
   }
 
+  private boolean guardKills(Part part, long nowMs) {
+    return behavior.guardAfterMs() > 0
+        && usagePercent(part) > 100
+        && nowMs - part.startedAtMs >= behavior.guardAfterMs();
+  }
+
+  // Use shows late, as the platform's own reports do.
+  private int shownUsage(Part part, long nowMs) {
+    boolean shown = runs(part) && nowMs - part.startedAtMs >= behavior.usageLagMs();
+    return shown ? usagePercent(part) : 0;
+  }
+
+  private int usagePercent(Part part) {
+    return part.throttled ? Math.min(100, behavior.usagePercent()) : behavior.usagePercent();
+  }
+
   private Optional<String> refusal(WorkerExchange exchange, long nowMs) {
     if (exchange.operations().isEmpty()) {
       return Optional.empty();
@@ -143,6 +165,12 @@
       }
       case START -> start(operation, part, nowMs, wallMs);
       case RENEW -> renew(operation, part, nowMs);
+      case THROTTLE -> {
+        renew(operation, part, nowMs);
+        if (part != null) {
+          part.throttled = true;
+        }
+      }
       case CHECKPOINT -> checkpoint(operation, part, nowMs);
     }
     return Optional.empty();
@@ -165,6 +193,7 @@
       return;
     }
     part.phase = TaskPhase.RUNNING;
+    part.startedAtMs = nowMs;
     part.leaseUntilMs = nowMs + operation.leaseMs();
     long declaredMs = part.reservation.declaredSeconds() * 1000L;
     part.endsAtMs =
@@ -214,7 +243,12 @@
         (attemptId, part) ->
             tasks.add(
                 new TaskReport(
-                    attemptId, part.reservation.jobName(), part.reservation.hosts(), part.phase)));
+                    attemptId,
+                    part.reservation.jobName(),
+                    part.reservation.hosts(),
+                    part.phase,
+                    shownUsage(part, nowMs),
+                    part.throttled)));
     return new WorkerReport(host, nowMs, highestEpoch, refusal, tasks);
   }
 
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -48,7 +47,7 @@
                         .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
                         .addLast(new HttpServerCodec())
                         .addLast(new HttpServerKeepAliveHandler())
-                        .addLast(new HttpObjectAggregator(maxBody))
+                        .addLast(new BodyLimit(maxBody, handler))
                         .addLast(new HttpServerConnection(handler, inFlight, draining));
                   }
                 });
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
@@ -49,7 +49,7 @@
           Refusal.invalid(
               "the request's framing is malformed or ambiguous",
               "send one Content-Length or chunked encoding, not both, in well-formed HTTP/1.1");
-      write(context, Problems.reply(400, refusal), true);
+      write(context, handler.refuse(request.uri(), refusal), true);
       return;
     }
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
