Gangs keep their leases while no decider acts; a new member always gets a ledger or a stated gap

Ruled out: a longer lease (it would take urgent work behind a silent worker beyond 6.3 s). Found on reading: when the only covered member died before a new one had taken its ledger over, keyed steps stayed unknown for ever; LedgerSync now covers from then on.

--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -15,8 +15,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.wheatwall.core.configuration.model.ResourceKey;
-import org.wheatwall.core.configuration.model.ResourceKind;
 import org.wheatwall.core.configuration.model.StoredResource;
 import org.wheatwall.core.configuration.model.Verdict;
 import org.wheatwall.core.gang.decision.GangAttempt;
@@ -29,7 +27,6 @@
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.Job;
-import org.wheatwall.core.job.model.JobPhase;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.configuration.Draft;
@@ -77,7 +74,6 @@
   private static final long RETRY_MS = 100;
   private static final long SWEEP_MS = 250;
   private static final long DECIDE_MS = 200;
-  private static final int MAX_FAILED_ATTEMPTS = 3;
   private static final long EXCHANGE_TIMEOUT_MS = 500;
   private static final long FIRST_INVENTORY_MS = 1000;
 
@@ -87,9 +83,7 @@
   private final SchedulerSettings schedulerSettings;
   private final WorkerLinks links;
   private final GangTable gangs = new GangTable();
-  private final Set<String> publishing = new HashSet<>();
-  private final Map<String, Integer> failedAttempts = new HashMap<>();
-  private final Set<String> blamed = new HashSet<>();
+  private final AttemptEnds ends;
   private final Timer decideTimer;
   private final Meter exchanges;
   private final Meter starts;
@@ -114,6 +108,7 @@
     this.configuration = configuration;
     this.schedulerSettings = schedulerSettings;
     this.links = new WorkerLinks(workerMessagesPerSecond);
+    this.ends = new AttemptEnds(gangs, configuration, outside);
     this.scheduler = new Scheduler(schedulerSettings);
     this.decideTimer = metrics.timer("jobs.decide-time");
     this.exchanges = metrics.meter("jobs.worker-exchanges");
@@ -190,7 +185,7 @@
       stage = Stage.PASSIVE;
       gangs.clear();
       links.clear();
-      publishing.clear();
+      ends.clear();
       scheduler = new Scheduler(schedulerSettings);
     }
   }
@@ -284,8 +279,7 @@
       scheduler.submit(name, entry.job(), entry.seenMs());
       return;
     }
-    publishing.remove(name);
-    failedAttempts.remove(name);
+    ends.forget(name);
     long nowMs = clock.nowMs();
     scheduler
         .withdraw(name)
@@ -382,7 +376,8 @@
       }
     }
     if (attempt.phase() == GangPhase.ENDED && before != GangPhase.ENDED) {
-      ended(attempt, nowMs);
+      ends.ended(attempt, scheduler, nowMs);
+      dirty = true;
     }
   }
 
@@ -393,67 +388,6 @@
     };
   }
 
-  private void ended(GangAttempt attempt, long nowMs) {
-    scheduler.attemptEnded(attempt.attemptId(), attempt.endReason(), nowMs);
-    for (GangAttempt other : gangs.all()) {
-      other.onAttemptEnded(attempt.attemptId());
-    }
-    dirty = true;
-    JobEntry entry = configuration.jobs().get(attempt.jobName());
-    if (entry == null || entry.job().phase().isFinal()) {
-      gangs.remove(attempt);
-      return;
-    }
-    switch (attempt.endReason()) {
-      case SUCCEEDED -> publishEnd(attempt, JobPhase.SUCCEEDED);
-      case FAILED -> failed(attempt, entry, nowMs);
-      case INTERRUPTED -> {
-        gangs.remove(attempt);
-        scheduler.submit(entry.name(), entry.job(), entry.seenMs());
-      }
-    }
-  }
-
-  private void failed(GangAttempt attempt, JobEntry entry, long nowMs) {
-    for (String host : attempt.failedHosts()) {
-      // One job that always fails must not condemn a host by itself.
-      if (blamed.add(host + " " + attempt.jobName())) {
-        scheduler.hostFailedTask(host, nowMs);
-      }
-    }
-    int failures = failedAttempts.merge(attempt.jobName(), 1, Integer::sum);
-    if (failures >= MAX_FAILED_ATTEMPTS) {
-      publishEnd(attempt, JobPhase.FAILED);
-    } else {
-      gangs.remove(attempt);
-      scheduler.submit(entry.name(), entry.job(), entry.seenMs());
-    }
-  }
-
-  // Until the log has the result, the workers keep it, so that a later decider finds it there and
-  // does not run the job again.
-  private void publishEnd(GangAttempt attempt, JobPhase phase) {
-    JobEntry entry = configuration.jobs().get(attempt.jobName());
-    if (entry == null || entry.job().phase().isFinal()) {
-      gangs.remove(attempt);
-      return;
-    }
-    publishing.add(entry.name());
-    ResourceKey key = new ResourceKey(ResourceKind.JOBS, entry.name());
-    Draft draft =
-        Draft.of(
-            key, entry.version(), Optional.of(entry.job().withPhase(phase)), Draft.Priority.JOB);
-    outside
-        .publish(draft)
-        .whenComplete(
-            (verdict, failure) -> {
-              boolean current = gangs.get(attempt.attemptId()).isPresent();
-              if (current) {
-                publishEnd(attempt, phase);
-              }
-            });
-  }
-
   private void exchangeWhatIsDue(long nowMs) {
     for (WorkerLink link : links.all()) {
       if (link.isDue(nowMs)) {
@@ -491,8 +425,7 @@
   private List<WorkerOperation> operations(WorkerLink link, long nowMs) {
     List<WorkerOperation> operations = new ArrayList<>();
     for (GangAttempt attempt : gangs.onHost(link.host())) {
-      boolean held = publishing.contains(attempt.jobName());
-      if (!held) {
+      if (!ends.isPublishing(attempt.jobName())) {
         attempt.operationFor(link.host(), nowMs).ifPresent(operations::add);
       }
     }
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -178,16 +178,14 @@
 
   private void tick() {
     decider.tick();
-    // Also while a new view is being agreed on: between the return of the log and the first act of
-    // a new decider the leases of running gangs must not lapse.
-    boolean mayBeOrphaned =
-        decider.stage() == Decider.Stage.PASSIVE && !membership.status().mayAct(clock.nowMs());
-    if (mayBeOrphaned) {
+    // While no decider acts, the leases of running gangs must not lapse: a view takes about 3 s to
+    // change, and much longer while the log is out.
+    if (!membership.status().mayAct(clock.nowMs())) {
       membership
-          .someMemberHeard()
+          .dutyIsOwnOrDeserted(DUTY)
           .thenAcceptAsync(
-              heard -> {
-                if (!heard) {
+              deserted -> {
+                if (deserted) {
                   keeper.tick(workersOfZone());
                 }
               },
--- a/entry/src/main/java/org/wheatwall/entry/job/LeaseKeeper.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/LeaseKeeper.java
@@ -1,7 +1,9 @@
 package org.wheatwall.entry.job;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,21 +18,25 @@
 import org.wheatwall.wire.platform.WorkerExchange;
 
 /**
- * Keeps running gangs alive while a zone has no decider and no member of its view answers: every
- * entry host was replaced, perhaps while the log is out. It starts nothing and stops nothing; it
- * only renews what runs, under the epoch that the worker itself names, so any later decider
- * overrides it.
+ * Keeps running gangs alive while no decider acts for the zone: a view is changing, or every entry
+ * host was replaced while the log is out. It starts nothing and stops nothing; it only renews the
+ * parts of gangs of which every part was just reported, under the epoch that the worker itself
+ * names, so any later decider overrides it. A gang that is not whole is left to lapse.
  */
 final class LeaseKeeper {
   private static final Logger LOG = LoggerFactory.getLogger(LeaseKeeper.class);
-  private static final long INTERVAL_MS = 1000;
-  private static final long TIMEOUT_MS = 800;
+  private static final long INTERVAL_MS = 500;
+  private static final long TIMEOUT_MS = 450;
 
   private final Clock clock;
   private final WorkerService workers;
   private final Executor loop;
   private long nextMs;
-  private boolean active;
+  private long lastMs = Long.MIN_VALUE / 2;
+  private final Map<String, Seen> seen = new HashMap<>();
+
+  /** The last report of a worker and when it was asked for. */
+  private record Seen(WorkerReport report, long askedMs) {}
 
   LeaseKeeper(Clock clock, WorkerService workers, Executor loop) {
     this.clock = clock;
@@ -45,10 +51,11 @@
       return;
     }
     nextMs = nowMs + INTERVAL_MS;
-    if (!active) {
-      active = true;
+    if (nowMs - lastMs > GangTimes.DEFAULT.memberMs()) {
+      seen.clear();
       LOG.info("event=lease-keeper-active workers={}", hosts.size());
     }
+    lastMs = nowMs;
     for (ListedHost host : hosts) {
       WorkerExchange inventory = new WorkerExchange(0, 0, List.of());
       workers
@@ -57,11 +64,32 @@
     }
   }
 
+  private boolean isWhole(TaskReport task, long askedMs) {
+    for (String host : task.hosts()) {
+      Seen other = seen.get(host);
+      boolean recent = other != null && askedMs - other.askedMs() <= GangTimes.DEFAULT.memberMs();
+      boolean lives =
+          recent
+              && other
+                  .report()
+                  .task(task.attemptId())
+                  .map(
+                      part ->
+                          part.phase() == TaskPhase.RUNNING || part.phase() == TaskPhase.SUCCEEDED)
+                  .orElse(false);
+      if (!lives) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private void renew(ListedHost host, WorkerReport report, long askedMs) {
+    seen.put(host.name(), new Seen(report, askedMs));
     List<WorkerOperation> renewals = new ArrayList<>();
     long leaseMs = GangTimes.DEFAULT.leaseMs();
     for (TaskReport task : report.tasks()) {
-      if (task.phase() == TaskPhase.RUNNING) {
+      if (task.phase() == TaskPhase.RUNNING && isWhole(task, askedMs)) {
         renewals.add(WorkerOperation.simple(WorkerOperation.Kind.RENEW, task.attemptId(), leaseMs));
       }
     }
--- a/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
@@ -137,13 +137,15 @@
         && current.dutyHolder(duty).map(self::equals).orElse(false);
   }
 
-  /** Returns whether some member of the view has been heard of lately; for hosts outside it. */
-  public CompletableFuture<Boolean> someMemberHeard() {
+  /** Returns whether a duty is this host's own, or nobody's that has been heard of lately. */
+  public CompletableFuture<Boolean> dutyIsOwnOrDeserted(String duty) {
     return CompletableFuture.supplyAsync(
         () ->
-            mandate.view().stream()
-                .flatMap(view -> view.members().stream())
-                .anyMatch(member -> isHeard(member.id())),
+            mandate
+                .view()
+                .flatMap(view -> MandateStatus.dutyHolder(duty, view))
+                .map(holder -> holder.equals(self) || !isHeard(holder.id()))
+                .orElse(true),
         stateThread);
   }
 
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/request/LedgerSync.java
@@ -0,0 +1,158 @@
+package org.wheatwall.entry.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.membership.model.ZoneView;
+import org.wheatwall.core.request.decision.StepLedger;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.membership.MandateStatus;
+import org.wheatwall.entry.membership.MembershipService;
+import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.LedgerPage;
+import org.wheatwall.wire.message.LedgerPull;
+import org.wheatwall.wire.peer.PeerClient;
+
+/**
+ * Gives a new member of a view the step ledger of a member that has it. If no member has it, what
+ * was before is unknown for good, and the ledger covers the time from then on.
+ *
+ * <p>The ledger is guarded by its own lock; the rest is confined to the timer thread.
+ */
+final class LedgerSync {
+  private static final Logger LOG = LoggerFactory.getLogger(LedgerSync.class);
+  private static final int PAGE = 500;
+  private static final long PULL_TIMEOUT_MS = 3000;
+  private static final long RETRY_MS = 200;
+
+  private final StepLedger ledger;
+  private final MembershipService membership;
+  private final PeerClient peers;
+  private final ScheduledExecutorService timer;
+  private final Clock clock;
+  private final Set<String> withoutLedger = new HashSet<>();
+  private long epoch;
+  private boolean pulling;
+
+  LedgerSync(
+      StepLedger ledger,
+      MembershipService membership,
+      PeerClient peers,
+      ScheduledExecutorService timer,
+      Clock clock) {
+    this.ledger = ledger;
+    this.membership = membership;
+    this.peers = peers;
+    this.timer = timer;
+    this.clock = clock;
+  }
+
+  /** Notes another view; starts to pull if this host needs the ledger. */
+  void epochChanged(MandateStatus status) {
+    boolean member = isMember(status);
+    boolean continues =
+        status.view().map(view -> view.previous().contains(membership.self())).orElse(false);
+    synchronized (ledger) {
+      if (!member || !continues) {
+        ledger.setCoveredSince(Long.MAX_VALUE);
+      }
+      if (member && status.view().map(ZoneView::first).orElse(false)) {
+        ledger.setCoveredSince(StepLedger.SINCE_EVER);
+      }
+    }
+    timer.execute(this::pullIfNeeded);
+  }
+
+  private boolean isMember(MandateStatus status) {
+    return status.view().map(view -> view.members().contains(membership.self())).orElse(false);
+  }
+
+  private boolean isCovered() {
+    synchronized (ledger) {
+      return ledger.coveredSinceMs() != Long.MAX_VALUE;
+    }
+  }
+
+  private void pullIfNeeded() {
+    MandateStatus status = membership.status();
+    if (pulling || isCovered() || !isMember(status)) {
+      return;
+    }
+    if (status.epoch() != epoch) {
+      epoch = status.epoch();
+      withoutLedger.clear();
+    }
+    List<Member> sources = new ArrayList<>(status.view().orElseThrow().members());
+    sources.remove(membership.self());
+    sources.removeIf(
+        member -> membership.isRetired(member.id()) || withoutLedger.contains(member.id()));
+    if (sources.isEmpty()) {
+      coverFromNow();
+      return;
+    }
+    pulling = true;
+    pullPage(sources.get(0), 0);
+  }
+
+  private void coverFromNow() {
+    long nowMs = clock.wallMs();
+    LOG.info("event=step-ledger-gap epoch={} coveredSince={}", epoch, nowMs);
+    synchronized (ledger) {
+      ledger.setCoveredSince(nowMs);
+    }
+  }
+
+  private void pullPage(Member source, int from) {
+    LedgerPull.Builder pull = LedgerPull.newBuilder().setFrom(from).setLimit(PAGE);
+    peers
+        .send(source.address(), Envelope.newBuilder().setLedgerPull(pull), PULL_TIMEOUT_MS)
+        .whenCompleteAsync(
+            (reply, failure) -> {
+              if (failure != null || membership.status().epoch() != epoch) {
+                retry();
+              } else {
+                takePage(source, from, reply.getLedgerPage());
+              }
+            },
+            timer);
+  }
+
+  private void takePage(Member source, int from, LedgerPage page) {
+    if (page.getEpoch() != epoch) {
+      // Until the source has this view it may still give leave that is not recorded here.
+      retry();
+      return;
+    }
+    if (page.getCoveredSinceMs() == Long.MAX_VALUE) {
+      withoutLedger.add(source.id());
+      retry();
+      return;
+    }
+    boolean last = page.getEntriesCount() < PAGE;
+    synchronized (ledger) {
+      page.getEntriesList().forEach(entry -> ledger.merge(StepCodec.read(entry)));
+      ledger.mergeFingerprints(
+          page.getFingerprintsList().stream().mapToLong(Long::longValue).toArray());
+      if (last) {
+        ledger.setCoveredSince(page.getCoveredSinceMs());
+      }
+    }
+    if (last) {
+      pulling = false;
+    } else {
+      // Records move to the end when they change, so overlap a little rather than miss one.
+      pullPage(source, Math.max(1, from + PAGE - PAGE / 10));
+    }
+  }
+
+  private void retry() {
+    pulling = false;
+    timer.schedule(this::pullIfNeeded, RETRY_MS, TimeUnit.MILLISECONDS);
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
@@ -61,7 +61,7 @@
   private final ScheduledExecutorService timer;
   private final StepLedger ledger;
   private final Meter granted;
-  private boolean syncing;
+  private final LedgerSync sync;
 
   /** Creates the coordinator. */
   public StepCoordinator(
@@ -81,6 +81,7 @@
     this.peers = peers;
     this.timer = timer;
     this.ledger = new StepLedger(keepAnswersMs, maxDeadlineMs, MAX_RECORDS);
+    this.sync = new LedgerSync(ledger, membership, peers, timer, clock);
     this.granted = metrics.meter("steps.leave-given");
     metrics.gauge("steps.records", () -> this::recordCount);
   }
@@ -188,24 +189,7 @@
 
   @Override
   public void epochChanged(MandateStatus status) {
-    boolean member =
-        status.view().map(view -> view.members().contains(membership.self())).orElse(false);
-    boolean continues =
-        status.view().map(view -> view.previous().contains(membership.self())).orElse(false);
-    synchronized (ledger) {
-      if (!member || !continues) {
-        ledger.setCoveredSince(Long.MAX_VALUE);
-      }
-      if (member && status.view().orElseThrow().first()) {
-        ledger.setCoveredSince(StepLedger.SINCE_EVER);
-      } else if (member && !status.view().orElseThrow().continues()) {
-        // Whoever knew the steps of before is gone.
-        ledger.setCoveredSince(clock.wallMs());
-      }
-    }
-    if (member && !continues) {
-      syncFromOldMembers(status);
-    }
+    sync.epochChanged(status);
   }
 
   @Override
@@ -403,73 +387,6 @@
         });
   }
 
-  private void syncFromOldMembers(MandateStatus status) {
-    Optional<Member> source =
-        otherMembers(status).stream()
-            .filter(member -> status.view().orElseThrow().previous().contains(member))
-            .findFirst();
-    if (source.isEmpty() || syncing) {
-      return;
-    }
-    syncing = true;
-    pullPage(source.get(), 0, status.epoch());
-  }
-
-  private void pullPage(Member source, int from, long epoch) {
-    LedgerPull.Builder pull = LedgerPull.newBuilder().setFrom(from).setLimit(PAGE);
-    peers
-        .send(source.address(), Envelope.newBuilder().setLedgerPull(pull), ASK_TIMEOUT_MS * 3)
-        .whenCompleteAsync(
-            (reply, failure) -> {
-              if (failure != null || membership.status().epoch() != epoch) {
-                retrySync();
-                return;
-              }
-              takePage(source, from, epoch, reply.getLedgerPage());
-            },
-            timer);
-  }
-
-  private void takePage(Member source, int from, long epoch, LedgerPage page) {
-    boolean last = page.getEntriesCount() < PAGE;
-    synchronized (ledger) {
-      page.getEntriesList().forEach(entry -> ledger.merge(StepCodec.read(entry)));
-      ledger.mergeFingerprints(
-          page.getFingerprintsList().stream().mapToLong(Long::longValue).toArray());
-      if (last && page.getEpoch() == epoch) {
-        ledger.setCoveredSince(page.getCoveredSinceMs());
-      }
-    }
-    if (last) {
-      syncing = false;
-      if (page.getEpoch() != epoch) {
-        retrySync();
-      }
-      return;
-    }
-    // Records move to the end when they change, so overlap a little rather than miss one.
-    pullPage(source, Math.max(1, from + PAGE - PAGE / 10), epoch);
-  }
-
-  private void retrySync() {
-    syncing = false;
-    timer.schedule(
-        () -> {
-          MandateStatus status = membership.status();
-          boolean uncovered;
-          synchronized (ledger) {
-            uncovered = ledger.coveredSinceMs() == Long.MAX_VALUE;
-          }
-          boolean member =
-              status.view().map(view -> view.members().contains(membership.self())).orElse(false);
-          if (uncovered && member) {
-            syncFromOldMembers(status);
-          }
-        },
-        RETRY_PAUSE_MS,
-        TimeUnit.MILLISECONDS);
-  }
-
   private List<Member> otherMembers(MandateStatus status) {
     List<Member> others = new ArrayList<>();
     status.view().ifPresent(view -> others.addAll(view.members()));
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/operator/AccessRuleTest.java
@@ -0,0 +1,61 @@
+package org.wheatwall.entry.operator;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.entry.common.EntrySettings;
+import org.wheatwall.wire.http.HttpCall;
+
+/** What each role's token lets in; the table of docs/operators/keys.md. */
+final class AccessRuleTest {
+  private static final AccessRule RULE =
+      new AccessRule(
+          new EntrySettings.Tokens(List.of("reader"), List.of("writer"), List.of("admin")));
+
+  private static String verdict(String method, String path, String token) {
+    HttpCall call = HttpCall.of(method, path);
+    if (token != null) {
+      call.with("Authorization", "Bearer " + token);
+    }
+    try {
+      RULE.check(call);
+      return "allowed";
+    } catch (Refusal refusal) {
+      return refusal.kind().label();
+    }
+  }
+
+  @Test
+  void eachRoleMayDoWhatItsTokenSays() {
+    Map<String, List<String>> allowed =
+        Map.of(
+            "GET /v1/jobs", List.of("reader", "writer", "admin"),
+            "GET /v1/state", List.of("reader", "writer", "admin"),
+            "PUT /v1/jobs/a", List.of("writer", "admin"),
+            "DELETE /v1/jobs/a", List.of("writer", "admin"),
+            "PUT /v1/workspaces/a", List.of("admin"),
+            "DELETE /v1/policies/a", List.of("admin"));
+    allowed.forEach(
+        (call, roles) -> {
+          String[] parts = call.split(" ", -1);
+          for (String token : List.of("reader", "writer", "admin")) {
+            assertWithMessage(call + " " + token)
+                .that(verdict(parts[0], parts[1], token))
+                .isEqualTo(roles.contains(token) ? "allowed" : "forbidden");
+          }
+          assertThat(verdict(parts[0], parts[1], null)).isEqualTo("unauthenticated");
+          assertThat(verdict(parts[0], parts[1], "guess")).isEqualTo("unauthenticated");
+        });
+  }
+
+  @Test
+  void onlyHealthNeedsNoToken() {
+    assertThat(verdict("GET", "/v1/health/live", null)).isEqualTo("allowed");
+    assertThat(verdict("GET", "/v1/health/ready", null)).isEqualTo("allowed");
+    assertThat(verdict("GET", "/v1/metrics", null)).isEqualTo("unauthenticated");
+  }
+}
