--- a/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
+++ b/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
@@ -36,7 +36,7 @@
     }
     List<Slope> slopes = new ArrayList<>(StateBench.run());
     slopes.addAll(MessageBench.run());
-    new CapacityReport(slopes).lines().forEach(console::out);
+    new CapacityReport(slopes, StateBench.recordBytes()).lines().forEach(console::out);
     return DONE;
   }
 
--- a/app/src/main/java/org/wheatwall/app/bench/CapacityReport.java
+++ b/app/src/main/java/org/wheatwall/app/bench/CapacityReport.java
@@ -19,7 +19,6 @@
   private static final double HEARTBEATS_PER_SECOND = 4;
   private static final double WORKER_MESSAGES = 200;
   private static final double TCP_HEADERS = 66;
-  private static final double RECORD_BYTES = 450;
   private static final double CHUNK_OBJECTS = 200;
   private static final double SNAPSHOTS_PER_DAY = 3;
   private static final double CPU_BUDGET = 3.9;
@@ -27,8 +26,15 @@
 
   private final Map<String, Slope> slopes = new TreeMap<>();
   private final List<String> lines = new ArrayList<>();
+  private final int recordBytes;
 
-  CapacityReport(List<Slope> measured) {
+  /**
+   * Creates a report.
+   *
+   * @param recordBytes size of the log record of one change
+   */
+  CapacityReport(List<Slope> measured, int recordBytes) {
+    this.recordBytes = recordBytes;
     measured.forEach(slope -> slopes.put(slope.name(), slope));
   }
 
@@ -40,6 +46,8 @@
     lines.add("| --- | --- | --- | --- | --- |");
     slopes.values().forEach(slope -> lines.add(slope.row()));
     lines.add("");
+    lines.add("A log record of one change is " + recordBytes + " B.");
+    lines.add("");
     lines.add("## Each role of one entry host at the target");
     lines.add("");
     lines.add("| role | state, MB | messages/s | KB/s | % of a core | fits 3.9% and 21 KB/s |");
@@ -68,7 +76,7 @@
         "configuration reader (" + Math.round(objects) + " objects)",
         objects * slope("configuration replica: a job object") / 1e6,
         polls,
-        records * RECORD_BYTES + polls * 2 * (TCP_HEADERS + 160),
+        records * recordBytes + polls * 2 * (TCP_HEADERS + 160),
         cpu);
   }
 
@@ -106,9 +114,9 @@
     double chunks = objects / CHUNK_OBJECTS * SNAPSHOTS_PER_DAY / DAY;
     role(
         "snapshot writer",
-        objects * RECORD_BYTES / 1e6,
+        objects * recordBytes / 1e6,
         chunks,
-        chunks * CHUNK_OBJECTS * RECORD_BYTES,
+        chunks * CHUNK_OBJECTS * recordBytes,
         chunks * CHUNK_OBJECTS * slope("replay of a change"));
   }
 
--- a/app/src/main/java/org/wheatwall/app/bench/StateBench.java
+++ b/app/src/main/java/org/wheatwall/app/bench/StateBench.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.HdrHistogram.Histogram;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Resource;
 import org.wheatwall.core.configuration.decision.ConfigurationReplica;
 import org.wheatwall.core.configuration.model.Change;
 import org.wheatwall.core.configuration.model.ResourceKey;
@@ -18,6 +19,7 @@
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.core.job.model.WorkerHost;
+import org.wheatwall.core.job.model.Workspace;
 import org.wheatwall.core.request.decision.StepLedger;
 import org.wheatwall.core.request.model.Answer;
 import org.wheatwall.core.request.model.GrantId;
@@ -45,6 +47,12 @@
             "object",
             "B",
             Meters.heap(SMALL, StateBench::replica)));
+    slopes.add(
+        Slope.of(
+            "configuration replica: a workspace",
+            "object",
+            "B",
+            Meters.heap(SMALL, StateBench::workspaces)));
     slopes.add(Slope.of("replay of a change", "change", "us cpu", replayTimes()));
     slopes.add(Slope.of("decider: a worker", "worker", "B", Meters.heap(SMALL, StateBench::zone)));
     slopes.add(
@@ -62,6 +70,11 @@
     return slopes;
   }
 
+  /** Returns the size of the log record of one change of a job, bytes. */
+  static int recordBytes() {
+    return LogRecordCodec.write(LogRecord.ofChanges(List.of(change(SMALL[0])))).length;
+  }
+
   private static Change change(int index) {
     return new Change(
         "change-identifier-of-usual-length-" + index,
@@ -97,6 +110,16 @@
     return replica;
   }
 
+  private static ConfigurationReplica workspaces(int objects) {
+    ConfigurationReplica replica = new ConfigurationReplica((c, r) -> Optional.empty());
+    for (int i = 0; i < objects; i++) {
+      ResourceKey key = new ResourceKey(ResourceKind.WORKSPACES, "workspace-" + i);
+      Optional<Resource> value = Optional.of(new Workspace(Labels.NONE, i, 1, 0));
+      replica.apply(i, List.of(new Change("change-" + i, key, 0, i - 1L, value, Optional.empty())));
+    }
+    return replica;
+  }
+
   private static List<LineFit.Point> replayTimes() {
     replayMicros(SMALL[0]);
     List<LineFit.Point> points = new ArrayList<>();
