--- a/wire/src/main/java/org/wheatwall/wire/peer/PeerClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/peer/PeerClient.java
@@ -138,6 +138,8 @@
   private static final class Connection extends SimpleChannelInboundHandler<Envelope> {
     private final Channel channel;
     private final Map<Long, CompletableFuture<Envelope>> pending = new ConcurrentHashMap<>();
+    // Why the other side will not talk to this host; confined to the event loop.
+    private String refusal = "connection closed";
 
     private Connection(Channel channel) {
       this.channel = channel;
@@ -168,6 +170,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope reply) {
+      if (reply.getId() == 0) {
+        refusal = reply.getProblem().getDetail() + "; " + reply.getProblem().getRemedy();
+        return;
+      }
       CompletableFuture<Envelope> waiting = pending.remove(reply.getId());
       if (waiting != null) {
         waiting.complete(reply);
@@ -178,9 +184,7 @@
     public void channelInactive(ChannelHandlerContext context) {
       pending
           .values()
-          .forEach(
-              waiting ->
-                  waiting.completeExceptionally(new java.io.IOException("connection closed")));
+          .forEach(waiting -> waiting.completeExceptionally(new java.io.IOException(refusal)));
     }
 
     @Override
--- a/wire/src/main/java/org/wheatwall/wire/peer/PeerServer.java
+++ b/wire/src/main/java/org/wheatwall/wire/peer/PeerServer.java
@@ -1,8 +1,8 @@
 package org.wheatwall.wire.peer;
 
-import com.google.protobuf.ByteString;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -16,7 +16,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.Optional;
 import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.wire.http.Problems;
 import org.wheatwall.wire.message.Envelope;
 import org.wheatwall.wire.message.Hello;
@@ -79,10 +81,14 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope request) {
       if (!admitted) {
-        admitted = admits(request);
-        if (!admitted) {
-          context.close();
-        }
+        Optional<Refusal> refusal = refusal(request.getHello());
+        admitted = refusal.isEmpty();
+        // Nothing was asked yet, so the reply has no identifier.
+        refusal.ifPresent(
+            reason ->
+                context
+                    .writeAndFlush(problem(reason).setReply(true).build())
+                    .addListener(ChannelFutureListener.CLOSE));
         return;
       }
       handler
@@ -94,11 +100,21 @@
               });
     }
 
-    private boolean admits(Envelope first) {
-      Hello hello = first.getHello();
-      ByteString proof = hello.getKeyProof();
-      return hello.getProtocolVersion() == PROTOCOL_VERSION
-          && MessageDigest.isEqual(key, proof.toByteArray());
+    private Optional<Refusal> refusal(Hello hello) {
+      if (!MessageDigest.isEqual(key, hello.getKeyProof().toByteArray())) {
+        return Optional.of(
+            new Refusal(
+                RefusalKind.UNAUTHENTICATED,
+                "the first message does not prove the key of the entry hosts",
+                "set the same peerKey on every entry host"));
+      }
+      if (hello.getProtocolVersion() != PROTOCOL_VERSION) {
+        return Optional.of(
+            Refusal.invalid(
+                "protocol version " + hello.getProtocolVersion() + " is not spoken here",
+                "run a version of wheatwall that speaks protocol version " + PROTOCOL_VERSION));
+      }
+      return Optional.empty();
     }
 
     @Override
