A flood of callers no longer exhausts an entry host's memory

Cause: a trial at 8,000 requests/s on one entry host ended with OutOfMemoryError in the event loops, the timer and the decision loop; the process lived on without those threads, held its port, and did not stop on SIGTERM. Nothing bounded the calls, bodies and connections that a host takes at once. Ruled out: the queues (they hold their limit; the calls waited before them). Less work a request: headers are not copied, the list of hosts is sorted out once a reading, a runner's connection is taken from the request's own event loop, reading is not switched off and on around each request, and a free slot is taken without the queue. ServerLimitsTest fails without the limits.

--- a/app/src/main/java/org/wheatwall/app/demo/DemoVerb.java
+++ b/app/src/main/java/org/wheatwall/app/demo/DemoVerb.java
@@ -168,7 +168,7 @@
   private static void dying(EmbeddedCluster cluster, DemoCaller caller, DemoAccount account) {
     account.step("runner-1 resets connections in the middle of answers");
     RunnerStandIn runner = cluster.runners().get("runner-1");
-    runner.setBehavior(new RunnerBehavior(5, 0, 50, 50, 0, 0));
+    runner.setBehavior(new RunnerBehavior(5, 0, 50, 50, 0, 0, 0));
     int unknown = 0;
     int secondRuns = 0;
     for (int i = 0; i < 20; i++) {
--- a/app/src/main/launcher/wheatwall.sh
+++ b/app/src/main/launcher/wheatwall.sh
@@ -8,6 +8,7 @@
   bench) memory="-Xmx1g -XX:TieredStopAtLevel=1 -XX:MarkSweepAlwaysCompactCount=1" ;;
   *) memory="-Xmx64m -XX:TieredStopAtLevel=1" ;;
 esac
+# A process that has run out of memory is ended, since it may have lost threads that renew or stop.
 # shellcheck disable=SC2086
-exec java -XX:+UseSerialGC -Xshare:auto $memory -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.numDirectArenas=1 \
+exec java -XX:+ExitOnOutOfMemoryError -XX:+UseSerialGC -Xshare:auto $memory -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.numDirectArenas=1 \
   -Dio.netty.allocator.pageSize=4096 -Dio.netty.allocator.maxOrder=8 $WHEATWALL_JAVA_OPTIONS -jar "$0" "$@"
--- a/core/src/main/java/org/wheatwall/core/common/Names.java
+++ b/core/src/main/java/org/wheatwall/core/common/Names.java
@@ -7,14 +7,13 @@
   /** Longest name accepted, in characters. */
   public static final int MAX_LENGTH = 63;
 
-  private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9._-]*[a-z0-9])?");
   private static final Pattern LABEL = Pattern.compile("[A-Za-z0-9]([A-Za-z0-9._/-]*[A-Za-z0-9])?");
 
   private Names() {}
 
   /** Returns {@code name} if it is well formed; {@code field} is named in the refusal. */
   public static String require(String field, String name) {
-    if (name == null || name.length() > MAX_LENGTH || !NAME.matcher(name).matches()) {
+    if (name == null || !isName(name)) {
       throw Refusal.invalid(
           field + " \"" + name + "\" is not a valid name",
           "use 1 to 63 lower-case letters, digits, '.', '_' or '-', starting and ending with a"
@@ -23,6 +22,23 @@
     return name;
   }
 
+  // Every request names a service and a workspace, so this is no regular expression.
+  private static boolean isName(String text) {
+    int length = text.length();
+    if (length == 0 || length > MAX_LENGTH) {
+      return false;
+    }
+    for (int i = 0; i < length; i++) {
+      char c = text.charAt(i);
+      boolean plain = (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+      boolean inner = i > 0 && i < length - 1 && (c == '.' || c == '_' || c == '-');
+      if (!plain && !inner) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Returns whether {@code text} may be used as a label key or value. */
   static boolean isLabelText(String text) {
     return text != null && text.length() <= MAX_LENGTH && LABEL.matcher(text).matches();
--- a/core/src/main/java/org/wheatwall/core/request/decision/RunnerPool.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/RunnerPool.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +25,7 @@
 
   private final Map<String, Entry> entries = new HashMap<>();
   private final SplittableRandom random;
+  private List<Entry> inOrder = List.of();
 
   private static final class Entry {
     private Runner runner;
@@ -64,6 +66,7 @@
       entry.usableFromMs = takenOver.contains(runner.name()) ? takenOverFromMs : nowMs;
       entries.put(runner.name(), entry);
     }
+    inOrder = List.copyOf(entries.values());
   }
 
   /** Allows a runner that was taken over to be used now. */
@@ -78,12 +81,11 @@
   public Optional<Runner> take(Set<String> avoid, long nowMs) {
     Entry best = null;
     int drawn = 0;
-    boolean ejecting = mayEject(nowMs);
-    int start = entries.isEmpty() ? 0 : random.nextInt(entries.size());
-    Entry[] all = entries.values().toArray(new Entry[0]);
-    for (int i = 0; i < all.length && drawn < CHOICES; i++) {
-      Entry entry = all[(start + i) % all.length];
-      boolean ejected = ejecting && entry.ejectedUntilMs > nowMs;
+    int count = inOrder.size();
+    int start = count == 0 ? 0 : random.nextInt(count);
+    for (int i = 0; i < count && drawn < CHOICES; i++) {
+      Entry entry = inOrder.get((start + i) % count);
+      boolean ejected = entry.ejectedUntilMs > nowMs && mayEject(nowMs);
       if (ejected || avoid.contains(entry.runner.name()) || free(entry, nowMs) <= 0) {
         continue;
       }
--- a/entry/src/main/java/org/wheatwall/entry/platform/HostDirectory.java
+++ b/entry/src/main/java/org/wheatwall/entry/platform/HostDirectory.java
@@ -1,7 +1,10 @@
 package org.wheatwall.entry.platform;
 
-import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -20,9 +23,23 @@
   private final ScheduledExecutorService stateThread;
   private final int pollMs;
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
-  private volatile List<ListedHost> hosts = List.of();
+  private volatile Listed listed = Listed.of(List.of());
   private boolean reachable = true;
 
+  /** One reading of the list, sorted out once since requests look at it. */
+  private record Listed(
+      List<ListedHost> hosts, Map<Role, List<ListedHost>> byRole, Set<String> services) {
+    private static Listed of(List<ListedHost> hosts) {
+      Map<Role, List<ListedHost>> byRole = new EnumMap<>(Role.class);
+      for (Role role : Role.values()) {
+        byRole.put(role, hosts.stream().filter(host -> host.role() == role).toList());
+      }
+      Set<String> services = new HashSet<>();
+      byRole.get(Role.RUNNER).forEach(runner -> services.add(runner.service()));
+      return new Listed(hosts, byRole, Set.copyOf(services));
+    }
+  }
+
   /** Creates a directory that reads the list every {@code pollMs} milliseconds. */
   public HostDirectory(HostListService service, ScheduledExecutorService stateThread, int pollMs) {
     this.service = service;
@@ -42,7 +59,7 @@
 
   /** Returns all hosts. */
   public List<ListedHost> hosts() {
-    return hosts;
+    return listed.hosts();
   }
 
   /** Returns the entry hosts of every zone. */
@@ -60,14 +77,13 @@
     return ofRole(Role.RUNNER);
   }
 
+  /** Returns whether some runner of the service is listed in any zone. */
+  public boolean hasService(String service) {
+    return listed.services().contains(service);
+  }
+
   private List<ListedHost> ofRole(Role role) {
-    List<ListedHost> found = new ArrayList<>();
-    for (ListedHost host : hosts) {
-      if (host.role() == role) {
-        found.add(host);
-      }
-    }
-    return found;
+    return listed.byRole().get(role);
   }
 
   private void poll() {
@@ -86,8 +102,8 @@
   }
 
   private void take(HostList list) {
-    if (!list.hosts().equals(hosts)) {
-      hosts = list.hosts();
+    if (!list.hosts().equals(listed.hosts())) {
+      listed = Listed.of(list.hosts());
       listeners.forEach(Runnable::run);
     }
   }
--- a/entry/src/main/java/org/wheatwall/entry/request/CallRequest.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/CallRequest.java
@@ -1,14 +1,12 @@
 package org.wheatwall.entry.request;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.wheatwall.core.common.Names;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.wire.http.HttpCall;
-import org.wheatwall.wire.http.HttpClient;
 
 /**
  * A caller's request, checked.
@@ -38,8 +36,8 @@
   private static final int MAX_KEY = 128;
   private static final Set<String> SAFE_TO_REPEAT =
       Set.of("GET", "HEAD", "PUT", "DELETE", "OPTIONS");
-  private static final Set<String> HOP_BY_HOP =
-      Set.of(
+  private static final List<String> HOP_BY_HOP =
+      List.of(
           "connection",
           "keep-alive",
           "proxy-authenticate",
@@ -80,24 +78,21 @@
     return key.isEmpty() && SAFE_TO_REPEAT.contains(call.method());
   }
 
-  /** Returns the headers that travel to the runner, or back from it. */
+  /** Removes the headers that do not travel to the runner, or back from it (RFC 9110, 7.6.1). */
   static HttpHeaders endToEnd(HttpHeaders headers) {
-    HttpHeaders passed = new DefaultHttpHeaders();
-    Set<String> named =
-        Set.of(headers.get("Connection", "").toLowerCase(java.util.Locale.ROOT).split(" *, *"));
-    for (Map.Entry<String, String> header : headers) {
-      String name = header.getKey().toLowerCase(java.util.Locale.ROOT);
-      if (!HOP_BY_HOP.contains(name) && !named.contains(name)) {
-        passed.add(header.getKey(), header.getValue());
+    String connection = headers.get("Connection");
+    if (connection != null) {
+      for (String named : connection.split(",", -1)) {
+        headers.remove(named.trim());
       }
     }
-    return passed;
+    HOP_BY_HOP.forEach(headers::remove);
+    return headers;
   }
 
   /** Returns the call to send to a runner. */
   HttpCall toRunner(long remainingMs) {
     HttpHeaders headers = endToEnd(call.headers());
-    headers.remove(HttpClient.REQUEST_HEADER);
     headers.set(DEADLINE_HEADER, remainingMs);
     return new HttpCall(call.method(), target, headers, call.body());
   }
--- a/entry/src/main/java/org/wheatwall/entry/request/RequestPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/RequestPlane.java
@@ -1,5 +1,6 @@
 package org.wheatwall.entry.request;
 
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
@@ -67,7 +68,10 @@
     this.pause = pause;
     this.limits = new RateLimits(clock);
     this.requestPrefix = requestPrefix;
-    this.timer = metrics.timer("requests.time");
+    this.timer =
+        metrics.timer(
+            "requests.time",
+            () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build()));
     this.retries = metrics.meter("requests.retries");
     for (Outcome outcome : Outcome.values()) {
       outcomes.put(outcome, metrics.meter("requests." + outcome.label()));
--- a/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
@@ -1,8 +1,11 @@
 package org.wheatwall.entry.request;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +32,7 @@
   private FairQueue<SlotWaiter> queue;
   private RetryBudget retries;
   private final ServiceTime holdTime = new ServiceTime();
+  private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private int borrowed;
 
   private record Match(SlotWaiter waiter, Slot slot) {}
@@ -63,6 +67,7 @@
 
   synchronized void setOwned(Collection<Runner> owned, Set<String> takenOver, long fromMs) {
     pool.setOwned(owned, takenOver, fromMs, clock.nowMs());
+    addresses.clear();
   }
 
   synchronized void releaseTakenOver(String runner) {
@@ -73,13 +78,19 @@
   CompletableFuture<Slot> acquire(
       String workspace, int weight, Set<String> avoid, long deadlineMs, boolean mayTake) {
     long nowMs = clock.nowMs();
-    SlotWaiter waiter = new SlotWaiter(avoid, new CompletableFuture<>());
+    SlotWaiter waiter;
     Optional<SlotWaiter> displaced;
     synchronized (this) {
+      Optional<Runner> free =
+          mayTake && queue.size() == 0 ? pool.take(avoid, nowMs) : Optional.empty();
+      if (free.isPresent()) {
+        return CompletableFuture.completedFuture(slot(free.get(), nowMs));
+      }
       long latestStartMs = holdTime.latestStartMs(nowMs, deadlineMs);
       if (nowMs + expectedWaitMs() > latestStartMs) {
         return CompletableFuture.failedFuture(overloaded("the queue is longer than the deadline"));
       }
+      waiter = new SlotWaiter(avoid, latestStartMs, new CompletableFuture<>());
       displaced = queue.add(workspace, weight, waiter, latestStartMs);
     }
     displaced.ifPresent(
@@ -93,16 +104,20 @@
   /** Gives free slots to those who wait. */
   void dispatch() {
     List<Match> matches = new ArrayList<>();
-    List<SlotWaiter> late;
+    List<SlotWaiter> late = new ArrayList<>();
     synchronized (this) {
       long nowMs = clock.nowMs();
-      late = queue.expire(nowMs);
       while (queue.size() > 0) {
         Optional<Runner> runner = pool.take(Set.of(), nowMs);
         if (runner.isEmpty()) {
           break;
         }
-        SlotWaiter waiter = queue.poll().orElseThrow();
+        Optional<SlotWaiter> next = pollInTime(nowMs, late);
+        if (next.isEmpty()) {
+          pool.giveBack(runner.get().name());
+          break;
+        }
+        SlotWaiter waiter = next.get();
         matches.add(new Match(waiter, slot(better(runner.get(), waiter.avoid(), nowMs), nowMs)));
       }
     }
@@ -110,6 +125,15 @@
     matches.forEach(match -> match.waiter().slot().complete(match.slot()));
   }
 
+  private Optional<SlotWaiter> pollInTime(long nowMs, List<SlotWaiter> late) {
+    Optional<SlotWaiter> next = queue.poll();
+    while (next.isPresent() && next.get().latestStartMs() <= nowMs) {
+      late.add(next.get());
+      next = queue.poll();
+    }
+    return next;
+  }
+
   // A request that a runner has failed goes to another one if there is any.
   private Runner better(Runner runner, Set<String> avoid, long nowMs) {
     if (!avoid.contains(runner.name())) {
@@ -132,10 +156,9 @@
   /** Gives a slot that another entry host lent to the next who waits, or back at once. */
   void offerBorrowed(Slot slot) {
     Optional<SlotWaiter> waiter;
-    List<SlotWaiter> late;
+    List<SlotWaiter> late = new ArrayList<>();
     synchronized (this) {
-      late = queue.expire(clock.nowMs());
-      waiter = queue.poll();
+      waiter = pollInTime(clock.nowMs(), late);
     }
     late.forEach(this::refuseLate);
     if (waiter.isPresent()) {
@@ -206,7 +229,7 @@
   private Slot slot(Runner runner, long takenMs) {
     return new Slot(
         runner.name(),
-        Addresses.parse(runner.address()),
+        addresses.computeIfAbsent(runner.address(), Addresses::parse),
         success -> {
           synchronized (this) {
             long nowMs = clock.nowMs();
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
@@ -120,7 +120,7 @@
 
   /** Returns whether some runner of the service is listed in any zone. */
   boolean isKnown(String service) {
-    return directory.runners().stream().anyMatch(host -> service.equals(host.service()));
+    return directory.hasService(service);
   }
 
   /** Waits for a slot. */
--- a/wire/src/main/java/org/wheatwall/wire/http/CallGate.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/CallGate.java
@@ -1,6 +1,7 @@
 package org.wheatwall.wire.http;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Counts the calls under way and ends them in two steps: first every answer asks for its connection
@@ -8,23 +9,44 @@
  * on an open connection is refused rather than cut.
  */
 final class CallGate {
+  /** Whether a call may go on. */
+  enum Entry {
+    ADMITTED,
+    /** As much as the limits allow is under way. */
+    FULL,
+    /** The process is about to stop. */
+    SHUT
+  }
+
+  private final ServerLimits limits;
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicLong bytes = new AtomicLong();
   private volatile boolean draining;
   private volatile boolean shut;
 
-  /** Lets a call in, unless the gate is shut. */
-  boolean tryEnter() {
-    inFlight.incrementAndGet();
+  CallGate(ServerLimits limits) {
+    this.limits = limits;
+  }
+
+  /** Lets a call with a body of {@code size} bytes in, unless the gate is shut or full. */
+  Entry enter(int size) {
+    int calls = inFlight.incrementAndGet();
+    long held = bytes.addAndGet(size);
     if (shut) {
-      inFlight.decrementAndGet();
-      return false;
+      leave(size);
+      return Entry.SHUT;
+    }
+    if (calls > limits.maxCalls() || held > limits.maxCallBytes()) {
+      leave(size);
+      return Entry.FULL;
     }
-    return true;
+    return Entry.ADMITTED;
   }
 
   /** Notes that the answer to a call is written, or can no longer be. */
-  void leave() {
+  void leave(int size) {
     inFlight.decrementAndGet();
+    bytes.addAndGet(-size);
   }
 
   /** Asks for connections to be closed from now on. */
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -4,14 +4,17 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -116,7 +119,7 @@
   private CompletableFuture<Channel> connect(InetSocketAddress address) {
     CompletableFuture<Channel> connected = new CompletableFuture<>();
     new Bootstrap()
-        .group(group)
+        .group(ownLoop())
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .option(ChannelOption.TCP_NODELAY, true)
@@ -149,14 +152,29 @@
       return null;
     }
     synchronized (channels) {
-      Channel channel = channels.pollLast();
-      while (channel != null && !channel.isActive()) {
-        channel = channels.pollLast();
+      channels.removeIf(channel -> !channel.isActive());
+      Iterator<Channel> newestFirst = channels.descendingIterator();
+      while (newestFirst.hasNext()) {
+        Channel channel = newestFirst.next();
+        if (channel.eventLoop().inEventLoop()) {
+          newestFirst.remove();
+          return channel;
+        }
       }
-      return channel;
+      return channels.pollLast();
     }
   }
 
+  // A connection of the calling event loop spares two hand-overs between threads a request.
+  private EventLoopGroup ownLoop() {
+    for (EventExecutor executor : group) {
+      if (executor.inEventLoop() && executor instanceof EventLoop loop) {
+        return loop;
+      }
+    }
+    return group;
+  }
+
   private void putIdle(InetSocketAddress address, Channel channel) {
     Deque<Channel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
     synchronized (channels) {
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -89,8 +89,9 @@
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(call.method()),
             call.target(),
-            Unpooled.wrappedBuffer(call.body()));
-    request.headers().set(call.headers());
+            Unpooled.wrappedBuffer(call.body()),
+            call.headers(),
+            EmptyHttpHeaders.INSTANCE);
     request
         .headers()
         .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
@@ -110,9 +111,7 @@
     reusable = own && HttpUtil.isKeepAlive(response);
     HttpReply reply =
         new HttpReply(
-            response.status().code(),
-            new DefaultHttpHeaders().set(response.headers()),
-            ByteBufUtil.getBytes(response.content()));
+            response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
     CompletableFuture<HttpReply> result = pending;
     pending = null;
     timeout.cancel(false);
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
@@ -24,11 +24,14 @@
   private static final long IDLE_CHECK_MS = 10;
 
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-  private final CallGate gate = new CallGate();
+  private final CallGate gate;
+  private final int maxConnections;
   private final Channel listener;
 
   private HttpServer(
-      EventLoopGroup group, InetSocketAddress address, int maxBody, HttpHandler handler) {
+      EventLoopGroup group, InetSocketAddress address, ServerLimits limits, HttpHandler handler) {
+    gate = new CallGate(limits);
+    maxConnections = limits.maxConnections();
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
@@ -40,14 +43,14 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    connections.add(channel);
+                    count(channel);
                     channel
                         .pipeline()
                         .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
                         .addLast(new StrictRequestDecoder())
                         .addLast(new HttpResponseEncoder())
                         .addLast(new HttpServerKeepAliveHandler())
-                        .addLast(new BodyLimit(maxBody, handler))
+                        .addLast(new BodyLimit(limits.maxBody(), handler))
                         .addLast(new HttpServerConnection(handler, gate));
                   }
                 });
@@ -57,7 +60,13 @@
   /** Starts a server that accepts bodies of up to {@code maxBody} bytes. */
   public static HttpServer start(
       EventLoopGroup group, InetSocketAddress address, int maxBody, HttpHandler handler) {
-    return new HttpServer(group, address, maxBody, handler);
+    return start(group, address, ServerLimits.ofBody(maxBody), handler);
+  }
+
+  /** Starts a server that takes at once what {@code limits} allow. */
+  public static HttpServer start(
+      EventLoopGroup group, InetSocketAddress address, ServerLimits limits, HttpHandler handler) {
+    return new HttpServer(group, address, limits, handler);
   }
 
   /** Returns the port. */
@@ -87,6 +96,15 @@
     connections.close().awaitUninterruptibly(1000);
   }
 
+  // Beyond the limit connections wait in the system's queue, where they cost this process nothing.
+  private void count(Channel channel) {
+    connections.add(channel);
+    if (connections.size() >= maxConnections) {
+      channel.parent().config().setAutoRead(false);
+      channel.closeFuture().addListener(closed -> channel.parent().config().setAutoRead(true));
+    }
+  }
+
   private void whenIdle(CompletableFuture<Void> drained) {
     if (gate.tryShut()) {
       drained.complete(null);
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -23,8 +22,8 @@
 
 /**
  * One connection of a caller. Requests that arrive together are answered one after another, in
- * order, and nothing more is read while one is under way or its answer is not yet written, so a
- * slow reader bounds only itself.
+ * order, and nothing more is read while one waits behind another or its answer is not yet written,
+ * so a slow reader bounds only itself.
  */
 final class HttpServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final int MAX_PIPELINED = 16;
@@ -34,6 +33,8 @@
   private final Deque<HttpCall> waiting = new ArrayDeque<>();
   private boolean busy;
   private boolean entered;
+  private int enteredBytes;
+  private boolean reading = true;
 
   HttpServerConnection(HttpHandler handler, CallGate gate) {
     this.handler = handler;
@@ -50,18 +51,23 @@
       write(context, false, handler.refuse(request.uri(), refusal), true);
       return;
     }
-    HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
     HttpCall call =
         new HttpCall(
             request.method().name(),
             request.uri(),
-            headers,
+            request.headers(),
             ByteBufUtil.getBytes(request.content()));
     if (waiting.size() >= MAX_PIPELINED) {
       context.close();
       return;
     }
     waiting.add(call);
+    if (busy) {
+      // Reading stops only once a request waits behind another: most connections never get there,
+      // and turning reading off and on costs two system calls a request.
+      setReading(context, false);
+      return;
+    }
     next(context);
   }
 
@@ -79,13 +85,16 @@
       return;
     }
     busy = true;
-    context.channel().config().setAutoRead(false);
     boolean headOnly = call.method().equals("HEAD");
-    if (!gate.tryEnter()) {
-      write(context, headOnly, handler.refuse(call.target(), stopping()), true);
+    CallGate.Entry entry = gate.enter(call.body().length);
+    if (entry != CallGate.Entry.ADMITTED) {
+      boolean stops = entry == CallGate.Entry.SHUT;
+      Refusal refusal = stops ? stopping() : full();
+      write(context, headOnly, handler.refuse(call.target(), refusal), stops);
       return;
     }
     entered = true;
+    enteredBytes = call.body().length;
     boolean close =
         HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(call.header("Connection").orElse(""));
     handle(call)
@@ -93,7 +102,7 @@
             (reply, failure) -> {
               HttpReply result =
                   withIdentifier(call, failure == null ? reply : Problems.reply(failure));
-              context.executor().execute(() -> write(context, headOnly, result, close));
+              runOn(context, () -> write(context, headOnly, result, close));
             });
   }
 
@@ -104,6 +113,28 @@
         "repeat through another entry host");
   }
 
+  private static Refusal full() {
+    return new Refusal(
+        RefusalKind.UNAVAILABLE,
+        "as many calls are under way here as this process takes",
+        "repeat after the time in Retry-After, or through another entry host");
+  }
+
+  private static void runOn(ChannelHandlerContext context, Runnable task) {
+    if (context.executor().inEventLoop()) {
+      task.run();
+    } else {
+      context.executor().execute(task);
+    }
+  }
+
+  private void setReading(ChannelHandlerContext context, boolean next) {
+    if (reading != next) {
+      reading = next;
+      context.channel().config().setAutoRead(next);
+    }
+  }
+
   // A client that names its request can so tell that the answer is its own.
   private static HttpReply withIdentifier(HttpCall call, HttpReply reply) {
     boolean named = reply.header(HttpClient.REQUEST_HEADER).isPresent();
@@ -142,14 +173,14 @@
               busy = false;
               if (entered) {
                 entered = false;
-                gate.leave();
+                gate.leave(enteredBytes);
               }
               if (last || !written.isSuccess()) {
                 context.close();
                 return;
               }
-              context.channel().config().setAutoRead(true);
               next(context);
+              setReading(context, waiting.isEmpty());
             });
   }
 
--- /dev/null
+++ b/wire/src/test/java/org/wheatwall/wire/ServerLimitsTest.java
@@ -0,0 +1,116 @@
+package org.wheatwall.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.wire.http.HttpReply;
+import org.wheatwall.wire.http.HttpServer;
+import org.wheatwall.wire.http.ServerLimits;
+
+/** A flood of calls is refused at its own cost. Catches a server that takes what memory allows. */
+final class ServerLimitsTest {
+  private static final InetSocketAddress ANY_PORT =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Queue<CompletableFuture<HttpReply>> underWay = new ConcurrentLinkedQueue<>();
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private HttpServer server(ServerLimits limits) {
+    return HttpServer.start(
+        group,
+        ANY_PORT,
+        limits,
+        call -> {
+          CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+          underWay.add(reply);
+          return reply;
+        });
+  }
+
+  private static Socket call(HttpServer server, int bodyBytes) throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port());
+    socket.setSoTimeout(3000);
+    String head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().write(new byte[bodyBytes]);
+    return socket;
+  }
+
+  private static String firstLine(Socket socket) throws IOException {
+    InputStream input = socket.getInputStream();
+    StringBuilder line = new StringBuilder();
+    for (int c = input.read(); c >= 0 && c != '\r'; c = input.read()) {
+      line.append((char) c);
+    }
+    return line.toString();
+  }
+
+  private void awaitUnderWay(int count) throws InterruptedException {
+    for (int i = 0; i < 100 && underWay.size() < count; i++) {
+      Thread.sleep(20);
+    }
+    assertThat(underWay).hasSize(count);
+  }
+
+  @Test
+  void callsAndBytesBeyondTheLimitAreRefusedUntilOthersEnd() throws Exception {
+    HttpServer server = server(new ServerLimits(1000, 2, 1500, 100));
+    try (Socket first = call(server, 1000)) {
+      awaitUnderWay(1);
+      try (Socket tooMuch = call(server, 1000);
+          Socket second = call(server, 10)) {
+        assertThat(firstLine(tooMuch)).contains(" 503 ");
+        awaitUnderWay(2);
+        try (Socket third = call(server, 10)) {
+          assertThat(firstLine(third)).contains(" 503 ");
+        }
+        underWay.forEach(reply -> reply.complete(HttpReply.text(200, "done")));
+        assertThat(firstLine(first)).contains(" 200 ");
+        assertThat(firstLine(second)).contains(" 200 ");
+      }
+    }
+    try (Socket later = call(server, 1000)) {
+      awaitUnderWay(3);
+      assertThat(server.inFlight()).isEqualTo(1);
+      assertThat(later.isConnected()).isTrue();
+    }
+    server.close();
+  }
+
+  @Test
+  void connectionsBeyondTheLimitWaitUntilOneCloses() throws Exception {
+    HttpServer server = server(new ServerLimits(1000, 10, 1500, 1));
+    Socket only = call(server, 1);
+    awaitUnderWay(1);
+    try (Socket waiting = call(server, 1)) {
+      waiting.setSoTimeout(300);
+      org.junit.jupiter.api.Assertions.assertThrows(
+          SocketTimeoutException.class, () -> waiting.getInputStream().read());
+      assertThat(underWay).hasSize(1);
+      only.close();
+      awaitUnderWay(2);
+    }
+    server.close();
+  }
+}
