Requests wait in the queue of the runner's owner; connections to runners are shared by count

Cause: with 2 runners and 6 entry hosts at saturation only 36% of the slots were used (2 hosts: 94%). An owner with a queue of its own lent nothing, and the other four learned of free slots four times a second, so their callers starved. And each host kept up to 8 idle connections a runner: 8 hosts and 8 in use are 72, more than its 64. Ruled out: lost grants (none in the logs), a slow lender (both owners idle a tenth of the time). Change: an ask for a slot waits, with its workspace and weight, in the owner's fair queue (SlotLending); the asker names the permit, so that a slot granted in a lost reply can be given back (SlotBorrowing); a slot handed to a request that has given up goes back. ConnectionShare divides what is left of a runner's 64 connections by the zone's hosts; other zones keep none. SlotService is split in three.

--- a/core/src/main/java/org/wheatwall/core/request/decision/FairQueue.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/FairQueue.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * A bounded queue shared by workspaces in proportion to their weights (start-time fair queueing,
@@ -60,20 +61,47 @@
 
   /** Removes and returns the next entry in fair order. */
   public Optional<T> poll() {
-    Flow<T> next = null;
+    return poll(item -> true);
+  }
+
+  /** Removes and returns the next entry in fair order among those that are {@code wanted}. */
+  public Optional<T> poll(Predicate<T> wanted) {
+    Optional<Flow<T>> from = nextFlow(wanted);
+    if (from.isEmpty()) {
+      return Optional.empty();
+    }
+    Entry<T> next = first(from.get(), wanted);
+    from.get().entries.remove(next);
+    virtualTime = Math.max(virtualTime, next.tag());
+    size--;
+    return Optional.of(next.item());
+  }
+
+  /** Returns what {@link #poll(Predicate)} would return, and leaves it in the queue. */
+  public Optional<T> peek(Predicate<T> wanted) {
+    return nextFlow(wanted).map(flow -> first(flow, wanted).item());
+  }
+
+  private Optional<Flow<T>> nextFlow(Predicate<T> wanted) {
+    Flow<T> from = null;
+    Entry<T> next = null;
     for (Flow<T> flow : flows.values()) {
-      Entry<T> head = flow.entries.peekFirst();
-      if (head != null && (next == null || head.tag() < next.entries.peekFirst().tag())) {
-        next = flow;
+      Entry<T> first = first(flow, wanted);
+      if (first != null && (next == null || first.tag() < next.tag())) {
+        from = flow;
+        next = first;
       }
     }
-    if (next == null) {
-      return Optional.empty();
+    return Optional.ofNullable(from);
+  }
+
+  private static <T> Entry<T> first(Flow<T> flow, Predicate<T> wanted) {
+    for (Entry<T> entry : flow.entries) {
+      if (wanted.test(entry.item())) {
+        return entry;
+      }
     }
-    Entry<T> entry = next.entries.removeFirst();
-    virtualTime = entry.tag();
-    size--;
-    return Optional.of(entry.item());
+    return null;
   }
 
   /** Removes and returns every entry whose deadline is not after {@code nowMs}. */
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -15,6 +15,7 @@
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.request.decision.ConnectionShare;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.EntrySettings;
 import org.wheatwall.entry.configuration.ConfigurationService;
@@ -103,6 +104,8 @@
     jobs =
         new JobPlane(
             settings, clock, membership, configuration, directory, platform, timer, metrics);
+    HttpClient runnerClient = new HttpClient(group, settings.requests().maxBodyBytes());
+    directory.addListener(() -> runnerClient.setMaxIdle(idleConnections()));
     requests =
         new RequestPlane(
             settings.requests(),
@@ -110,7 +113,7 @@
             slots,
             steps,
             directory,
-            new HttpClient(group, settings.requests().maxBodyBytes()),
+            runnerClient,
             this::pause,
             settings.host() + "-" + Long.toString(self.incarnation(), 36) + "-",
             metrics);
@@ -132,6 +135,12 @@
     return host;
   }
 
+  private int idleConnections() {
+    long ofZone =
+        directory.entryHosts().stream().filter(host -> host.zone().equals(settings.zone())).count();
+    return ConnectionShare.idleConnections((int) ofZone);
+  }
+
   private SlotService newSlots() {
     return new SlotService(
         clock,
--- a/entry/src/main/java/org/wheatwall/entry/request/CallAttempts.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/CallAttempts.java
@@ -15,6 +15,7 @@
 import org.wheatwall.core.request.model.Outcome;
 import org.wheatwall.core.request.model.StepState;
 import org.wheatwall.entry.common.Clock;
+import org.wheatwall.wire.http.HttpCall;
 import org.wheatwall.wire.http.HttpClient;
 import org.wheatwall.wire.http.HttpFailure;
 import org.wheatwall.wire.http.HttpReply;
@@ -176,9 +177,14 @@
     lifecycle.sending();
     attempts++;
     String attemptId = requestId + "." + attempts;
+    HttpCall call = request.toRunner(remainingMs);
+    if (!slot.ofOwnZone()) {
+      // Only a zone's own hosts keep connections to its runners: their number is bounded.
+      call.with("Connection", "close");
+    }
     return means
         .client()
-        .send(slot.address(), request.toRunner(remainingMs), attemptId, remainingMs)
+        .send(slot.address(), call, attemptId, remainingMs)
         .handle((reply, failure) -> conclude(slot, reply, failure))
         .thenCompose(result -> result);
   }
--- a/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.request.decision.FairQueue;
@@ -33,6 +34,7 @@
   private RetryBudget retries;
   private final ServiceTime holdTime = new ServiceTime();
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+  private int localQueued;
   private int borrowed;
 
   private record Match(SlotWaiter waiter, Slot slot) {}
@@ -79,19 +81,30 @@
       String workspace, int weight, Set<String> avoid, long deadlineMs, boolean mayTake) {
     long nowMs = clock.nowMs();
     SlotWaiter waiter;
+    synchronized (this) {
+      long latestStartMs = holdTime.latestStartMs(nowMs, deadlineMs);
+      if (nowMs + expectedWaitMs() > latestStartMs) {
+        return CompletableFuture.failedFuture(overloaded("the queue is longer than the deadline"));
+      }
+      waiter =
+          new SlotWaiter(workspace, weight, avoid, latestStartMs, true, new CompletableFuture<>());
+    }
+    return await(waiter, mayTake);
+  }
+
+  /** Gives {@code waiter} a free slot, or lets it wait for one in the fair queue. */
+  CompletableFuture<Slot> await(SlotWaiter waiter, boolean mayTake) {
+    long nowMs = clock.nowMs();
     Optional<SlotWaiter> displaced;
     synchronized (this) {
       Optional<Runner> free =
-          mayTake && queue.size() == 0 ? pool.take(avoid, nowMs) : Optional.empty();
+          mayTake && queue.size() == 0 ? pool.take(waiter.avoid(), nowMs) : Optional.empty();
       if (free.isPresent()) {
         return CompletableFuture.completedFuture(slot(free.get(), nowMs));
       }
-      long latestStartMs = holdTime.latestStartMs(nowMs, deadlineMs);
-      if (nowMs + expectedWaitMs() > latestStartMs) {
-        return CompletableFuture.failedFuture(overloaded("the queue is longer than the deadline"));
-      }
-      waiter = new SlotWaiter(avoid, latestStartMs, new CompletableFuture<>());
-      displaced = queue.add(workspace, weight, waiter, latestStartMs);
+      displaced = queue.add(waiter.workspace(), waiter.weight(), waiter, waiter.latestStartMs());
+      localQueued += waiter.local() ? 1 : 0;
+      displaced.ifPresent(this::noteGone);
     }
     displaced.ifPresent(
         loser -> loser.slot().completeExceptionally(overloaded("the queue is full")));
@@ -101,6 +114,10 @@
     return waiter.slot();
   }
 
+  private void noteGone(SlotWaiter waiter) {
+    localQueued -= waiter.local() ? 1 : 0;
+  }
+
   /** Gives free slots to those who wait. */
   void dispatch() {
     List<Match> matches = new ArrayList<>();
@@ -112,7 +129,7 @@
         if (runner.isEmpty()) {
           break;
         }
-        Optional<SlotWaiter> next = pollInTime(nowMs, late);
+        Optional<SlotWaiter> next = pollInTime(nowMs, waiter -> true, late);
         if (next.isEmpty()) {
           pool.giveBack(runner.get().name());
           break;
@@ -122,18 +139,28 @@
       }
     }
     late.forEach(this::refuseLate);
-    matches.forEach(match -> match.waiter().slot().complete(match.slot()));
+    matches.forEach(match -> hand(match.slot(), match.waiter()));
   }
 
-  private Optional<SlotWaiter> pollInTime(long nowMs, List<SlotWaiter> late) {
-    Optional<SlotWaiter> next = queue.poll();
+  private Optional<SlotWaiter> pollInTime(
+      long nowMs, Predicate<SlotWaiter> wanted, List<SlotWaiter> late) {
+    Optional<SlotWaiter> next = queue.poll(wanted);
+    next.ifPresent(this::noteGone);
     while (next.isPresent() && next.get().latestStartMs() <= nowMs) {
       late.add(next.get());
-      next = queue.poll();
+      next = queue.poll(wanted);
+      next.ifPresent(this::noteGone);
     }
     return next;
   }
 
+  // A waiter may have given up in between; its slot must not be lost.
+  private static void hand(Slot slot, SlotWaiter waiter) {
+    if (!waiter.slot().complete(slot)) {
+      slot.giveBack(true);
+    }
+  }
+
   // A request that a runner has failed goes to another one if there is any.
   private Runner better(Runner runner, Set<String> avoid, long nowMs) {
     if (!avoid.contains(runner.name())) {
@@ -144,25 +171,19 @@
     return other.orElse(runner);
   }
 
-  /** Takes a slot to lend it to another entry host. */
-  synchronized Optional<Slot> takeToLend(Set<String> avoid) {
-    long nowMs = clock.nowMs();
-    if (queue.size() > 0) {
-      return Optional.empty();
-    }
-    return pool.take(avoid, nowMs).map(runner -> slot(runner, nowMs));
-  }
-
-  /** Gives a slot that another entry host lent to the next who waits, or back at once. */
+  /**
+   * Gives a slot that another entry host lent to the next who waits here, or back at once. It is
+   * not lent on, so that hosts cannot wait for each other in a circle.
+   */
   void offerBorrowed(Slot slot) {
     Optional<SlotWaiter> waiter;
     List<SlotWaiter> late = new ArrayList<>();
     synchronized (this) {
-      waiter = pollInTime(clock.nowMs(), late);
+      waiter = pollInTime(clock.nowMs(), SlotWaiter::local, late);
     }
     late.forEach(this::refuseLate);
     if (waiter.isPresent()) {
-      waiter.get().slot().complete(slot);
+      hand(slot, waiter.get());
     } else {
       slot.giveBack(true);
     }
@@ -173,6 +194,7 @@
     List<SlotWaiter> late;
     synchronized (this) {
       late = queue.expire(clock.nowMs());
+      late.forEach(this::noteGone);
     }
     late.forEach(this::refuseLate);
   }
@@ -183,7 +205,12 @@
 
   /** Returns how many more slots to ask other entry hosts for now. */
   synchronized int wantsToBorrow(int most) {
-    return Math.max(0, Math.min(queue.size(), most) - borrowed);
+    return Math.max(0, Math.min(localQueued, most) - borrowed);
+  }
+
+  /** Returns the request of this host that is next in the fair queue. */
+  synchronized Optional<SlotWaiter> nextLocal() {
+    return queue.peek(SlotWaiter::local);
   }
 
   synchronized void borrowing(int change) {
@@ -230,6 +257,7 @@
     return new Slot(
         runner.name(),
         addresses.computeIfAbsent(runner.address(), Addresses::parse),
+        true,
         success -> {
           synchronized (this) {
             long nowMs = clock.nowMs();
--- a/entry/src/main/java/org/wheatwall/entry/request/Slot.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/Slot.java
@@ -8,15 +8,18 @@
 final class Slot {
   private final String runner;
   private final InetSocketAddress address;
+  private final boolean ofOwnZone;
   private final Consumer<Boolean> giveBack;
   private final AtomicBoolean given = new AtomicBoolean();
 
   /**
    * Creates a slot.
    *
+   * @param ofOwnZone whether the runner is in this host's zone
    * @param giveBack told whether the request went well, once
    */
-  Slot(String runner, InetSocketAddress address, Consumer<Boolean> giveBack) {
+  Slot(String runner, InetSocketAddress address, boolean ofOwnZone, Consumer<Boolean> giveBack) {
+    this.ofOwnZone = ofOwnZone;
     this.runner = runner;
     this.address = address;
     this.giveBack = giveBack;
@@ -30,6 +33,11 @@
     return address;
   }
 
+  /** Returns whether the runner is in this host's zone. */
+  boolean ofOwnZone() {
+    return ofOwnZone;
+  }
+
   void giveBack(boolean success) {
     if (given.compareAndSet(false, true)) {
       giveBack.accept(success);
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
@@ -1,6 +1,5 @@
 package org.wheatwall.entry.request;
 
-import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -12,9 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
-import org.wheatwall.core.common.Names;
 import org.wheatwall.core.common.RendezvousHash;
 import org.wheatwall.core.membership.model.Member;
 import org.wheatwall.core.membership.model.ZoneView;
@@ -25,12 +21,10 @@
 import org.wheatwall.entry.membership.MembershipListener;
 import org.wheatwall.entry.membership.MembershipService;
 import org.wheatwall.entry.platform.HostDirectory;
-import org.wheatwall.wire.http.Addresses;
 import org.wheatwall.wire.json.Json;
 import org.wheatwall.wire.message.Envelope;
 import org.wheatwall.wire.message.HeartbeatReply;
 import org.wheatwall.wire.message.SlotAsk;
-import org.wheatwall.wire.message.SlotReply;
 import org.wheatwall.wire.message.SlotReturn;
 import org.wheatwall.wire.peer.PeerClient;
 import org.wheatwall.wire.platform.ListedHost;
@@ -41,32 +35,20 @@
  * runner that changes owner rests until the earlier owner has nothing in flight there.
  */
 public final class SlotService implements MembershipListener {
-  private static final int MOST_BORROWING = 8;
-  private static final long BORROW_TIMEOUT_MS = 500;
-  private static final long LENT_MARGIN_MS = 1000;
-
   private final Clock clock;
   private final String zone;
   private final long maxDeadlineMs;
   private final MembershipService membership;
   private final HostDirectory directory;
-  private final PeerClient peers;
-  private final RemoteZones remoteZones;
   private final Map<String, ServiceSlots> services = new ConcurrentHashMap<>();
-  private final Map<String, Map<String, Integer>> freeOfMembers = new ConcurrentHashMap<>();
-  private final Map<Long, Lent> lent = new ConcurrentHashMap<>();
-  private final AtomicLong nextPermit = new AtomicLong(1);
-  private final AtomicInteger grantsUnderWay = new AtomicInteger();
-  private volatile CompletableFuture<Void> lendingEnded;
-  private final Meter borrowedMeter;
+  private final SlotLending lending;
+  private final SlotBorrowing borrowing;
   // Confined to the state thread.
   private final Map<String, String> restingFor = new HashMap<>();
   private final Set<String> retired = new HashSet<>();
   private final Map<String, Set<String>> ownedByService = new HashMap<>();
   private long ownedEpoch;
 
-  private record Lent(Slot slot, long untilMs) {}
-
   /** Creates the service. */
   public SlotService(
       Clock clock,
@@ -82,10 +64,15 @@
     this.maxDeadlineMs = maxDeadlineMs;
     this.membership = membership;
     this.directory = directory;
-    this.peers = peers;
-    this.remoteZones = remoteZones;
-    this.borrowedMeter = metrics.meter("requests.slots-borrowed");
-    metrics.gauge("requests.slots-lent", () -> lent::size);
+    this.lending =
+        new SlotLending(
+            clock,
+            maxDeadlineMs,
+            () -> membership.status().mayAct(clock.nowMs()),
+            this::slots,
+            metrics);
+    this.borrowing =
+        new SlotBorrowing((int) maxDeadlineMs, membership, peers, remoteZones, metrics);
     metrics.gauge(
         "requests.queued",
         () -> () -> services.values().stream().mapToInt(ServiceSlots::queued).sum());
@@ -130,7 +117,7 @@
     boolean mayTake = membership.status().mayAct(clock.nowMs());
     CompletableFuture<Slot> slot = slots.acquire(workspace, weight, avoid, deadlineMs, mayTake);
     if (!slot.isDone()) {
-      borrow(service, slots);
+      borrowing.borrow(service, slots);
     }
     return slot;
   }
@@ -146,69 +133,25 @@
             if (mayTake) {
               slots.dispatch();
             }
-            borrow(service, slots);
+            borrowing.borrow(service, slots);
           }
         });
-    lent.forEach(
-        (permit, entry) -> {
-          if (entry.untilMs() <= nowMs && lent.remove(permit) != null) {
-            entry.slot().giveBack(false);
-          }
-        });
-    CompletableFuture<Void> ending = lendingEnded;
-    if (ending != null && grantsUnderWay.get() == 0 && lent.isEmpty()) {
-      ending.complete(null);
-    }
+    lending.tick();
   }
 
   /** Answers another entry host that asks for a slot. */
   public CompletableFuture<Envelope.Builder> onSlotAsk(SlotAsk ask) {
-    SlotReply.Builder reply = SlotReply.newBuilder();
-    grantsUnderWay.incrementAndGet();
-    lend(ask, reply);
-    grantsUnderWay.decrementAndGet();
-    return CompletableFuture.completedFuture(Envelope.newBuilder().setSlotReply(reply));
+    return lending.onAsk(ask);
   }
 
-  private void lend(SlotAsk ask, SlotReply.Builder reply) {
-    boolean allowed =
-        lendingEnded == null
-            && membership.status().mayAct(clock.nowMs())
-            && ask.getService().length() <= Names.MAX_LENGTH;
-    Optional<Slot> slot =
-        allowed
-            ? slots(ask.getService()).takeToLend(new HashSet<>(ask.getAvoidList()))
-            : Optional.empty();
-    slot.ifPresent(
-        taken -> {
-          long permit = nextPermit.getAndIncrement();
-          long holdMs = Math.min(ask.getHoldMs(), maxDeadlineMs);
-          lent.put(permit, new Lent(taken, clock.nowMs() + holdMs + LENT_MARGIN_MS));
-          reply
-              .setGranted(true)
-              .setPermit(permit)
-              .setRunner(taken.runner())
-              .setAddress(Addresses.text(taken.address()));
-        });
+  /** Takes back a slot that another entry host has used. */
+  public CompletableFuture<Envelope.Builder> onSlotReturn(SlotReturn returned) {
+    return lending.onReturn(returned);
   }
 
-  /**
-   * Lends nothing more; completes when every slot that was lent is back. The next owner of a runner
-   * counts from zero once this host has retired, so nothing of it may then be in use.
-   */
+  /** Lends nothing more; completes when every slot that was lent is back. */
   public CompletableFuture<Void> endLending() {
-    CompletableFuture<Void> ended = new CompletableFuture<>();
-    lendingEnded = ended;
-    return ended;
-  }
-
-  /** Takes back a slot that another entry host has used. */
-  public CompletableFuture<Envelope.Builder> onSlotReturn(SlotReturn returned) {
-    Lent entry = lent.remove(returned.getPermit());
-    if (entry != null) {
-      entry.slot().giveBack(returned.getSuccess());
-    }
-    return CompletableFuture.completedFuture(Envelope.newBuilder().setSlotReturn(returned));
+    return lending.end();
   }
 
   /** Fills in what other members need to know; called on the state thread. */
@@ -229,11 +172,17 @@
   public void assignRunners() {
     MandateStatus status = membership.status();
     Map<String, List<Runner>> owned = new HashMap<>();
+    Map<String, List<Member>> otherOwners = new HashMap<>();
     Set<String> listed = new HashSet<>();
     for (ListedHost host : directory.runners()) {
-      boolean mine =
-          host.zone().equals(zone)
-              && status.dutyHolder(duty(host.name())).map(membership.self()::equals).orElse(false);
+      Optional<Member> owner =
+          host.zone().equals(zone) ? status.dutyHolder(duty(host.name())) : Optional.empty();
+      boolean mine = owner.map(membership.self()::equals).orElse(false);
+      if (!mine && host.state() == ListedHost.State.LIVE) {
+        owner.ifPresent(
+            other ->
+                otherOwners.computeIfAbsent(host.service(), s -> new ArrayList<>()).add(other));
+      }
       if (mine) {
         owned.computeIfAbsent(host.service(), service -> new ArrayList<>()).add(host.toRunner());
         listed.add(host.name());
@@ -243,6 +192,7 @@
       ownedEpoch = status.epoch();
       noteTakenOver(status, listed);
     }
+    borrowing.setOwners(otherOwners);
     ownedByService.clear();
     owned.forEach((service, runners) -> ownedByService.put(service, names(runners)));
     owned.keySet().forEach(this::slots);
@@ -261,7 +211,7 @@
 
   @Override
   public void memberReplied(String memberId, HeartbeatReply reply) {
-    freeOfMembers.put(memberId, Map.copyOf(reply.getFreeSlotsMap()));
+    borrowing.setFree(memberId, reply.getFreeSlotsMap());
     if (reply.getEpoch() == ownedEpoch) {
       Set<String> busy = Set.copyOf(reply.getBusyRunnersList());
       endRest(memberId, busy);
@@ -270,7 +220,7 @@
 
   @Override
   public void memberRetired(String memberId) {
-    freeOfMembers.remove(memberId);
+    borrowing.forget(memberId);
     retired.add(memberId);
     endRest(memberId, Set.of());
   }
@@ -305,86 +255,6 @@
     }
   }
 
-  private void borrow(String service, ServiceSlots slots) {
-    int wanted = slots.wantsToBorrow(MOST_BORROWING);
-    if (wanted <= 0) {
-      return;
-    }
-    List<String> lenders = lenders(service);
-    for (int i = 0; i < Math.min(wanted, lenders.size()); i++) {
-      ask(service, slots, lenders.get(i));
-    }
-  }
-
-  // Members of the own zone that said they have free slots; other zones only if there are none.
-  private List<String> lenders(String service) {
-    List<String> addresses = new ArrayList<>();
-    MandateStatus status = membership.status();
-    for (Member member : status.view().map(ZoneView::members).orElse(List.of())) {
-      Map<String, Integer> free = freeOfMembers.getOrDefault(member.id(), Map.of());
-      if (!member.equals(membership.self()) && free.getOrDefault(service, 0) > 0) {
-        addresses.add(member.address());
-      }
-    }
-    boolean selfMayAct = status.mayAct(clock.nowMs());
-    if (addresses.isEmpty() && !selfMayAct) {
-      status.view().ifPresent(view -> view.members().forEach(m -> addresses.add(m.address())));
-      addresses.remove(membership.self().address());
-    }
-    if (addresses.isEmpty()) {
-      addresses.addAll(remoteZones.someMembers());
-    }
-    return addresses;
-  }
-
-  private void ask(String service, ServiceSlots slots, String lender) {
-    slots.borrowing(1);
-    SlotAsk.Builder ask = SlotAsk.newBuilder().setService(service).setHoldMs((int) maxDeadlineMs);
-    peers
-        .send(lender, Envelope.newBuilder().setSlotAsk(ask), BORROW_TIMEOUT_MS)
-        .whenComplete(
-            (reply, failure) -> {
-              slots.borrowing(-1);
-              if (failure == null && reply.getSlotReply().getGranted()) {
-                borrowedMeter.mark();
-                slots.offerBorrowed(borrowedSlot(lender, service, reply.getSlotReply()));
-              } else if (failure == null) {
-                forgetFree(lender, service);
-              }
-            });
-  }
-
-  private void forgetFree(String lender, String service) {
-    MandateStatus status = membership.status();
-    for (Member member : status.view().map(ZoneView::members).orElse(List.of())) {
-      if (member.address().equals(lender)) {
-        freeOfMembers.computeIfPresent(
-            member.id(),
-            (id, free) -> {
-              Map<String, Integer> rest = new HashMap<>(free);
-              rest.remove(service);
-              return rest;
-            });
-      }
-    }
-  }
-
-  private Slot borrowedSlot(String lender, String service, SlotReply reply) {
-    return new Slot(
-        reply.getRunner(),
-        Addresses.parse(reply.getAddress()),
-        success ->
-            peers.send(
-                lender,
-                Envelope.newBuilder()
-                    .setSlotReturn(
-                        SlotReturn.newBuilder()
-                            .setPermit(reply.getPermit())
-                            .setService(service)
-                            .setSuccess(success)),
-                BORROW_TIMEOUT_MS));
-  }
-
   private static String duty(String runner) {
     return "runner/" + runner;
   }
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotWaiter.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotWaiter.java
@@ -6,7 +6,16 @@
 /**
  * A request that waits for a slot.
  *
+ * @param workspace whose request it is
+ * @param weight share of that workspace
  * @param avoid runners that have failed this request before
  * @param latestStartMs monotonic time after which an answer would come too late
+ * @param local whether the request is on this entry host, and not on one that asks for a slot
  */
-record SlotWaiter(Set<String> avoid, long latestStartMs, CompletableFuture<Slot> slot) {}
+record SlotWaiter(
+    String workspace,
+    int weight,
+    Set<String> avoid,
+    long latestStartMs,
+    boolean local,
+    CompletableFuture<Slot> slot) {}
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -9,6 +9,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
@@ -34,7 +36,7 @@
 
   private final EventLoopGroup group;
   private final int maxBody;
-  private final int maxIdle;
+  private volatile int maxIdle;
   private final AnswerMatching matching;
   private final Map<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
 
@@ -81,6 +83,11 @@
     return result;
   }
 
+  /** Sets how many idle connections to each address are kept from now on. */
+  public void setMaxIdle(int next) {
+    maxIdle = next;
+  }
+
   /** Closes idle connections to an address, for example because it is leaving. */
   public void closeIdle(InetSocketAddress address) {
     Deque<Channel> channels = idle.remove(address);
@@ -107,7 +114,7 @@
                 result.completeExceptionally(failure);
                 return;
               }
-              if (connection.reusable()) {
+              if (connection.reusable() && !asksToClose(call)) {
                 putIdle(address, channel);
               } else {
                 channel.close();
@@ -116,6 +123,10 @@
             });
   }
 
+  private static boolean asksToClose(HttpCall call) {
+    return call.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+  }
+
   private CompletableFuture<Channel> connect(InetSocketAddress address) {
     CompletableFuture<Channel> connected = new CompletableFuture<>();
     new Bootstrap()
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotAsk.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotAsk.java
@@ -6,6 +6,10 @@
 package org.wheatwall.wire.message;
 
 /**
+ * <pre>
+ * Asks the owner of some runners of a service for a slot, and waits in its queue for one.
+ * </pre>
+ *
  * Protobuf type {@code wheatwall.SlotAsk}
  */
 @com.google.protobuf.Generated
@@ -17,6 +21,8 @@
   private SlotAsk() {
     service_ = "";
     avoid_ = emptyProtobufList();
+    permit_ = "";
+    workspace_ = "";
   }
   public static final int SERVICE_FIELD_NUMBER = 1;
   private java.lang.String service_;
@@ -184,6 +190,209 @@
     holdMs_ = 0;
   }
 
+  public static final int PERMIT_FIELD_NUMBER = 4;
+  private java.lang.String permit_;
+  /**
+   * <pre>
+   * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+   * reply is lost.
+   * </pre>
+   *
+   * <code>string permit = 4;</code>
+   * @return The permit.
+   */
+  @java.lang.Override
+  public java.lang.String getPermit() {
+    return permit_;
+  }
+  /**
+   * <pre>
+   * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+   * reply is lost.
+   * </pre>
+   *
+   * <code>string permit = 4;</code>
+   * @return The bytes for permit.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPermitBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(permit_);
+  }
+  /**
+   * <pre>
+   * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+   * reply is lost.
+   * </pre>
+   *
+   * <code>string permit = 4;</code>
+   * @param value The permit to set.
+   */
+  private void setPermit(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    permit_ = value;
+  }
+  /**
+   * <pre>
+   * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+   * reply is lost.
+   * </pre>
+   *
+   * <code>string permit = 4;</code>
+   */
+  private void clearPermit() {
+
+    permit_ = getDefaultInstance().getPermit();
+  }
+  /**
+   * <pre>
+   * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+   * reply is lost.
+   * </pre>
+   *
+   * <code>string permit = 4;</code>
+   * @param value The bytes for permit to set.
+   */
+  private void setPermitBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    permit_ = value.toStringUtf8();
+
+  }
+
+  public static final int WORKSPACE_FIELD_NUMBER = 5;
+  private java.lang.String workspace_;
+  /**
+   * <pre>
+   * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 5;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    return workspace_;
+  }
+  /**
+   * <pre>
+   * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 5;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(workspace_);
+  }
+  /**
+   * <pre>
+   * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 5;</code>
+   * @param value The workspace to set.
+   */
+  private void setWorkspace(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    workspace_ = value;
+  }
+  /**
+   * <pre>
+   * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 5;</code>
+   */
+  private void clearWorkspace() {
+
+    workspace_ = getDefaultInstance().getWorkspace();
+  }
+  /**
+   * <pre>
+   * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 5;</code>
+   * @param value The bytes for workspace to set.
+   */
+  private void setWorkspaceBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    workspace_ = value.toStringUtf8();
+
+  }
+
+  public static final int WEIGHT_FIELD_NUMBER = 6;
+  private int weight_;
+  /**
+   * <code>uint32 weight = 6;</code>
+   * @return The weight.
+   */
+  @java.lang.Override
+  public int getWeight() {
+    return weight_;
+  }
+  /**
+   * <code>uint32 weight = 6;</code>
+   * @param value The weight to set.
+   */
+  private void setWeight(int value) {
+    
+    weight_ = value;
+  }
+  /**
+   * <code>uint32 weight = 6;</code>
+   */
+  private void clearWeight() {
+
+    weight_ = 0;
+  }
+
+  public static final int WAIT_MS_FIELD_NUMBER = 7;
+  private int waitMs_;
+  /**
+   * <pre>
+   * How long to wait for a slot, milliseconds.
+   * </pre>
+   *
+   * <code>uint32 wait_ms = 7;</code>
+   * @return The waitMs.
+   */
+  @java.lang.Override
+  public int getWaitMs() {
+    return waitMs_;
+  }
+  /**
+   * <pre>
+   * How long to wait for a slot, milliseconds.
+   * </pre>
+   *
+   * <code>uint32 wait_ms = 7;</code>
+   * @param value The waitMs to set.
+   */
+  private void setWaitMs(int value) {
+    
+    waitMs_ = value;
+  }
+  /**
+   * <pre>
+   * How long to wait for a slot, milliseconds.
+   * </pre>
+   *
+   * <code>uint32 wait_ms = 7;</code>
+   */
+  private void clearWaitMs() {
+
+    waitMs_ = 0;
+  }
+
   public static org.wheatwall.wire.message.SlotAsk parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -268,6 +477,10 @@
   }
 
   /**
+   * <pre>
+   * Asks the owner of some runners of a service for a slot, and waits in its queue for one.
+   * </pre>
+   *
    * Protobuf type {@code wheatwall.SlotAsk}
    */
   public static final class Builder extends
@@ -450,6 +663,217 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+     * reply is lost.
+     * </pre>
+     *
+     * <code>string permit = 4;</code>
+     * @return The permit.
+     */
+    @java.lang.Override
+    public java.lang.String getPermit() {
+      return instance.getPermit();
+    }
+    /**
+     * <pre>
+     * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+     * reply is lost.
+     * </pre>
+     *
+     * <code>string permit = 4;</code>
+     * @return The bytes for permit.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPermitBytes() {
+      return instance.getPermitBytes();
+    }
+    /**
+     * <pre>
+     * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+     * reply is lost.
+     * </pre>
+     *
+     * <code>string permit = 4;</code>
+     * @param value The permit to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPermit(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setPermit(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+     * reply is lost.
+     * </pre>
+     *
+     * <code>string permit = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPermit() {
+      copyOnWrite();
+      instance.clearPermit();
+      return this;
+    }
+    /**
+     * <pre>
+     * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+     * reply is lost.
+     * </pre>
+     *
+     * <code>string permit = 4;</code>
+     * @param value The bytes for permit to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPermitBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setPermitBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 5;</code>
+     * @return The workspace.
+     */
+    @java.lang.Override
+    public java.lang.String getWorkspace() {
+      return instance.getWorkspace();
+    }
+    /**
+     * <pre>
+     * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 5;</code>
+     * @return The bytes for workspace.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      return instance.getWorkspaceBytes();
+    }
+    /**
+     * <pre>
+     * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 5;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setWorkspace(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      copyOnWrite();
+      instance.clearWorkspace();
+      return this;
+    }
+    /**
+     * <pre>
+     * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 5;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setWorkspaceBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>uint32 weight = 6;</code>
+     * @return The weight.
+     */
+    @java.lang.Override
+    public int getWeight() {
+      return instance.getWeight();
+    }
+    /**
+     * <code>uint32 weight = 6;</code>
+     * @param value The weight to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWeight(int value) {
+      copyOnWrite();
+      instance.setWeight(value);
+      return this;
+    }
+    /**
+     * <code>uint32 weight = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWeight() {
+      copyOnWrite();
+      instance.clearWeight();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * How long to wait for a slot, milliseconds.
+     * </pre>
+     *
+     * <code>uint32 wait_ms = 7;</code>
+     * @return The waitMs.
+     */
+    @java.lang.Override
+    public int getWaitMs() {
+      return instance.getWaitMs();
+    }
+    /**
+     * <pre>
+     * How long to wait for a slot, milliseconds.
+     * </pre>
+     *
+     * <code>uint32 wait_ms = 7;</code>
+     * @param value The waitMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaitMs(int value) {
+      copyOnWrite();
+      instance.setWaitMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * How long to wait for a slot, milliseconds.
+     * </pre>
+     *
+     * <code>uint32 wait_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaitMs() {
+      copyOnWrite();
+      instance.clearWaitMs();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.SlotAsk)
   }
   @java.lang.Override
@@ -469,10 +893,14 @@
             "service_",
             "avoid_",
             "holdMs_",
+            "permit_",
+            "workspace_",
+            "weight_",
+            "waitMs_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0001\u0000\u0001\u0208\u0002\u021a" +
-              "\u0003\u000b";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0001\u0000\u0001\u0208\u0002\u021a" +
+              "\u0003\u000b\u0004\u0208\u0005\u0208\u0006\u000b\u0007\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotAskOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotAskOrBuilder.java
@@ -52,4 +52,62 @@
    * @return The holdMs.
    */
   int getHoldMs();
+
+  /**
+   * <pre>
+   * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+   * reply is lost.
+   * </pre>
+   *
+   * <code>string permit = 4;</code>
+   * @return The permit.
+   */
+  java.lang.String getPermit();
+  /**
+   * <pre>
+   * Names the slot if it is granted; chosen by the asker, so that it can be given back even if the
+   * reply is lost.
+   * </pre>
+   *
+   * <code>string permit = 4;</code>
+   * @return The bytes for permit.
+   */
+  com.google.protobuf.ByteString
+      getPermitBytes();
+
+  /**
+   * <pre>
+   * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 5;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <pre>
+   * For whom the asker waits, so that the owner's queue stays fair between workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 5;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
+
+  /**
+   * <code>uint32 weight = 6;</code>
+   * @return The weight.
+   */
+  int getWeight();
+
+  /**
+   * <pre>
+   * How long to wait for a slot, milliseconds.
+   * </pre>
+   *
+   * <code>uint32 wait_ms = 7;</code>
+   * @return The waitMs.
+   */
+  int getWaitMs();
 }
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotReply.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotReply.java
@@ -44,32 +44,6 @@
     granted_ = false;
   }
 
-  public static final int PERMIT_FIELD_NUMBER = 2;
-  private long permit_;
-  /**
-   * <code>uint64 permit = 2;</code>
-   * @return The permit.
-   */
-  @java.lang.Override
-  public long getPermit() {
-    return permit_;
-  }
-  /**
-   * <code>uint64 permit = 2;</code>
-   * @param value The permit to set.
-   */
-  private void setPermit(long value) {
-    
-    permit_ = value;
-  }
-  /**
-   * <code>uint64 permit = 2;</code>
-   */
-  private void clearPermit() {
-
-    permit_ = 0L;
-  }
-
   public static final int RUNNER_FIELD_NUMBER = 3;
   private java.lang.String runner_;
   /**
@@ -289,34 +263,6 @@
       return this;
     }
 
-    /**
-     * <code>uint64 permit = 2;</code>
-     * @return The permit.
-     */
-    @java.lang.Override
-    public long getPermit() {
-      return instance.getPermit();
-    }
-    /**
-     * <code>uint64 permit = 2;</code>
-     * @param value The permit to set.
-     * @return This builder for chaining.
-     */
-    public Builder setPermit(long value) {
-      copyOnWrite();
-      instance.setPermit(value);
-      return this;
-    }
-    /**
-     * <code>uint64 permit = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearPermit() {
-      copyOnWrite();
-      instance.clearPermit();
-      return this;
-    }
-
     /**
      * <code>string runner = 3;</code>
      * @return The runner.
@@ -432,13 +378,12 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "granted_",
-            "permit_",
             "runner_",
             "address_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0007\u0002\u0003" +
-              "\u0003\u0208\u0004\u0208";
+              "\u0000\u0003\u0000\u0000\u0001\u0004\u0003\u0000\u0000\u0000\u0001\u0007\u0003\u0208" +
+              "\u0004\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotReplyOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotReplyOrBuilder.java
@@ -16,12 +16,6 @@
    */
   boolean getGranted();
 
-  /**
-   * <code>uint64 permit = 2;</code>
-   * @return The permit.
-   */
-  long getPermit();
-
   /**
    * <code>string runner = 3;</code>
    * @return The runner.
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotReturn.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotReturn.java
@@ -6,6 +6,10 @@
 package org.wheatwall.wire.message;
 
 /**
+ * <pre>
+ * Gives a slot back, or gives up waiting for it.
+ * </pre>
+ *
  * Protobuf type {@code wheatwall.SlotReturn}
  */
 @com.google.protobuf.Generated
@@ -15,32 +19,54 @@
     // @@protoc_insertion_point(message_implements:wheatwall.SlotReturn)
     SlotReturnOrBuilder {
   private SlotReturn() {
+    permit_ = "";
     service_ = "";
   }
-  public static final int PERMIT_FIELD_NUMBER = 1;
-  private long permit_;
+  public static final int PERMIT_FIELD_NUMBER = 4;
+  private java.lang.String permit_;
   /**
-   * <code>uint64 permit = 1;</code>
+   * <code>string permit = 4;</code>
    * @return The permit.
    */
   @java.lang.Override
-  public long getPermit() {
+  public java.lang.String getPermit() {
     return permit_;
   }
   /**
-   * <code>uint64 permit = 1;</code>
+   * <code>string permit = 4;</code>
+   * @return The bytes for permit.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPermitBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(permit_);
+  }
+  /**
+   * <code>string permit = 4;</code>
    * @param value The permit to set.
    */
-  private void setPermit(long value) {
-    
+  private void setPermit(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
     permit_ = value;
   }
   /**
-   * <code>uint64 permit = 1;</code>
+   * <code>string permit = 4;</code>
    */
   private void clearPermit() {
 
-    permit_ = 0L;
+    permit_ = getDefaultInstance().getPermit();
+  }
+  /**
+   * <code>string permit = 4;</code>
+   * @param value The bytes for permit to set.
+   */
+  private void setPermitBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    permit_ = value.toStringUtf8();
+
   }
 
   public static final int SERVICE_FIELD_NUMBER = 2;
@@ -200,6 +226,10 @@
   }
 
   /**
+   * <pre>
+   * Gives a slot back, or gives up waiting for it.
+   * </pre>
+   *
    * Protobuf type {@code wheatwall.SlotReturn}
    */
   public static final class Builder extends
@@ -214,25 +244,35 @@
 
 
     /**
-     * <code>uint64 permit = 1;</code>
+     * <code>string permit = 4;</code>
      * @return The permit.
      */
     @java.lang.Override
-    public long getPermit() {
+    public java.lang.String getPermit() {
       return instance.getPermit();
     }
     /**
-     * <code>uint64 permit = 1;</code>
+     * <code>string permit = 4;</code>
+     * @return The bytes for permit.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPermitBytes() {
+      return instance.getPermitBytes();
+    }
+    /**
+     * <code>string permit = 4;</code>
      * @param value The permit to set.
      * @return This builder for chaining.
      */
-    public Builder setPermit(long value) {
+    public Builder setPermit(
+        java.lang.String value) {
       copyOnWrite();
       instance.setPermit(value);
       return this;
     }
     /**
-     * <code>uint64 permit = 1;</code>
+     * <code>string permit = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearPermit() {
@@ -240,6 +280,17 @@
       instance.clearPermit();
       return this;
     }
+    /**
+     * <code>string permit = 4;</code>
+     * @param value The bytes for permit to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPermitBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setPermitBytes(value);
+      return this;
+    }
 
     /**
      * <code>string service = 2;</code>
@@ -334,13 +385,13 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
-            "permit_",
             "service_",
             "success_",
+            "permit_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0003\u0002\u0208" +
-              "\u0003\u0007";
+              "\u0000\u0003\u0000\u0000\u0002\u0004\u0003\u0000\u0000\u0000\u0002\u0208\u0003\u0007" +
+              "\u0004\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotReturnOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotReturnOrBuilder.java
@@ -11,10 +11,16 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>uint64 permit = 1;</code>
+   * <code>string permit = 4;</code>
    * @return The permit.
    */
-  long getPermit();
+  java.lang.String getPermit();
+  /**
+   * <code>string permit = 4;</code>
+   * @return The bytes for permit.
+   */
+  com.google.protobuf.ByteString
+      getPermitBytes();
 
   /**
    * <code>string service = 2;</code>
