Decider: workers answer "unchanged", and one renewal keeps all parts

Change: a worker counts versions of its inventory; the decider names the one it has, and the worker leaves the inventory out if it still has it. A renewal of everything is carried out only under that same version, so it never keeps alive a part that the decider does not know; otherwise the whole report comes back and each is renewed at once. Use is reported in steps of 10%, since every change of a figure is a change of the inventory.

--- a/app/src/main/java/org/wheatwall/app/bench/CapacityReport.java
+++ b/app/src/main/java/org/wheatwall/app/bench/CapacityReport.java
@@ -14,6 +14,9 @@
   private static final double JOBS_PER_DAY = 13_000;
   private static final double CHANGES_PER_DAY = 15_000;
   private static final double DAY = 86_400;
+
+  // Reserved, started, first use shown, ended, forgotten, and one more for a repeat.
+  private static final double CHANGES_PER_PART = 6;
   private static final double JOB_RECORDS = 3;
   private static final double KEPT_JOB_HOURS = 5;
   private static final double HEARTBEATS_PER_SECOND = 4;
@@ -95,7 +98,10 @@
     double workers = WORKERS / ZONES;
     double tasks = TASKS / ZONES;
     double perWorker = tasks / workers;
-    Slope bytes = slopes.get("worker exchange, both ways");
+    Slope whole = slopes.get("worker exchange, both ways");
+    Slope unchanged = slopes.get("worker exchange, nothing changed");
+    double gang = TASKS / (JOBS_PER_DAY / 24 * KEPT_JOB_HOURS);
+    double changed = JOBS_PER_DAY / ZONES / DAY * gang * CHANGES_PER_PART;
     double exchanges = Math.min(WORKER_MESSAGES, workers);
     double state =
         workers * slope("decider: a worker")
@@ -105,8 +111,11 @@
         String.format("decider (%.0f workers, %.0f tasks)", workers, tasks),
         state / 1e6,
         exchanges,
-        exchanges * (bytes.fit().at(perWorker) + 2 * TCP_HEADERS),
-        exchanges * slope("worker exchange of 5 tasks, both ends") / 2);
+        exchanges * (unchanged.fit().at(perWorker) + 2 * TCP_HEADERS)
+            + changed * (whole.fit().at(perWorker) + 2 * TCP_HEADERS),
+        (exchanges * slope("worker exchange, nothing changed, both ends")
+                + changed * slope("worker exchange of 5 tasks, both ends"))
+            / 2);
   }
 
   private void writer() {
--- a/app/src/main/java/org/wheatwall/app/bench/MessageBench.java
+++ b/app/src/main/java/org/wheatwall/app/bench/MessageBench.java
@@ -35,6 +35,10 @@
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
   private static final int IN_FLIGHT = 8;
   private static final int HTTP_HEAD_BYTES = 160;
+  private static final long VERSION = 1_790_000_000_000_123L;
+  private static final WorkerReport UNCHANGED =
+      new WorkerReport(
+          "worker-1", 123_456_789, 123_456, Optional.empty(), List.of(), VERSION, true);
 
   private MessageBench() {}
 
@@ -44,11 +48,23 @@
       List<Slope> slopes = new ArrayList<>();
       slopes.add(
           Slope.of("worker exchange, both ways", "task on the worker", "B", exchangeBytes()));
+      slopes.add(
+          Slope.of(
+              "worker exchange, nothing changed", "task on the worker", "B", unchangedBytes()));
       slopes.add(
           Slope.of("heartbeat and reply, both ends", "exchange", "us cpu", heartbeats(group)));
       slopes.add(
           Slope.of(
-              "worker exchange of 5 tasks, both ends", "exchange", "us cpu", exchanges(group)));
+              "worker exchange of 5 tasks, both ends",
+              "exchange",
+              "us cpu",
+              exchanges(group, exchange(5), report(5))));
+      slopes.add(
+          Slope.of(
+              "worker exchange, nothing changed, both ends",
+              "exchange",
+              "us cpu",
+              exchanges(group, renewal(), UNCHANGED)));
       return slopes;
     } finally {
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -92,7 +108,7 @@
           WorkerOperation.simple(
               WorkerOperation.Kind.RENEW, "screening-job-" + i + ".2n9c.1", 4500));
     }
-    return new WorkerExchange(123_456, 123_456_789, renewals);
+    return new WorkerExchange(123_456, 123_456_789, renewals, 0);
   }
 
   private static WorkerReport report(int tasks) {
@@ -107,7 +123,8 @@
               100,
               false));
     }
-    return new WorkerReport("worker-1", 123_456_789, 123_456, Optional.empty(), reports);
+    return new WorkerReport(
+        "worker-1", 123_456_789, 123_456, Optional.empty(), reports, VERSION, false);
   }
 
   private static List<LineFit.Point> exchangeBytes() {
@@ -119,6 +136,20 @@
     return points;
   }
 
+  private static WorkerExchange renewal() {
+    return new WorkerExchange(
+        123_456, 123_456_789, List.of(WorkerOperation.renewAll(4500)), VERSION);
+  }
+
+  private static List<LineFit.Point> unchangedBytes() {
+    List<LineFit.Point> points = new ArrayList<>();
+    for (int tasks : TASKS) {
+      int bytes = Json.bytes(renewal()).length + Json.bytes(UNCHANGED).length;
+      points.add(new LineFit.Point(tasks, bytes + 2 * HTTP_HEAD_BYTES));
+    }
+    return points;
+  }
+
   private static List<LineFit.Point> heartbeats(EventLoopGroup group) {
     PeerServer server =
         PeerServer.start(
@@ -131,7 +162,8 @@
     return points;
   }
 
-  private static List<LineFit.Point> exchanges(EventLoopGroup group) {
+  private static List<LineFit.Point> exchanges(
+      EventLoopGroup group, WorkerExchange exchange, WorkerReport report) {
     HttpServer server =
         HttpServer.start(
             group,
@@ -139,7 +171,7 @@
             1 << 20,
             call -> {
               Json.read(call.body(), WorkerExchange.class);
-              return CompletableFuture.completedFuture(HttpReply.json(200, Json.bytes(report(5))));
+              return CompletableFuture.completedFuture(HttpReply.json(200, Json.bytes(report)));
             });
     HttpClient client = new HttpClient(group, 1 << 20);
     InetSocketAddress address =
@@ -149,7 +181,7 @@
         timed(
             () -> {
               HttpCall call = HttpCall.of("POST", "/exchange");
-              byte[] body = Json.bytes(exchange(5));
+              byte[] body = Json.bytes(exchange);
               return client
                   .send(
                       address,
--- a/core/src/main/java/org/wheatwall/core/gang/model/WorkerOperation.java
+++ b/core/src/main/java/org/wheatwall/core/gang/model/WorkerOperation.java
@@ -11,6 +11,8 @@
  * @param reservation what to reserve, null except for {@link Kind#RESERVE}
  */
 public record WorkerOperation(Kind kind, String attemptId, long leaseMs, Reservation reservation) {
+  private static final String ALL = "*";
+
   /** Kinds of operation. */
   public enum Kind {
     /** Set resources aside. */
@@ -19,6 +21,11 @@
     START,
     /** Keep the part for another lease. */
     RENEW,
+    /**
+     * Keep every part for another lease, if the inventory still has the version that the decider
+     * knows; otherwise nothing.
+     */
+    RENEW_ALL,
     /** Keep the part for another lease, held to what it declared. */
     THROTTLE,
     /** Let the tasks save their state. */
@@ -54,6 +61,11 @@
     }
   }
 
+  /** Returns the renewal of all parts at once. */
+  public static WorkerOperation renewAll(long leaseMs) {
+    return new WorkerOperation(Kind.RENEW_ALL, ALL, leaseMs, null);
+  }
+
   /** Returns an operation without a reservation. */
   public static WorkerOperation simple(Kind kind, String attemptId, long leaseMs) {
     return new WorkerOperation(kind, attemptId, leaseMs, null);
--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -399,10 +399,14 @@
   private void exchange(WorkerLink link, long nowMs) {
     long validUntilMs = Math.min(nowMs + links.times().commandMs(), mandate.untilMs());
     boolean knowsClock = link.report().isPresent();
-    List<WorkerOperation> operations = knowsClock ? operations(link, nowMs) : List.of();
+    List<WorkerOperation> operations =
+        knowsClock ? Renewals.shorten(operations(link, nowMs), link.report()) : List.of();
     WorkerExchange exchange =
         new WorkerExchange(
-            mandate.epoch(), knowsClock ? link.workerTime(validUntilMs) : 0, operations);
+            mandate.epoch(),
+            knowsClock ? link.workerTime(validUntilMs) : 0,
+            operations,
+            link.knownVersion());
     long epoch = mandate.epoch();
     link.sent(nowMs, links.heartbeatMs());
     exchanges.mark();
@@ -417,7 +421,7 @@
                 link.failed();
                 link.want();
               } else {
-                onReport(link, report, nowMs, epoch);
+                onReport(link, report, Renewals.isForAll(operations), nowMs, epoch);
               }
             });
   }
@@ -452,10 +456,20 @@
         : Optional.empty();
   }
 
-  private void onReport(WorkerLink link, WorkerReport report, long sentMs, long epoch) {
+  private void onReport(
+      WorkerLink link, WorkerReport received, boolean renewedAll, long sentMs, long epoch) {
     long nowMs = clock.nowMs();
     boolean firstReport = link.report().isEmpty();
-    link.received(report, nowMs);
+    Optional<WorkerReport> whole = link.received(received, nowMs);
+    if (whole.isEmpty()) {
+      link.want();
+      return;
+    }
+    WorkerReport report = whole.get();
+    if (renewedAll && !received.unchanged()) {
+      // Nothing was renewed, since the renewal named an older version of the inventory.
+      link.want();
+    }
     if (epoch != mandate.epoch() || stage != Stage.DECIDING) {
       if (firstReport) {
         link.want();
--- a/entry/src/main/java/org/wheatwall/entry/job/LeaseKeeper.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/LeaseKeeper.java
@@ -57,9 +57,8 @@
     }
     lastMs = nowMs;
     for (ListedHost host : hosts) {
-      WorkerExchange inventory = new WorkerExchange(0, 0, List.of());
       workers
-          .exchange(host.address(), inventory, TIMEOUT_MS)
+          .exchange(host.address(), WorkerExchange.READ_ALL, TIMEOUT_MS)
           .thenAcceptAsync(report -> renew(host, report, nowMs), loop);
     }
   }
@@ -96,7 +95,7 @@
     long validUntil = report.clockMs() + GangTimes.DEFAULT.commandMs();
     if (!renewals.isEmpty() && clock.nowMs() - askedMs < TIMEOUT_MS) {
       workers.exchange(
-          host.address(), new WorkerExchange(report.epoch(), validUntil, renewals), TIMEOUT_MS);
+          host.address(), new WorkerExchange(report.epoch(), validUntil, renewals, 0), TIMEOUT_MS);
     }
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/job/WorkerLink.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/WorkerLink.java
@@ -60,10 +60,21 @@
     nextHeartbeatMs = nowMs + heartbeatMs;
   }
 
-  void received(WorkerReport next, long nowMs) {
+  /** Returns the version of the inventory that is known here, 0 if none is. */
+  long knownVersion() {
+    return report == null ? 0 : report.version();
+  }
+
+  /** Takes a report in and returns it whole, empty if it refers to an inventory not known here. */
+  Optional<WorkerReport> received(WorkerReport next, long nowMs) {
     exchanging = false;
-    report = next;
-    reportedAtMs = nowMs;
+    Optional<WorkerReport> whole = next.completedFrom(report());
+    whole.ifPresent(
+        complete -> {
+          report = complete;
+          reportedAtMs = nowMs;
+        });
+    return whole;
   }
 
   void failed() {
--- a/entry/src/test/java/org/wheatwall/entry/job/FaultSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/job/FaultSchedule.java
@@ -117,7 +117,7 @@
     int parts = 0;
     for (SimulatedWorker worker : workers.values()) {
       long clockMs = worker.clock(time.nowMs());
-      WorkerExchange inventory = new WorkerExchange(0, 0, List.of());
+      WorkerExchange inventory = WorkerExchange.READ_ALL;
       parts += worker.model.exchange(inventory, clockMs, time.nowMs()).tasks().size();
     }
     return parts;
--- a/entry/src/test/java/org/wheatwall/entry/job/ThrottleTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/job/ThrottleTest.java
@@ -54,7 +54,7 @@
       attempt.advance(nowMs);
       List<WorkerOperation> operations = new ArrayList<>();
       attempt.operationFor("worker-1", nowMs).ifPresent(operations::add);
-      WorkerExchange exchange = new WorkerExchange(1, nowMs + 1000, operations);
+      WorkerExchange exchange = new WorkerExchange(1, nowMs + 1000, operations, 0);
       attempt.onReport(worker.exchange(exchange, nowMs, nowMs), nowMs);
     }
     assertThat(attempt.endReason()).isEqualTo(EndReason.SUCCEEDED);
--- a/standin/src/main/java/org/wheatwall/standin/worker/WorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/worker/WorkerModel.java
@@ -20,6 +20,8 @@
 public final class WorkerModel {
   private static final long FAIL_AFTER_MS = 50;
   private static final long KEEP_RESULT_MS = 600_000;
+  private static final long VERSIONS_PER_MS = 1000;
+  private static final int USAGE_STEP_PERCENT = 10;
 
   private final String host;
   private final ResourceAmount capacity;
@@ -27,6 +29,9 @@
   private final List<TaskEvent> ledger = new ArrayList<>();
   private WorkerBehavior behavior = WorkerBehavior.SOUND;
   private long highestEpoch;
+  private List<TaskReport> inventory = List.of();
+  private long version;
+  private boolean knownIsCurrent;
 
   private static final class Part {
     private final Reservation reservation;
@@ -75,6 +80,8 @@
   /** Carries out an exchange at time {@code nowMs} of this worker's clock. */
   public WorkerReport exchange(WorkerExchange exchange, long nowMs, long wallMs) {
     tick(nowMs, wallMs);
+    refreshInventory(nowMs, wallMs);
+    knownIsCurrent = version == exchange.knownVersion();
     Optional<String> refusal = refusal(exchange, nowMs);
     if (refusal.isEmpty()) {
       if (!exchange.operations().isEmpty()) {
@@ -84,7 +91,10 @@
         refusal = merge(refusal, carryOut(operation, nowMs, wallMs));
       }
     }
-    return report(nowMs, refusal);
+    refreshInventory(nowMs, wallMs);
+    boolean unchanged = version == exchange.knownVersion();
+    return new WorkerReport(
+        host, nowMs, highestEpoch, refusal, unchanged ? List.of() : inventory, version, unchanged);
   }
 
   /** Ends what is due by {@code nowMs}: leases that lapsed and tasks that are done. */
@@ -124,10 +134,12 @@
         && nowMs - part.startedAtMs >= behavior.guardAfterMs();
   }
 
-  // Use shows late, as the platform's own reports do.
+  // Use shows late, as the platform's own reports do, and in steps: every change of a figure is a
+  // change of the inventory.
   private int shownUsage(Part part, long nowMs) {
     boolean shown = runs(part) && nowMs - part.startedAtMs >= behavior.usageLagMs();
-    return shown ? usagePercent(part) : 0;
+    int steps = (usagePercent(part) + USAGE_STEP_PERCENT - 1) / USAGE_STEP_PERCENT;
+    return shown ? steps * USAGE_STEP_PERCENT : 0;
   }
 
   private int usagePercent(Part part) {
@@ -165,6 +177,11 @@
       }
       case START -> start(operation, part, nowMs, wallMs);
       case RENEW -> renew(operation, part, nowMs);
+      case RENEW_ALL -> {
+        if (knownIsCurrent) {
+          parts.values().forEach(each -> renew(operation, each, nowMs));
+        }
+      }
       case THROTTLE -> {
         renew(operation, part, nowMs);
         if (part != null) {
@@ -237,7 +254,18 @@
     return free;
   }
 
-  private WorkerReport report(long nowMs, Optional<String> refusal) {
+  // Versions go on from the time of the first report, so that no two lives of a worker share one.
+  private void refreshInventory(long nowMs, long wallMs) {
+    List<TaskReport> current = tasks(nowMs);
+    if (version == 0) {
+      version = 1 + wallMs * VERSIONS_PER_MS;
+    } else if (!current.equals(inventory)) {
+      version++;
+    }
+    inventory = current;
+  }
+
+  private List<TaskReport> tasks(long nowMs) {
     List<TaskReport> tasks = new ArrayList<>();
     parts.forEach(
         (attemptId, part) ->
@@ -249,7 +277,7 @@
                     part.phase,
                     shownUsage(part, nowMs),
                     part.throttled)));
-    return new WorkerReport(host, nowMs, highestEpoch, refusal, tasks);
+    return tasks;
   }
 
   private void note(String attemptId, Part part, String event, String reason, long wallMs) {
