A policy's proposal is checked before it counts; policies cannot change the cluster

Cause: the scheduler took a policy's placement as it came: one that names too few hosts, a full, cordoned or unknown one, or scatters an adjacent gang would have been started, and one that throws stopped the decision. Policies were handed the mutable cluster. Change: PlacementCheck holds every proposal against gang size, room, use and adjacency; a policy that fails counts as one without a place, so the starvation bound and the guarantees, which need no policy, take over. Policies see ClusterView, held by an ArchUnit rule.

--- a/app/src/test/java/org/wheatwall/app/ArchitectureTest.java
+++ b/app/src/test/java/org/wheatwall/app/ArchitectureTest.java
@@ -60,6 +60,15 @@
           .dependOnClassesThat()
           .resideInAnyPackage("org.wheatwall.standin..", "org.wheatwall.app..");
 
+  @ArchTest
+  static final ArchRule POLICIES_SEE_ONLY_WHAT_THEY_CANNOT_CHANGE =
+      noClasses()
+          .that()
+          .resideInAPackage("org.wheatwall.core.job.policy..")
+          .should()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("org.wheatwall.core.job.decision.Cluster");
+
   @ArchTest
   static final ArchRule WIRE_KNOWS_CORE_ONLY =
       noClasses()
--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -24,7 +24,7 @@
  *
  * <p>Not thread-safe; the decision loop owns it.
  */
-public final class Cluster {
+public final class Cluster implements ClusterView {
   private static final Comparator<HostState> HOST_ORDER = Comparator.comparingInt(HostState::index);
   private static final Comparator<RackState> RACK_ORDER = Comparator.comparingInt(RackState::index);
 
@@ -131,27 +131,27 @@
     return Optional.ofNullable(held.get(attemptId)).map(Held::placement);
   }
 
-  /** Returns a host. */
+  @Override
   public Optional<HostState> host(String name) {
     return Optional.ofNullable(hosts.get(name));
   }
 
-  /** Returns all hosts. */
+  @Override
   public Collection<HostState> hosts() {
     return Collections.unmodifiableCollection(hosts.values());
   }
 
-  /** Returns all racks. */
+  @Override
   public Collection<RackState> racks() {
     return Collections.unmodifiableCollection(racks.values());
   }
 
-  /** Returns hosts with at least {@code accelerators} free, in groups by free accelerators. */
+  @Override
   public Collection<NavigableSet<HostState>> hostsWithFree(int accelerators) {
     return hostsByFree.tailMap(accelerators, true).values();
   }
 
-  /** Returns racks with at least {@code accelerators} free, in groups by free accelerators. */
+  @Override
   public Collection<NavigableSet<RackState>> racksWithFree(int accelerators) {
     return racksByFree.tailMap(accelerators, true).values();
   }
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/PlacementCheck.java
@@ -0,0 +1,41 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.Placement;
+
+/**
+ * Checks what a policy proposes: the whole gang, on usable hosts with room, as adjacent as the job
+ * asks. Nothing of this is left to the policy, which may be a candidate that nobody has tried yet.
+ */
+final class PlacementCheck {
+  private PlacementCheck() {}
+
+  /** Returns whether {@code job} can run at {@code placement} now. */
+  static boolean holds(Placement placement, Job job, Cluster cluster) {
+    if (placement.hosts().size() != job.tasks()) {
+      return false;
+    }
+    Set<String> racks = new HashSet<>();
+    Map<String, Integer> tasksByHost = placement.tasksByHost();
+    for (Map.Entry<String, Integer> entry : tasksByHost.entrySet()) {
+      Optional<HostState> host = cluster.host(entry.getKey());
+      boolean room =
+          host.filter(HostState::usable)
+              .filter(h -> h.free().covers(job.taskAmount().times(entry.getValue())))
+              .isPresent();
+      if (!room) {
+        return false;
+      }
+      racks.add(host.get().host().rack());
+    }
+    return switch (job.adjacency()) {
+      case SAME_HOST -> tasksByHost.size() == 1;
+      case SAME_RACK -> racks.size() == 1;
+      case ANY -> true;
+    };
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/job/decision/PolicyTable.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/PolicyTable.java
@@ -29,13 +29,20 @@
     }
   }
 
-  PolicyTable(Map<String, PolicySpec> specs) {
+  /** Creates a table of the policies that are no shadows. */
+  static PolicyTable ofActive(Map<String, PolicySpec> specs) {
+    List<Entry> active = new ArrayList<>();
     specs.forEach(
         (name, spec) -> {
           if (!spec.shadow()) {
-            entries.add(Entry.of(name, spec));
+            active.add(Entry.of(name, spec));
           }
         });
+    return new PolicyTable(active);
+  }
+
+  PolicyTable(List<Entry> policies) {
+    entries.addAll(policies);
     entries.sort(
         Comparator.comparingInt((Entry entry) -> -entry.spec().precedence())
             .thenComparing(Entry::name));
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -43,9 +43,10 @@
   private final Set<String> cordoned = new HashSet<>();
   private final Reclaimer reclaimer = new Reclaimer(cluster, plan, running);
   private Map<String, Workspace> workspaces = Map.of();
-  private PolicyTable policies = new PolicyTable(Map.of());
+  private PolicyTable policies = PolicyTable.ofActive(Map.of());
   private String attemptPrefix = "0";
   private long attemptCounter;
+  private long invalidProposals;
 
   /** Creates a scheduler without hosts or jobs. */
   public Scheduler(SchedulerSettings settings) {
@@ -80,7 +81,11 @@
 
   /** Sets the policies by name; waiting and running jobs stay as they are. */
   public void setPolicies(Map<String, PolicySpec> next) {
-    policies = new PolicyTable(next);
+    setPolicyTable(PolicyTable.ofActive(next));
+  }
+
+  void setPolicyTable(PolicyTable next) {
+    policies = next;
   }
 
   /** Marks hosts on which operators want no new work. */
@@ -172,6 +177,11 @@
     return Optional.ofNullable(attemptOfJob.get(jobName));
   }
 
+  /** Returns how often a policy failed or proposed a place that the job cannot have. */
+  public long invalidProposals() {
+    return invalidProposals;
+  }
+
   /** Returns the shapes of which some unit could not be had back now. */
   public Set<String> brokenGuarantees() {
     return plan.shapesWithoutPlace();
@@ -198,7 +208,7 @@
 
     List<Ranked> ranked = new ArrayList<>(waiting.size());
     for (QueuedJob job : waiting.values()) {
-      ranked.add(new Ranked(job, policies.of(job.job()).policy().rank().rank(job, nowMs)));
+      ranked.add(new Ranked(job, rank(job, nowMs)));
     }
     ranked.sort(
         java.util.Comparator.comparing((Ranked entry) -> !entry.job().job().urgent())
@@ -211,6 +221,15 @@
     return jobs;
   }
 
+  private double rank(QueuedJob job, long nowMs) {
+    try {
+      return policies.of(job.job()).policy().rank().rank(job, nowMs);
+    } catch (RuntimeException failure) {
+      invalidProposals++;
+      return job.submittedAtMs();
+    }
+  }
+
   private boolean isStarved(QueuedJob job, long nowMs) {
     return nowMs - job.submittedAtMs() >= settings.starvationBoundMs();
   }
@@ -291,7 +310,7 @@
       if (noRoom.contains(need) || (overtakes && policy.policy().backfill() == Backfill.NONE)) {
         return false;
       }
-      Optional<Placement> place = policy.policy().placement().place(job.job(), cluster);
+      Optional<Placement> place = propose(job.job(), policy);
       if (place.isEmpty()) {
         noRoom.add(need);
         return false;
@@ -303,6 +322,22 @@
       return start(job, place.get(), List.of());
     }
 
+    // A policy that fails or proposes what cannot be counts as one that found no place.
+    private Optional<Placement> propose(Job job, PolicyTable.Entry policy) {
+      Optional<Placement> place;
+      try {
+        place = policy.policy().placement().place(job, cluster);
+      } catch (RuntimeException failure) {
+        invalidProposals++;
+        return Optional.empty();
+      }
+      if (place.isPresent() && !PlacementCheck.holds(place.get(), job, cluster)) {
+        invalidProposals++;
+        return Optional.empty();
+      }
+      return place;
+    }
+
     private boolean reclaim(QueuedJob job) {
       boolean starved = isStarved(job, nowMs);
       if (job.job().shape().isEmpty() && !job.job().urgent() && !starved) {
--- a/core/src/main/java/org/wheatwall/core/job/policy/BestFit.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/BestFit.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.NavigableSet;
 import java.util.Optional;
-import org.wheatwall.core.job.decision.Cluster;
+import org.wheatwall.core.job.decision.ClusterView;
 import org.wheatwall.core.job.decision.GangFitter;
 import org.wheatwall.core.job.decision.HostState;
 import org.wheatwall.core.job.decision.RackState;
@@ -15,7 +15,7 @@
 /** The hosts, and the rack, with the least free that hold the gang; keeps whole hosts free. */
 public final class BestFit implements PlacementRule {
   @Override
-  public Optional<Placement> place(Job job, Cluster cluster) {
+  public Optional<Placement> place(Job job, ClusterView cluster) {
     return switch (job.adjacency()) {
       case SAME_HOST -> onOneHost(job, cluster);
       case SAME_RACK -> inOneRack(job, cluster);
@@ -23,7 +23,7 @@
     };
   }
 
-  private static Optional<Placement> onOneHost(Job job, Cluster cluster) {
+  private static Optional<Placement> onOneHost(Job job, ClusterView cluster) {
     for (NavigableSet<HostState> group : cluster.hostsWithFree(job.totalAccelerators())) {
       for (HostState host : group) {
         Optional<Placement> placement = fit(job, List.of(host));
@@ -36,7 +36,7 @@
   }
 
   /** Returns a place in the rack with the least free that holds the gang. */
-  static Optional<Placement> inOneRack(Job job, Cluster cluster) {
+  static Optional<Placement> inOneRack(Job job, ClusterView cluster) {
     for (NavigableSet<RackState> group : cluster.racksWithFree(job.totalAccelerators())) {
       for (RackState rack : group) {
         Optional<Placement> placement = inRack(job, rack);
@@ -56,7 +56,7 @@
     return fit(job, hosts);
   }
 
-  private static Optional<Placement> anywhere(Job job, Cluster cluster) {
+  private static Optional<Placement> anywhere(Job job, ClusterView cluster) {
     Iterable<HostState> smallestFirst =
         () ->
             cluster.hostsWithFree(job.taskAmount().accelerators()).stream()
--- a/core/src/main/java/org/wheatwall/core/job/policy/FirstFit.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/FirstFit.java
@@ -2,7 +2,7 @@
 
 import java.util.Comparator;
 import java.util.Optional;
-import org.wheatwall.core.job.decision.Cluster;
+import org.wheatwall.core.job.decision.ClusterView;
 import org.wheatwall.core.job.decision.GangFitter;
 import org.wheatwall.core.job.decision.HostState;
 import org.wheatwall.core.job.decision.RackState;
@@ -13,7 +13,7 @@
 /** The first hosts, in the order of the cluster, that hold the gang. */
 public final class FirstFit implements PlacementRule {
   @Override
-  public Optional<Placement> place(Job job, Cluster cluster) {
+  public Optional<Placement> place(Job job, ClusterView cluster) {
     if (job.adjacency() == Adjacency.SAME_RACK) {
       return cluster.racksWithFree(job.totalAccelerators()).stream()
           .flatMap(group -> group.stream())
--- a/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
@@ -1,7 +1,7 @@
 package org.wheatwall.core.job.policy;
 
 import java.util.Optional;
-import org.wheatwall.core.job.decision.Cluster;
+import org.wheatwall.core.job.decision.ClusterView;
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Placement;
@@ -14,7 +14,7 @@
   private final BestFit bestFit = new BestFit();
 
   @Override
-  public Optional<Placement> place(Job job, Cluster cluster) {
+  public Optional<Placement> place(Job job, ClusterView cluster) {
     if (job.adjacency() == Adjacency.ANY) {
       Optional<Placement> inRack = BestFit.inOneRack(job, cluster);
       if (inRack.isPresent()) {
--- a/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
@@ -128,7 +128,7 @@
   @Test
   void ofOverlappingPoliciesTheHighestPrecedenceWins() {
     PolicyTable table =
-        new PolicyTable(
+        PolicyTable.ofActive(
             Map.of(
                 "z-first", policy(PolicyAlgorithm.FIRST_FIT, 5, "tier=clinic"),
                 "a-best", policy(PolicyAlgorithm.BEST_FIT, 5, ""),
