Shadow policies; a gang that breaks during a take-over is not kept alive; time in force per host

Cause 1: a candidate policy could be marked as shadow, but nothing ran it. ShadowRun feeds it the live submissions, ends, cancellations and hosts in a scheduler of its own and reports its completion time and fragmentation beside the active policies' in the state dump. A new decider renewed everything it found until its inventory was complete, and counted every part as seen at that end. Change: a part is renewed during the inventory only while every other part of its gang has been seen within the usual time, and adopted with the time at which it was really seen. Ruled out: the renewal of everything (the same operations were sent before it). Cause 3: the histogram of the time until a change is in force counted records older than the host. It counts what was appended since the host followed the log; InForceIT reads it on every host.

--- /dev/null
+++ b/app/src/test/java/org/wheatwall/app/InForceIT.java
@@ -0,0 +1,98 @@
+package org.wheatwall.app;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.wheatwall.app.TestCluster.until;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Time from the append of an accepted change until it is in force, on every host of two zones, with
+ * the log healthy and then with lost answers. Catches a host that reads the log by polling at long
+ * intervals, and one that stops following after a lost answer. Longer: {@code
+ * -Dwheatwall.hosts=24}.
+ */
+final class InForceIT {
+  private static final int HOSTS = Integer.getInteger("wheatwall.hosts", 6);
+  private static final int CHANGES = 60;
+  private static final int PAUSE_MS = 50;
+  private static final int LOST_PERCENT = 5;
+
+  /** The users' bound, milliseconds. */
+  private static final long BOUND_MS = 3000;
+
+  @TempDir Path directory;
+
+  @Test
+  void everyChangeIsInForceOnEveryHostWithinTheBound() throws Exception {
+    try (TestCluster cluster = new TestCluster(directory, List.of("z1", "z2"))) {
+      List<TestProcess> entries = new ArrayList<>();
+      for (int i = 0; i < HOSTS; i++) {
+        entries.add(cluster.startEntryWithoutWaiting("entry-" + i, i % 2 == 0 ? "z1" : "z2"));
+      }
+      for (TestProcess entry : entries) {
+        until("ready", () -> cluster.get(entry, "/v1/health/ready").statusCode() == 200);
+      }
+      List<String> published = new ArrayList<>();
+      publish(cluster, entries, "healthy", published);
+      report(cluster, entries, published, "healthy", BOUND_MS);
+      cluster.logFault(false, LOST_PERCENT);
+      publish(cluster, entries, "lossy", published);
+      report(cluster, entries, published, "lossy", 2 * BOUND_MS);
+    }
+  }
+
+  private static void publish(
+      TestCluster cluster, List<TestProcess> entries, String prefix, List<String> published)
+      throws Exception {
+    for (int i = 0; i < CHANGES; i++) {
+      String name = prefix + "-" + i;
+      int status =
+          cluster.put(entries.get(i % entries.size()), "/v1/workspaces/" + name, "{}").statusCode();
+      // 202 says that the change is not read back yet; it must come into force all the same.
+      assertWithMessage(name).that(status).isIn(List.of(200, 201, 202));
+      published.add(name);
+      Thread.sleep(PAUSE_MS);
+    }
+  }
+
+  private static void report(
+      TestCluster cluster,
+      List<TestProcess> entries,
+      List<String> published,
+      String log,
+      long boundMs)
+      throws Exception {
+    List<Long> worst = new ArrayList<>();
+    TreeMap<String, Double> highest = new TreeMap<>();
+    for (TestProcess entry : entries) {
+      until("all changes", () -> names(cluster, entry).containsAll(published));
+      JsonNode figures = cluster.json(entry, "/v1/metrics").path("configuration.in-force-ms");
+      assertWithMessage("changes measured").that(figures.path("count").asInt()).isAtLeast(CHANGES);
+      worst.add(figures.path("max").asLong());
+      for (String percentile : List.of("p50", "p99", "p999")) {
+        highest.merge(percentile, figures.path(percentile).asDouble(), Math::max);
+      }
+    }
+    System.out.printf("inForce log=%s hosts=%d ms=%s worst=%s%n", log, HOSTS, highest, worst);
+    for (long ms : worst) {
+      assertWithMessage("worst time in force, ms").that(ms).isAtMost(boundMs);
+    }
+  }
+
+  private static List<String> names(TestCluster cluster, TestProcess entry) throws Exception {
+    List<String> names = new ArrayList<>();
+    String next = "";
+    do {
+      JsonNode page = cluster.json(entry, "/v1/workspaces?limit=500" + next);
+      page.path("items").forEach(item -> names.add(item.path("name").asText()));
+      next = page.hasNonNull("continue") ? "&continue=" + page.path("continue").asText() : "";
+    } while (!next.isEmpty());
+    return names;
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/gang/decision/GangAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/gang/decision/GangAttempt.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.ToLongFunction;
 import org.wheatwall.core.gang.model.TaskPhase;
 import org.wheatwall.core.gang.model.WorkerOperation;
 import org.wheatwall.core.gang.model.WorkerOperation.Kind;
@@ -89,6 +90,9 @@
   /**
    * Returns an attempt of an earlier decider, found on workers. Parts on workers that have not
    * reported may run until {@code lapsesAtMs}.
+   *
+   * @param seenAtMs when each worker was last asked for a report that came; a part that was lost
+   *     during the inventory must not count as seen at its end
    */
   public static GangAttempt adopt(
       String attemptId,
@@ -96,13 +100,15 @@
       Job job,
       Placement placement,
       GangTimes times,
+      ToLongFunction<String> seenAtMs,
       long nowMs,
       long lapsesAtMs) {
     GangAttempt attempt = new GangAttempt(attemptId, jobName, job, placement, times, Set.of());
-    for (Member member : attempt.members.values()) {
-      member.seenMs = nowMs;
-      member.lapsesAtMs = lapsesAtMs;
-    }
+    attempt.members.forEach(
+        (host, member) -> {
+          member.seenMs = seenAtMs.applyAsLong(host);
+          member.lapsesAtMs = lapsesAtMs;
+        });
     attempt.enter(GangPhase.RUNNING, nowMs);
     return attempt;
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/GuaranteePlan.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/GuaranteePlan.java
@@ -120,6 +120,11 @@
     return names;
   }
 
+  /** Returns all shapes by name. */
+  public Map<String, GuaranteedShape> shapes() {
+    return Map.copyOf(shapes);
+  }
+
   /** Returns the shape of this name. */
   public Optional<GuaranteedShape> shape(String name) {
     return Optional.ofNullable(shapes.get(name));
--- a/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
@@ -50,6 +50,11 @@
     return startedAtMs;
   }
 
+  /** Returns when its job was submitted, milliseconds of the decision loop's clock. */
+  public long submittedAtMs() {
+    return submittedAtMs;
+  }
+
   /** Returns whether its job was submitted after {@code other}; a strict order over all jobs. */
   public boolean isYoungerThan(QueuedJob other) {
     return submittedAtMs != other.submittedAtMs()
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -74,6 +74,16 @@
     workspaces = Map.copyOf(next);
   }
 
+  /** Returns the workspaces by name. */
+  public Map<String, Workspace> workspaces() {
+    return workspaces;
+  }
+
+  /** Returns the guaranteed shapes by name. */
+  public Map<String, GuaranteedShape> shapes() {
+    return plan.shapes();
+  }
+
   /** Sets the guaranteed shapes by name. */
   public void setShapes(Map<String, GuaranteedShape> next) {
     plan.setShapes(new TreeMap<>(next));
@@ -149,6 +159,11 @@
     }
   }
 
+  /** Learns from a run of {@code tookMs} that was observed elsewhere. */
+  public void observeRun(Job job, long tookMs) {
+    estimator.observe(job, tookMs / 1000.0);
+  }
+
   /** Notes that a task failed on a host; a host that keeps failing is taken out of use. */
   public void hostFailedTask(String host, long nowMs) {
     if (health.failed(host, nowMs)) {
--- a/core/src/main/java/org/wheatwall/core/job/model/PolicySpec.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/PolicySpec.java
@@ -40,4 +40,10 @@
     Names.requireRange("completionWeight", completionWeight, 0, MAX_WEIGHT);
     Names.requireRange("fragmentationWeight", fragmentationWeight, 0, MAX_WEIGHT);
   }
+
+  /** Returns this policy as one that decides. */
+  public PolicySpec asActive() {
+    return new PolicySpec(
+        labels, algorithm, jobSelector, precedence, completionWeight, fragmentationWeight, false);
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/shadow/Shadows.java
@@ -0,0 +1,55 @@
+package org.wheatwall.core.job.shadow;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.wheatwall.core.job.decision.Scheduler;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.PolicySpec;
+
+/** The candidate policies that run in shadow, by name. Not thread-safe. */
+public final class Shadows {
+  /** Candidates at once; each costs as much processor time and memory as the active policies. */
+  public static final int MOST = 2;
+
+  private final SchedulerSettings settings;
+  private final Map<String, ShadowRun> runs = new TreeMap<>();
+
+  /** Creates an empty set of candidates. */
+  public Shadows(SchedulerSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Starts candidates that are new or have changed, and ends those that are gone. */
+  public void configure(Map<String, PolicySpec> policies, Scheduler real) {
+    Map<String, PolicySpec> wanted = new HashMap<>();
+    policies.forEach(
+        (name, spec) -> {
+          if (spec.shadow()) {
+            wanted.put(name, spec);
+          }
+        });
+    runs.entrySet().removeIf(entry -> !entry.getValue().spec().equals(wanted.get(entry.getKey())));
+    for (Map.Entry<String, PolicySpec> entry : new TreeMap<>(wanted).entrySet()) {
+      if (!runs.containsKey(entry.getKey()) && runs.size() < MOST) {
+        runs.put(entry.getKey(), new ShadowRun(entry.getValue(), real, settings));
+      }
+    }
+  }
+
+  /** Passes something on to every candidate. */
+  public void forEach(Consumer<ShadowRun> action) {
+    runs.values().forEach(action);
+  }
+
+  /** Returns the candidates by name. */
+  public Map<String, ShadowRun> runs() {
+    return Map.copyOf(runs);
+  }
+
+  /** Ends all candidates. */
+  public void clear() {
+    runs.clear();
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
+++ b/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
@@ -56,6 +56,7 @@
   private long backoffMs = MIN_BACKOFF_MS;
   private long malformedRecords;
   private volatile long lastHeadMs = Long.MIN_VALUE / 2;
+  private long firstHeadMs = Long.MAX_VALUE;
   private volatile long nextOffset;
   private volatile boolean stopped;
 
@@ -193,6 +194,7 @@
     long position = catchUp == null ? replica.nextOffset() : catchUp.position();
     if (position >= page.next() && catchUp == null) {
       lastHeadMs = clock.nowMs();
+      firstHeadMs = Math.min(firstHeadMs, lastHeadMs);
       ready.complete(null);
     }
     boolean idleCatchUp = catchUp != null && page.records().isEmpty();
@@ -214,7 +216,10 @@
       snapshotTimer.onChunk(record.chunk().get(), clock.nowMs() - entry.ageMs());
     } else {
       applyChanges(entry.offset(), record.changes());
-      inForceMs.update(entry.ageMs());
+      // What was appended before this host followed the log says nothing about its delay.
+      if (clock.nowMs() - entry.ageMs() >= firstHeadMs) {
+        inForceMs.update(entry.ageMs());
+      }
     }
     nextOffset = replica.nextOffset();
   }
--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -24,10 +24,14 @@
 import org.wheatwall.core.gang.model.WorkerOperation;
 import org.wheatwall.core.gang.model.WorkerReport;
 import org.wheatwall.core.job.decision.Decision;
+import org.wheatwall.core.job.decision.EndReason;
+import org.wheatwall.core.job.decision.RunningAttempt;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.shadow.ShadowRun;
+import org.wheatwall.core.job.shadow.Shadows;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.configuration.Draft;
 import org.wheatwall.wire.platform.ListedHost;
@@ -88,9 +92,11 @@
   private final Meter exchanges;
   private final Meter starts;
   private final Meter stops;
+  private final Shadows shadows;
   private Scheduler scheduler;
   private Stage stage = Stage.PASSIVE;
   private Mandate mandate = new Mandate(0, Long.MIN_VALUE, false, false);
+  private long inventorySinceMs;
   private long inventoryUntilMs;
   private long nextSweepMs;
   private long nextDecideMs;
@@ -110,6 +116,7 @@
     this.links = new WorkerLinks(workerMessagesPerSecond);
     this.ends = new AttemptEnds(gangs, configuration, outside);
     this.scheduler = new Scheduler(schedulerSettings);
+    this.shadows = new Shadows(schedulerSettings);
     this.decideTimer = metrics.timer("jobs.decide-time");
     this.exchanges = metrics.meter("jobs.worker-exchanges");
     this.starts = metrics.meter("jobs.attempts-started");
@@ -130,6 +137,11 @@
     return scheduler;
   }
 
+  /** Returns the candidate policies that run in shadow, by name. */
+  Map<String, ShadowRun> shadows() {
+    return shadows.runs();
+  }
+
   GangTable gangs() {
     return gangs;
   }
@@ -186,6 +198,7 @@
       gangs.clear();
       links.clear();
       ends.clear();
+      shadows.clear();
       scheduler = new Scheduler(schedulerSettings);
     }
   }
@@ -201,6 +214,7 @@
     scheduler.setAttemptPrefix(Long.toString(next.epoch(), 36));
     stage = Stage.INVENTORY;
     long lapseMs = links.times().lapseMs(links.times().leaseMs());
+    inventorySinceMs = nowMs;
     inventoryUntilMs = nowMs + (next.first() ? FIRST_INVENTORY_MS : lapseMs);
     links.all().forEach(WorkerLink::want);
     LOG.info("event=decider-inventory epoch={} workers={}", next.epoch(), links.all().size());
@@ -245,7 +259,7 @@
               report ->
                   gangs
                       .onHost(link.host())
-                      .forEach(attempt -> attempt.onReport(report, link.reportedAtMs())));
+                      .forEach(attempt -> attempt.onReport(report, link.askedAtMs())));
     }
   }
 
@@ -255,7 +269,23 @@
     scheduler.adopt(task.attemptId(), task.jobName(), job, entry.seenMs(), placement, nowMs);
     gangs.add(
         GangAttempt.adopt(
-            task.attemptId(), task.jobName(), job, placement, links.times(), nowMs, lapsesAtMs));
+            task.attemptId(),
+            task.jobName(),
+            job,
+            placement,
+            links.times(),
+            this::seenAtMs,
+            nowMs,
+            lapsesAtMs));
+  }
+
+  // A worker that has not reported to this decider counts as seen when the inventory began.
+  private long seenAtMs(String host) {
+    return links
+        .get(host)
+        .filter(link -> link.report().isPresent())
+        .map(WorkerLink::askedAtMs)
+        .orElse(inventorySinceMs);
   }
 
   private void configure(Set<JobConfiguration.Affected> affected) {
@@ -267,6 +297,7 @@
     }
     if (affected.contains(JobConfiguration.Affected.POLICIES)) {
       scheduler.setPolicies(configuration.policies());
+      shadows.configure(configuration.policies(), scheduler);
     }
     if (affected.contains(JobConfiguration.Affected.HOSTS)) {
       markHosts();
@@ -277,10 +308,12 @@
     JobEntry entry = configuration.jobs().get(name);
     if (entry != null && !entry.job().phase().isFinal()) {
       scheduler.submit(name, entry.job(), entry.seenMs());
+      shadows.forEach(run -> run.submitted(name, entry.job(), entry.seenMs()));
       return;
     }
     ends.forget(name);
     long nowMs = clock.nowMs();
+    shadows.forEach(run -> run.withdrawn(name, nowMs));
     scheduler
         .withdraw(name)
         .flatMap(gangs::get)
@@ -295,6 +328,7 @@
     links.refresh(outside.workers(), scheduler.cluster(), gangs.hosts(), nowMs);
     markHosts();
     scheduler.hostsChanged();
+    shadows.forEach(run -> run.hostsChanged(scheduler));
   }
 
   private void markHosts() {
@@ -320,6 +354,7 @@
     try (Timer.Context ignored = decideTimer.time()) {
       decisions = scheduler.decide(nowMs);
     }
+    shadows.forEach(run -> run.decide(scheduler.cluster().fragmentation(), nowMs));
     for (Decision decision : decisions) {
       if (decision instanceof Decision.Start start) {
         begin(start, nowMs);
@@ -376,11 +411,25 @@
       }
     }
     if (attempt.phase() == GangPhase.ENDED && before != GangPhase.ENDED) {
+      noteInShadows(attempt, nowMs);
       ends.ended(attempt, scheduler, nowMs);
       dirty = true;
     }
   }
 
+  private void noteInShadows(GangAttempt attempt, long nowMs) {
+    if (attempt.endReason() != EndReason.SUCCEEDED) {
+      return;
+    }
+    for (RunningAttempt running : scheduler.running()) {
+      if (running.attemptId().equals(attempt.attemptId())) {
+        long tookMs = nowMs - running.startedAtMs();
+        shadows.forEach(run -> run.succeeded(attempt.jobName(), tookMs, nowMs));
+        return;
+      }
+    }
+  }
+
   private static boolean isUnsettled(GangAttempt attempt) {
     return switch (attempt.phase()) {
       case RESERVING, STARTING, CHECKPOINTING, STOPPING -> true;
@@ -435,21 +484,40 @@
     }
     for (TaskReport task : link.report().map(WorkerReport::tasks).orElse(List.of())) {
       if (gangs.get(task.attemptId()).isEmpty()) {
-        unknownPart(task).ifPresent(operations::add);
+        unknownPart(task, nowMs).ifPresent(operations::add);
       }
     }
     return operations;
   }
 
-  // During the inventory everything found is kept alive; after it, what is not ours is stopped.
-  private Optional<WorkerOperation> unknownPart(TaskReport task) {
+  // What is lost during a long inventory must not keep the rest of its gang alive until the end.
+  private boolean isWholeAsFarAsKnown(TaskReport task, long nowMs) {
+    for (String host : task.hosts()) {
+      Optional<WorkerReport> report = links.get(host).flatMap(WorkerLink::report);
+      boolean lost =
+          report.isPresent()
+              && report
+                  .get()
+                  .task(task.attemptId())
+                  .filter(part -> part.phase() != TaskPhase.FAILED)
+                  .isEmpty();
+      if (lost || nowMs - seenAtMs(host) > links.times().memberMs()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // During the inventory every gang found whole is kept alive; after it, what is not ours is
+  // stopped.
+  private Optional<WorkerOperation> unknownPart(TaskReport task, long nowMs) {
     if (stage == Stage.DECIDING) {
       WorkerOperation.Kind kind =
           task.phase().ended() ? WorkerOperation.Kind.FORGET : WorkerOperation.Kind.STOP;
       return Optional.of(WorkerOperation.simple(kind, task.attemptId(), 0));
     }
     boolean runs = task.phase() == TaskPhase.RUNNING;
-    return runs
+    return runs && isWholeAsFarAsKnown(task, nowMs)
         ? Optional.of(
             WorkerOperation.simple(
                 WorkerOperation.Kind.RENEW, task.attemptId(), links.times().leaseMs()))
@@ -460,7 +528,7 @@
       WorkerLink link, WorkerReport received, boolean renewedAll, long sentMs, long epoch) {
     long nowMs = clock.nowMs();
     boolean firstReport = link.report().isEmpty();
-    Optional<WorkerReport> whole = link.received(received, nowMs);
+    Optional<WorkerReport> whole = link.received(received, sentMs, nowMs);
     if (whole.isEmpty()) {
       link.want();
       return;
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -17,6 +17,8 @@
 import org.wheatwall.core.gang.decision.GangAttempt;
 import org.wheatwall.core.gang.model.WorkerReport;
 import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.shadow.PolicyFigures;
+import org.wheatwall.core.job.shadow.ShadowRun;
 import org.wheatwall.core.membership.model.Member;
 import org.wheatwall.core.membership.model.ZoneView;
 import org.wheatwall.entry.common.Clock;
@@ -161,6 +163,7 @@
           node.put("attemptCount", decider.gangs().all().size());
           ArrayNode broken = node.putArray("guaranteesNotReclaimable");
           decider.scheduler().brokenGuarantees().forEach(broken::add);
+          decider.shadows().forEach((name, run) -> describe(run, shadowNode(node, name)));
           ArrayNode attempts = node.putArray("attempts");
           for (GangAttempt attempt : decider.gangs().all()) {
             if (attempts.size() == MAX_LISTED) {
@@ -176,6 +179,23 @@
         });
   }
 
+  private static ObjectNode shadowNode(ObjectNode node, String name) {
+    return node.withObject("/shadowPolicies").putObject(name);
+  }
+
+  private static void describe(ShadowRun run, ObjectNode node) {
+    node.put("algorithm", run.spec().algorithm().toString());
+    node.put("waiting", run.waiting());
+    describe(run.candidate(), node.putObject("candidate"));
+    describe(run.active(), node.putObject("active"));
+  }
+
+  private static void describe(PolicyFigures figures, ObjectNode node) {
+    node.put("finished", figures.finishedJobs());
+    node.put("meanCompletionSeconds", figures.meanCompletionSeconds());
+    node.put("fragmentation", figures.meanFragmentation());
+  }
+
   private void tick() {
     decider.tick();
     // While no decider acts, the leases of running gangs must not lapse: a view takes about 3 s to
--- a/entry/src/main/java/org/wheatwall/entry/job/WorkerLink.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/WorkerLink.java
@@ -12,6 +12,7 @@
   private long nextHeartbeatMs;
   private long lastSentMs = Long.MIN_VALUE / 2;
   private long reportedAtMs = Long.MIN_VALUE / 2;
+  private long askedAtMs = Long.MIN_VALUE / 2;
   private WorkerReport report;
 
   WorkerLink(String host, String address) {
@@ -35,8 +36,9 @@
     return exchanging;
   }
 
-  long reportedAtMs() {
-    return reportedAtMs;
+  /** Returns when the last report that came was asked for; the worker lived at least then. */
+  long askedAtMs() {
+    return askedAtMs;
   }
 
   /** Asks for an exchange as soon as possible. */
@@ -66,13 +68,14 @@
   }
 
   /** Takes a report in and returns it whole, empty if it refers to an inventory not known here. */
-  Optional<WorkerReport> received(WorkerReport next, long nowMs) {
+  Optional<WorkerReport> received(WorkerReport next, long sentMs, long nowMs) {
     exchanging = false;
     Optional<WorkerReport> whole = next.completedFrom(report());
     whole.ifPresent(
         complete -> {
           report = complete;
           reportedAtMs = nowMs;
+          askedAtMs = sentMs;
         });
     return whole;
   }
