Take-over: short leases for parts of a gang that is not seen whole yet

Ruled out: losses known from a report (those parts got no renewal any more). Change: during the inventory a part gets a lease of 1.5 s as long as some other part has not been seen, the full one once all have.

--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -19,7 +19,6 @@
 import org.wheatwall.core.configuration.model.Verdict;
 import org.wheatwall.core.gang.decision.GangAttempt;
 import org.wheatwall.core.gang.decision.GangPhase;
-import org.wheatwall.core.gang.model.TaskPhase;
 import org.wheatwall.core.gang.model.TaskReport;
 import org.wheatwall.core.gang.model.WorkerOperation;
 import org.wheatwall.core.gang.model.WorkerReport;
@@ -96,8 +95,7 @@
   private Scheduler scheduler;
   private Stage stage = Stage.PASSIVE;
   private Mandate mandate = new Mandate(0, Long.MIN_VALUE, false, false);
-  private long inventorySinceMs;
-  private long inventoryUntilMs;
+  private Inventory inventory;
   private long nextSweepMs;
   private long nextDecideMs;
   private boolean dirty;
@@ -214,17 +212,17 @@
     scheduler.setAttemptPrefix(Long.toString(next.epoch(), 36));
     stage = Stage.INVENTORY;
     long lapseMs = links.times().lapseMs(links.times().leaseMs());
-    inventorySinceMs = nowMs;
-    inventoryUntilMs = nowMs + (next.first() ? FIRST_INVENTORY_MS : lapseMs);
+    long untilMs = nowMs + (next.first() ? FIRST_INVENTORY_MS : lapseMs);
+    inventory = new Inventory(links, nowMs, untilMs);
     links.all().forEach(WorkerLink::want);
     LOG.info("event=decider-inventory epoch={} workers={}", next.epoch(), links.all().size());
   }
 
   private void endInventory(long nowMs) {
-    boolean complete = links.allReported();
-    if (!complete && nowMs < inventoryUntilMs) {
+    if (!inventory.isOver(nowMs)) {
       return;
     }
+    boolean complete = links.allReported();
     configure(Set.of(JobConfiguration.Affected.values()));
     adoptAttempts(nowMs);
     stage = Stage.DECIDING;
@@ -274,20 +272,11 @@
             job,
             placement,
             links.times(),
-            this::seenAtMs,
+            inventory::seenAtMs,
             nowMs,
             lapsesAtMs));
   }
 
-  // A worker that has not reported to this decider counts as seen when the inventory began.
-  private long seenAtMs(String host) {
-    return links
-        .get(host)
-        .filter(link -> link.report().isPresent())
-        .map(WorkerLink::askedAtMs)
-        .orElse(inventorySinceMs);
-  }
-
   private void configure(Set<JobConfiguration.Affected> affected) {
     if (affected.contains(JobConfiguration.Affected.WORKSPACES)) {
       scheduler.setWorkspaces(configuration.workspaces());
@@ -490,24 +479,6 @@
     return operations;
   }
 
-  // What is lost during a long inventory must not keep the rest of its gang alive until the end.
-  private boolean isWholeAsFarAsKnown(TaskReport task, long nowMs) {
-    for (String host : task.hosts()) {
-      Optional<WorkerReport> report = links.get(host).flatMap(WorkerLink::report);
-      boolean lost =
-          report.isPresent()
-              && report
-                  .get()
-                  .task(task.attemptId())
-                  .filter(part -> part.phase() != TaskPhase.FAILED)
-                  .isEmpty();
-      if (lost || nowMs - seenAtMs(host) > links.times().memberMs()) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   // During the inventory every gang found whole is kept alive; after it, what is not ours is
   // stopped.
   private Optional<WorkerOperation> unknownPart(TaskReport task, long nowMs) {
@@ -516,12 +487,11 @@
           task.phase().ended() ? WorkerOperation.Kind.FORGET : WorkerOperation.Kind.STOP;
       return Optional.of(WorkerOperation.simple(kind, task.attemptId(), 0));
     }
-    boolean runs = task.phase() == TaskPhase.RUNNING;
-    return runs && isWholeAsFarAsKnown(task, nowMs)
-        ? Optional.of(
-            WorkerOperation.simple(
-                WorkerOperation.Kind.RENEW, task.attemptId(), links.times().leaseMs()))
-        : Optional.empty();
+    return inventory
+        .leaseMs(task, nowMs)
+        .map(
+            leaseMs ->
+                WorkerOperation.simple(WorkerOperation.Kind.RENEW, task.attemptId(), leaseMs));
   }
 
   private void onReport(
