--- a/core/src/main/java/org/wheatwall/core/request/decision/RetryBudget.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/RetryBudget.java
@@ -5,7 +5,8 @@
  * failing service is not buried under retries. A token bucket filled by first tries.
  */
 public final class RetryBudget {
-  private static final double MAX_TOKENS = 100;
+  /** Retries that may be saved up: one for each slot of a runner that dies, and a few more. */
+  public static final int MAX_SAVED = 10;
 
   private final double perRequest;
   private double tokens;
@@ -17,12 +18,12 @@
    */
   public RetryBudget(int percent) {
     this.perRequest = percent / 100.0;
-    this.tokens = Math.min(MAX_TOKENS, 10 * perRequest);
+    this.tokens = Math.min(MAX_SAVED, 10 * perRequest);
   }
 
   /** Notes a first try. */
   public void onFirstTry() {
-    tokens = Math.min(MAX_TOKENS, tokens + perRequest);
+    tokens = Math.min(MAX_SAVED, tokens + perRequest);
   }
 
   /** Takes leave for one retry; false if the budget is spent. */
--- a/core/src/test/java/org/wheatwall/core/request/decision/RequestLimitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/request/decision/RequestLimitsTest.java
@@ -45,6 +45,19 @@
     assertThat(retries).isAtLeast(990);
   }
 
+  @Test
+  void quietTimesDoNotSaveUpABurstOfRetries() {
+    RetryBudget budget = new RetryBudget(10);
+    for (int i = 0; i < 100_000; i++) {
+      budget.onFirstTry();
+    }
+    int retries = 0;
+    while (budget.tryRetry()) {
+      retries++;
+    }
+    assertThat(retries).isAtMost(RetryBudget.MAX_SAVED);
+  }
+
   @Test
   void oneWorkspaceCannotCrowdOutAnother() {
     FairQueue<String> queue = new FairQueue<>(100);
