--- a/core/src/main/java/org/wheatwall/core/request/decision/RunnerPool.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/RunnerPool.java
@@ -22,10 +22,16 @@
   private static final long EJECT_MS = 5_000;
   private static final long SLOW_START_MS = 2_000;
   private static final int CHOICES = 3;
+  private static final double TIME_SHARE = 0.125;
+  private static final double SLOW_FACTOR = 2;
+
+  // Below this a difference is noise of the network and of this process.
+  private static final double LEAST_SLOW_MS = 10;
 
   private final Map<String, Entry> entries = new HashMap<>();
   private final SplittableRandom random;
   private List<Entry> inOrder = List.of();
+  private double meanMs = -1;
 
   private static final class Entry {
     private Runner runner;
@@ -34,6 +40,7 @@
     private long addedMs;
     private int consecutiveFailures;
     private long ejectedUntilMs;
+    private double meanMs = -1;
 
     private Entry(Runner runner) {
       this.runner = runner;
@@ -109,12 +116,16 @@
     }
   }
 
-  /** Notes how a request to a runner went; one that keeps failing gets no work for a while. */
-  public void onResult(String runnerName, boolean success, long nowMs) {
+  /**
+   * Notes how a request to a runner went and how long it took, milliseconds; one that keeps failing
+   * gets no work for a while, one much slower than the others gets less.
+   */
+  public void onResult(String runnerName, boolean success, double tookMs, long nowMs) {
     Entry entry = entries.get(runnerName);
     if (entry == null) {
       return;
     }
+    noteTime(entry, tookMs);
     if (success) {
       entry.consecutiveFailures = 0;
       entry.ejectedUntilMs = 0;
@@ -128,6 +139,21 @@
     }
   }
 
+  private void noteTime(Entry entry, double tookMs) {
+    entry.meanMs = entry.meanMs < 0 ? tookMs : entry.meanMs + TIME_SHARE * (tookMs - entry.meanMs);
+    meanMs = meanMs < 0 ? tookMs : meanMs + TIME_SHARE / inOrder.size() * (tookMs - meanMs);
+  }
+
+  // A runner much slower than the others gets slots in proportion to its speed, and never less than
+  // one, by which its recovery shows. If all are slow alike, it is their work and not a fault.
+  private int limitBySpeed(Entry entry) {
+    double slowFromMs = Math.max(LEAST_SLOW_MS, SLOW_FACTOR * meanMs);
+    if (entry.meanMs <= slowFromMs) {
+      return entry.runner.slots();
+    }
+    return Math.max(1, (int) (entry.runner.slots() * slowFromMs / entry.meanMs));
+  }
+
   /** Returns the slots that could be taken now. */
   public int freeSlots(long nowMs) {
     int free = 0;
@@ -158,11 +184,11 @@
         runner.name(), runner.service(), runner.zone(), runner.address(), true, runner.slots());
   }
 
-  private static int free(Entry entry, long nowMs) {
+  private int free(Entry entry, long nowMs) {
     if (entry.runner.leaving() || entry.usableFromMs > nowMs) {
       return 0;
     }
-    int limit = entry.runner.slots();
+    int limit = limitBySpeed(entry);
     long age = nowMs - entry.addedMs;
     if (age < SLOW_START_MS) {
       limit = Math.max(1, (int) (limit * age / SLOW_START_MS));
--- a/core/src/test/java/org/wheatwall/core/request/decision/RequestLimitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/request/decision/RequestLimitsTest.java
@@ -120,12 +120,40 @@
     Runner two = new Runner("two", "s", "z", "127.0.0.1:2", false, 8);
     pool.setOwned(List.of(one, two), Set.of(), 0, 0);
     for (int i = 0; i < 5; i++) {
-      pool.onResult("one", false, 10_000);
+      pool.onResult("one", false, 1, 10_000);
     }
     assertThat(pool.take(Set.of(), 10_000).map(Runner::name)).hasValue("two");
     for (int i = 0; i < 5; i++) {
-      pool.onResult("two", false, 10_000);
+      pool.onResult("two", false, 1, 10_000);
     }
     assertThat(pool.take(Set.of(), 10_000)).isPresent();
   }
+
+  @Test
+  void runnerThatTurnsSlowGetsFewerSlotsUntilItRecovers() {
+    RunnerPool pool = new RunnerPool(1);
+    List<String> names = List.of("one", "two", "three");
+    List<Runner> runners =
+        names.stream().map(n -> new Runner(n, "s", "z", "127.0.0.1:1", false, 8)).toList();
+    pool.setOwned(runners, Set.of(), 0, 0);
+    answers(pool, names, 20, 40);
+    assertThat(pool.freeSlots(10_000)).isEqualTo(24);
+    for (int i = 0; i < 20; i++) {
+      answers(pool, List.of("two", "three"), 20, 5);
+      answers(pool, List.of("one"), 400, 1);
+    }
+    int slow = pool.freeSlots(10_000) - 16;
+    assertThat(slow).isAtLeast(1);
+    assertThat(slow).isAtMost(3);
+    answers(pool, names, 20, 60);
+    assertThat(pool.freeSlots(10_000)).isEqualTo(24);
+    answers(pool, names, 900, 60);
+    assertThat(pool.freeSlots(10_000)).isEqualTo(24);
+  }
+
+  private static void answers(RunnerPool pool, List<String> names, double tookMs, int count) {
+    for (int i = 0; i < count; i++) {
+      names.forEach(name -> pool.onResult(name, true, tookMs, 10_000));
+    }
+  }
 }
--- a/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
@@ -262,8 +262,9 @@
           synchronized (this) {
             long nowMs = clock.nowMs();
             pool.giveBack(runner.name());
-            pool.onResult(runner.name(), success, nowMs);
-            holdTime.note((double) (nowMs - takenMs));
+            double tookMs = (double) (nowMs - takenMs);
+            pool.onResult(runner.name(), success, tookMs, nowMs);
+            holdTime.note(tookMs);
           }
           dispatch();
         });
--- a/wire/src/test/java/org/wheatwall/wire/BadInputTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/BadInputTest.java
@@ -88,7 +88,8 @@
             .replace("\n", "\r\n");
     String noise = "\u0001\u0002 this is not HTTP\r\n\r\n";
     String badChunk = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
-    for (String request : List.of(twoLengths, lengthAndChunks, noise, badChunk)) {
+    String largeHeader = "GET /x HTTP/1.1\r\nHost: a\r\nBig: " + "x".repeat(20_000) + "\r\n\r\n";
+    for (String request : List.of(twoLengths, lengthAndChunks, noise, badChunk, largeHeader)) {
       assertWithMessage(request).that(exchange(server.port(), request)).contains(" 400 ");
     }
     assertThat(seen).isEmpty();
