A workspace's token lets in to its own jobs only

Cause: any token that may write jobs could read, change and cancel those of every workspace. Change: tokens.workspaces in the settings; JobScope bounds such a call to the jobs of its workspace. What it may not touch looks as if it did not exist; a write is checked against the job that stands there too, at the version that the change is bound to, so a job cannot be taken over under its name.

--- a/app/src/test/java/org/wheatwall/app/TestCluster.java
+++ b/app/src/test/java/org/wheatwall/app/TestCluster.java
@@ -30,6 +30,7 @@
   private final Path log;
   private final List<String> zones;
   private final int retentionMs;
+  private String tokens = "{}";
   private final TestProcess logService;
   private final TestProcess hostList;
 
@@ -47,6 +48,11 @@
     hostList = start("standin", "list");
   }
 
+  /** Sets the tokens section of the entry hosts that start from now on, as JSON. */
+  void setTokens(String json) {
+    tokens = json;
+  }
+
   Path log() {
     return log;
   }
@@ -114,6 +120,7 @@
           "platform": {"log": "%s", "list": "%s", "listPollMs": 100, "retentionMs": %d},
           "peerKey": "%s",
           "requests": {"maxDeadlineMs": 5000},
+          "tokens": %s
         }
         """
             .formatted(
@@ -125,7 +132,8 @@
                 logAddress,
                 hostList.address(),
                 retentionMs,
-                KEY);
+                KEY,
+                tokens);
     Path file = directory.resolve(name + ".json");
     Files.writeString(file, settings);
     list(ListedHost.entry(name, zone, "127.0.0.1:" + shownPort));
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -259,8 +259,7 @@
       if (RequestPlane.serves(call.target())) {
         return requests.handle(call);
       }
-      access.check(call);
-      return operators.handle(call);
+      return operators.handle(call, access);
     }
 
     @Override
--- a/entry/src/main/java/org/wheatwall/entry/common/EntrySettings.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/EntrySettings.java
@@ -2,6 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import org.wheatwall.core.common.Names;
 import org.wheatwall.wire.settings.SettingsSection;
 
@@ -41,11 +44,24 @@
   public record Platform(
       InetSocketAddress log, InetSocketAddress list, int retentionMs, int listPollMs) {}
 
-  /** Tokens of operators by role; with no token at all, operators' calls need none. */
-  public record Tokens(List<String> read, List<String> write, List<String> administer) {
+  /**
+   * Tokens of operators by role; with no token at all, operators' calls need none.
+   *
+   * @param workspaces tokens of each workspace, which let in to that workspace's jobs only
+   */
+  public record Tokens(
+      List<String> read,
+      List<String> write,
+      List<String> administer,
+      Map<String, List<String>> workspaces) {
+    /** Copies the tokens of workspaces. */
+    public Tokens {
+      workspaces = Map.copyOf(workspaces);
+    }
+
     /** Returns whether calls need a token. */
     public boolean required() {
-      return !read.isEmpty() || !write.isEmpty() || !administer.isEmpty();
+      return !read.isEmpty() || !write.isEmpty() || !administer.isEmpty() || !workspaces.isEmpty();
     }
   }
 
@@ -118,7 +134,16 @@
     return new Tokens(
         List.copyOf(section.texts("read")),
         List.copyOf(section.texts("write")),
-        List.copyOf(section.texts("administer")));
+        List.copyOf(section.texts("administer")),
+        workspaceTokens(section.section("workspaces")));
+  }
+
+  private static Map<String, List<String>> workspaceTokens(SettingsSection section) {
+    Map<String, List<String>> tokens = new TreeMap<>();
+    for (String workspace : Set.copyOf(section.keys())) {
+      tokens.put(workspace, List.copyOf(section.texts(workspace)));
+    }
+    return tokens;
   }
 
   private static Requests requests(SettingsSection section) {
--- a/entry/src/main/java/org/wheatwall/entry/operator/AccessRule.java
+++ b/entry/src/main/java/org/wheatwall/entry/operator/AccessRule.java
@@ -4,6 +4,8 @@
 import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.entry.common.EntrySettings;
@@ -24,10 +26,10 @@
     this.tokens = tokens;
   }
 
-  /** Refuses a call whose token does not permit it. */
-  public void check(HttpCall call) {
+  /** Returns what a call may touch; refuses one whose token does not permit it. */
+  JobScope check(HttpCall call) {
     if (!tokens.required() || call.path().startsWith(HEALTH)) {
-      return;
+      return JobScope.ALL;
     }
     String header = call.header("Authorization").orElse("");
     if (!header.startsWith(SCHEME)) {
@@ -37,6 +39,10 @@
           "send Authorization: Bearer with a token from the settings");
     }
     byte[] token = header.substring(SCHEME.length()).trim().getBytes(StandardCharsets.UTF_8);
+    Optional<String> workspace = workspaceOf(token);
+    if (workspace.isPresent()) {
+      return JobScope.of(workspace.get());
+    }
     List<String> known = new ArrayList<>(tokens.read());
     known.addAll(tokens.write());
     known.addAll(tokens.administer());
@@ -50,6 +56,17 @@
           "the token's role does not permit this call",
           "use a token of a higher role");
     }
+    return JobScope.ALL;
+  }
+
+  private Optional<String> workspaceOf(byte[] token) {
+    Optional<String> found = Optional.empty();
+    for (Map.Entry<String, List<String>> entry : tokens.workspaces().entrySet()) {
+      if (isOneOf(token, entry.getValue())) {
+        found = Optional.of(entry.getKey());
+      }
+    }
+    return found;
   }
 
   private List<String> permitted(HttpCall call) {
--- a/entry/src/main/java/org/wheatwall/entry/operator/OperatorApi.java
+++ b/entry/src/main/java/org/wheatwall/entry/operator/OperatorApi.java
@@ -11,6 +11,7 @@
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.common.Resource;
 import org.wheatwall.core.common.Selector;
+import org.wheatwall.core.configuration.decision.ConfigurationReplica;
 import org.wheatwall.core.configuration.model.CapacitySummary;
 import org.wheatwall.core.configuration.model.ResourceKey;
 import org.wheatwall.core.configuration.model.ResourceKind;
@@ -59,19 +60,28 @@
     this.draining = draining;
   }
 
-  /** Answers one call. */
-  public CompletableFuture<HttpReply> handle(HttpCall call) {
+  /** Answers one call that {@code access} lets in. */
+  public CompletableFuture<HttpReply> handle(HttpCall call, AccessRule access) {
+    return handle(call, access.check(call));
+  }
+
+  private CompletableFuture<HttpReply> handle(HttpCall call, JobScope scope) {
     String path = call.path();
     if (!path.startsWith(PREFIX)) {
       throw notFound(path);
     }
     String[] parts = path.substring(PREFIX.length()).split("/", -1);
     return switch (parts[0]) {
-      case "state" -> dump.state().thenApply(state -> HttpReply.json(200, Json.bytes(state)));
-      case "metrics" ->
-          CompletableFuture.completedFuture(HttpReply.json(200, Json.bytes(dump.metrics())));
+      case "state" -> {
+        scope.requireAll();
+        yield dump.state().thenApply(state -> HttpReply.json(200, Json.bytes(state)));
+      }
+      case "metrics" -> {
+        scope.requireAll();
+        yield CompletableFuture.completedFuture(HttpReply.json(200, Json.bytes(dump.metrics())));
+      }
       case "health" -> CompletableFuture.completedFuture(health(parts));
-      default -> resource(call, parts);
+      default -> resource(call, parts, scope);
     };
   }
 
@@ -87,30 +97,31 @@
     return HttpReply.text(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
   }
 
-  private CompletableFuture<HttpReply> resource(HttpCall call, String[] parts) {
+  private CompletableFuture<HttpReply> resource(HttpCall call, String[] parts, JobScope scope) {
     ResourceKind kind =
         ResourceKind.ofPath(parts[0])
             .filter(found -> found != ResourceKind.VIEWS || call.method().equals("GET"))
             .orElseThrow(() -> notFound(call.path()));
+    scope.requireKind(kind);
     if (parts.length == 1 && call.method().equals("GET")) {
-      return list(kind, call);
+      return list(kind, call, scope);
     }
     if (parts.length == 3 && kind == ResourceKind.JOBS && parts[2].equals("explain")) {
-      return explain(parts[1]);
+      return explain(parts[1], scope);
     }
     if (parts.length != 2) {
       throw notFound(call.path());
     }
     ResourceKey key = new ResourceKey(kind, parts[1]);
     return switch (call.method()) {
-      case "GET" -> get(key);
-      case "PUT" -> put(key, call);
-      case "DELETE" -> delete(key, call);
+      case "GET" -> get(key, scope);
+      case "PUT" -> put(key, call, scope);
+      case "DELETE" -> delete(key, call, scope);
       default -> throw Refusal.invalid("method " + call.method(), "use GET, PUT or DELETE");
     };
   }
 
-  private CompletableFuture<HttpReply> list(ResourceKind kind, HttpCall call) {
+  private CompletableFuture<HttpReply> list(ResourceKind kind, HttpCall call, JobScope scope) {
     Selector selector = Selector.parse(call.query("labelSelector").orElse(""));
     int limit = limit(call);
     String after = call.query("continue").orElse("");
@@ -123,6 +134,7 @@
               for (StoredResource stored : all) {
                 boolean wanted =
                     stored.key().name().compareTo(after) > 0
+                        && scope.covers(stored.value().orElseThrow())
                         && selector.matches(stored.value().orElseThrow().labels());
                 if (wanted && items.size() == limit) {
                   page.put("continue", items.get(limit - 1).get("name").asText());
@@ -145,9 +157,9 @@
     }
   }
 
-  private CompletableFuture<HttpReply> get(ResourceKey key) {
+  private CompletableFuture<HttpReply> get(ResourceKey key, JobScope scope) {
     return configuration
-        .query(replica -> replica.get(key))
+        .query(replica -> visible(replica, key, scope))
         .thenApply(
             stored ->
                 stored
@@ -156,10 +168,15 @@
                     .orElseThrow(() -> notFound(key.toString())));
   }
 
-  private CompletableFuture<HttpReply> explain(String name) {
+  private static Optional<StoredResource> visible(
+      ConfigurationReplica replica, ResourceKey key, JobScope scope) {
+    return replica.get(key).filter(stored -> stored.value().map(scope::covers).orElse(true));
+  }
+
+  private CompletableFuture<HttpReply> explain(String name, JobScope scope) {
     ResourceKey key = new ResourceKey(ResourceKind.JOBS, name);
     return configuration
-        .query(replica -> replica.get(key))
+        .query(replica -> visible(replica, key, scope))
         .thenCompose(
             stored -> {
               if (stored.isEmpty()) {
@@ -170,12 +187,13 @@
         .thenApply(document -> HttpReply.json(200, document));
   }
 
-  private CompletableFuture<HttpReply> put(ResourceKey key, HttpCall call) {
+  private CompletableFuture<HttpReply> put(ResourceKey key, HttpCall call, JobScope scope) {
     Resource value = ResourceCodec.read(key.kind(), call.body());
     checkJobPhase(value);
+    scope.requireCovers(value);
     Optional<CapacitySummary> capacity =
         key.kind() == ResourceKind.SHAPES ? Optional.of(capacity()) : Optional.empty();
-    return publish(key, call, Optional.of(value), capacity);
+    return publish(key, call, scope, Optional.of(value), capacity);
   }
 
   private static void checkJobPhase(Resource value) {
@@ -188,9 +206,9 @@
     }
   }
 
-  private CompletableFuture<HttpReply> delete(ResourceKey key, HttpCall call) {
+  private CompletableFuture<HttpReply> delete(ResourceKey key, HttpCall call, JobScope scope) {
     return configuration
-        .query(replica -> replica.get(key))
+        .query(replica -> visible(replica, key, scope))
         .thenCompose(
             stored -> {
               if (stored.isEmpty()) {
@@ -201,19 +219,24 @@
               if (running) {
                 throw Refusal.invalid(key + " has not ended", "cancel the job first");
               }
-              return publish(key, call, Optional.empty(), Optional.empty());
+              return publish(key, call, scope, Optional.empty(), Optional.empty());
             });
   }
 
   private CompletableFuture<HttpReply> publish(
       ResourceKey key,
       HttpCall call,
+      JobScope scope,
       Optional<Resource> value,
       Optional<CapacitySummary> capacity) {
     Optional<Long> ifMatch = ifMatch(call);
     return configuration
         .query(
-            replica -> base(replica.baseVersion(key), replica.get(key).isPresent(), ifMatch, key))
+            replica -> {
+              // The version read here binds the change to the object that was checked.
+              replica.get(key).flatMap(StoredResource::value).ifPresent(scope::requireCovers);
+              return base(replica.baseVersion(key), replica.get(key).isPresent(), ifMatch, key);
+            })
         .thenCompose(
             base ->
                 configuration
--- a/entry/src/test/java/org/wheatwall/entry/operator/AccessRuleTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/operator/AccessRuleTest.java
@@ -2,11 +2,20 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.common.Labels;
 import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.Workspace;
 import org.wheatwall.entry.common.EntrySettings;
 import org.wheatwall.wire.http.HttpCall;
 
@@ -14,7 +23,11 @@
 final class AccessRuleTest {
   private static final AccessRule RULE =
       new AccessRule(
-          new EntrySettings.Tokens(List.of("reader"), List.of("writer"), List.of("admin")));
+          new EntrySettings.Tokens(
+              List.of("reader"),
+              List.of("writer"),
+              List.of("admin"),
+              Map.of("delta", List.of("delta-token"))));
 
   private static String verdict(String method, String path, String token) {
     HttpCall call = HttpCall.of(method, path);
@@ -52,6 +65,36 @@
         });
   }
 
+  @Test
+  void tokenOfAWorkspaceIsBoundToItsJobs() {
+    HttpCall call = HttpCall.of("PUT", "/v1/jobs/a").with("Authorization", "Bearer delta-token");
+    JobScope scope = RULE.check(call);
+    assertThat(scope.workspace()).hasValue("delta");
+    assertThat(scope.covers(job("delta"))).isTrue();
+    assertThat(scope.covers(job("coplit"))).isFalse();
+    assertThat(scope.covers(new Workspace(Labels.NONE, 8, 1, 0))).isFalse();
+    assertThrows(Refusal.class, () -> scope.requireCovers(job("coplit")));
+    assertThrows(Refusal.class, () -> scope.requireKind(ResourceKind.WORKSPACES));
+    assertThrows(Refusal.class, scope::requireAll);
+    scope.requireKind(ResourceKind.JOBS);
+    assertThat(RULE.check(call.with("Authorization", "Bearer admin"))).isEqualTo(JobScope.ALL);
+  }
+
+  private static Job job(String workspace) {
+    return new Job(
+        Labels.NONE,
+        workspace,
+        "z1",
+        Optional.empty(),
+        1,
+        new ResourceAmount(1, 1, 1),
+        Adjacency.ANY,
+        60,
+        true,
+        false,
+        JobPhase.SUBMITTED);
+  }
+
   @Test
   void onlyHealthNeedsNoToken() {
     assertThat(verdict("GET", "/v1/health/live", null)).isEqualTo("allowed");
