A full step ledger gives up its oldest answers instead of refusing new steps; bounded in bytes

Cause: AtMostOnceIT with 110,695 steps (0 doubled, 0 mixed up, 0 falsely not-run, 0 beyond the slots) ended with 30,458 not-run: each of the two zones keeps 40,000 records for 10 minutes, and beyond that gave no leave at all. Ruled out: hosts that come and go (the refusals began at 80,237 steps that were answered or unknown, in all windows alike). And 40,000 answers of up to 16 KB would be 640 MB in a heap of 40. Change: beyond 40,000 records or 13 MB the oldest ended steps are forgotten early, down to their fingerprint: a repeat is then unknown, never a second run. Steps under way are never forgotten.

--- a/app/src/main/java/org/wheatwall/app/bench/StateBench.java
+++ b/app/src/main/java/org/wheatwall/app/bench/StateBench.java
@@ -169,7 +169,7 @@
   }
 
   private static StepLedger ledger(int keys) {
-    StepLedger ledger = new StepLedger(600_000, 30_000, 1_000_000);
+    StepLedger ledger = new StepLedger(600_000, 30_000, 1_000_000, Long.MAX_VALUE);
     for (int i = 0; i < keys; i++) {
       GrantId grant = new GrantId("entry-1-abcdefgh-" + i, 1);
       ledger.start("key-of-usual-length-" + i, grant, i);
--- a/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
@@ -16,8 +16,9 @@
  * What one member of a zone's view knows about the steps whose keys belong to the zone.
  *
  * <p>Leave to run a step is given by one member and recorded by all before the step runs, so any
- * member that stays knows of it. Records whose step ended are forgotten after {@code keepMs}, down
- * to a fingerprint; fingerprints go when there are more than {@link #MAX_FINGERPRINTS}.
+ * member that stays knows of it. Records whose step ended are forgotten after {@code keepMs}, or
+ * the oldest earlier when there are too many, down to a fingerprint; fingerprints go when there are
+ * more than {@link #MAX_FINGERPRINTS}.
  *
  * <p>{@link #coveredSinceMs()} tells since when this member has recorded every leave. About a key
  * it has no record of, a member can say "never ran" only if the key was issued after that time.
@@ -28,24 +29,32 @@
   /** Forgotten steps of which a fingerprint is kept, 16 bytes each. */
   public static final int MAX_FINGERPRINTS = 200_000;
 
+  // Memory of a record besides its key and answer; see docs/capacity-measured.md.
+  private static final int RECORD_BYTES = 300;
+
   /** Coverage of a zone that never had members before. */
   public static final long SINCE_EVER = Long.MIN_VALUE;
 
   private final long keepMs;
   private final long tryMs;
   private final int maxRecords;
+  private final long maxBytes;
   private final Map<String, StepRecord> records = new LinkedHashMap<>();
   private final LongRing fingerprints = new LongRing(MAX_FINGERPRINTS);
   private long coveredSinceMs = Long.MAX_VALUE;
+  private long heldBytes;
 
   /**
    * Creates an empty ledger that covers nothing.
    *
    * @param keepMs how long the answer of an ended step is kept, milliseconds
    * @param tryMs longest time that a try can be under way, milliseconds
-   * @param maxRecords most records; beyond it no new leave is given
+   * @param maxRecords most records; beyond it the oldest ended ones are forgotten early, and no new
+   *     leave is given if all are under way
+   * @param maxBytes most memory of all records and answers, bytes; the same holds beyond it
    */
-  public StepLedger(long keepMs, long tryMs, int maxRecords) {
+  public StepLedger(long keepMs, long tryMs, int maxRecords, long maxBytes) {
+    this.maxBytes = maxBytes;
     this.keepMs = keepMs;
     this.tryMs = tryMs;
     this.maxRecords = maxRecords;
@@ -102,7 +111,7 @@
     if (fingerprints.contains(fingerprint(key)) || beforeCoverage) {
       return Leave.UNKNOWN;
     }
-    return record == null && records.size() >= maxRecords ? Leave.FULL : Leave.RUN;
+    return record == null && !makeRoom(nowMs) ? Leave.FULL : Leave.RUN;
   }
 
   /**
@@ -117,10 +126,44 @@
     if (fingerprints.contains(fingerprint(key))) {
       return false;
     }
+    if (known == null) {
+      makeRoom(nowMs);
+    }
     put(new StepRecord(key, grant, StepState.STARTED, Optional.empty(), nowMs));
     return true;
   }
 
+  // Rather than refuse new steps, the answers of the oldest are given up before their time. A
+  // repeat of one is then "unknown", and still never a second run. Returns whether there is room.
+  private boolean makeRoom(long nowMs) {
+    Iterator<StepRecord> oldestFirst = records.values().iterator();
+    while (!hasRoom() && oldestFirst.hasNext()) {
+      StepRecord record = oldestFirst.next();
+      boolean underWay = record.state() == StepState.STARTED && nowMs - record.changedMs() <= tryMs;
+      if (!underWay) {
+        oldestFirst.remove();
+        heldBytes -= bytes(record);
+        keepFingerprint(record);
+      }
+    }
+    return hasRoom();
+  }
+
+  private boolean hasRoom() {
+    return records.size() < maxRecords && heldBytes < maxBytes;
+  }
+
+  private static long bytes(StepRecord record) {
+    int body = record.answer().map(answer -> answer.body().length).orElse(0);
+    return (long) RECORD_BYTES + record.key().length() + body;
+  }
+
+  private void keepFingerprint(StepRecord record) {
+    if (record.state() != StepState.RELEASED) {
+      fingerprints.add(fingerprint(record.key()));
+    }
+  }
+
   /** Records how a step ended; ignored unless it is about the recorded try. */
   public void finish(
       String key, GrantId grant, StepState state, Optional<Answer> answer, long nowMs) {
@@ -153,9 +196,8 @@
         return;
       }
       oldestFirst.remove();
-      if (record.state() != StepState.RELEASED) {
-        fingerprints.add(fingerprint(record.key()));
-      }
+      heldBytes -= bytes(record);
+      keepFingerprint(record);
     }
   }
 
@@ -187,6 +229,11 @@
     }
   }
 
+  /** Returns the memory of all records and answers, bytes. */
+  public long heldBytes() {
+    return heldBytes;
+  }
+
   /** Returns the number of records. */
   public int size() {
     return records.size();
@@ -194,7 +241,8 @@
 
   private void put(StepRecord record) {
     // Removed first so that iteration order is the order of changes.
-    records.remove(record.key());
+    StepRecord before = records.remove(record.key());
+    heldBytes += bytes(record) - (before == null ? 0 : bytes(before));
     records.put(record.key(), record);
   }
 
--- a/core/src/test/java/org/wheatwall/core/request/decision/StepExplorationTest.java
+++ b/core/src/test/java/org/wheatwall/core/request/decision/StepExplorationTest.java
@@ -62,7 +62,7 @@
     }
 
     private static StepLedger ledger() {
-      return new StepLedger(1_000_000, 1_000_000, 100);
+      return new StepLedger(1_000_000, 1_000_000, 100, 1_000_000);
     }
 
     private boolean apply(Choice choice) {
--- a/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
@@ -43,6 +43,9 @@
  */
 public final class StepCoordinator implements MembershipListener {
   private static final int MAX_RECORDS = 40_000;
+
+  // A third of the heap of an entry host.
+  private static final long MAX_BYTES = 13_000_000;
   private static final int MAX_KEPT_BODY = 16 * 1024;
   private static final long RECORD_TIMEOUT_MS = 500;
   private static final long ASK_TIMEOUT_MS = 1000;
@@ -80,7 +83,7 @@
     this.remoteZones = remoteZones;
     this.peers = peers;
     this.timer = timer;
-    this.ledger = new StepLedger(keepAnswersMs, maxDeadlineMs, MAX_RECORDS);
+    this.ledger = new StepLedger(keepAnswersMs, maxDeadlineMs, MAX_RECORDS, MAX_BYTES);
     this.sync = new LedgerSync(ledger, membership, peers, timer, clock);
     this.granted = metrics.meter("steps.leave-given");
     metrics.gauge("steps.records", () -> this::recordCount);
