--- a/app/src/main/java/org/wheatwall/app/command/Verbs.java
+++ b/app/src/main/java/org/wheatwall/app/command/Verbs.java
@@ -14,6 +14,8 @@
 import org.wheatwall.app.operator.GetVerb;
 import org.wheatwall.app.process.CheckVerb;
 import org.wheatwall.app.process.EntryVerb;
+import org.wheatwall.app.process.RehearseVerb;
+import org.wheatwall.app.process.ServeVerb;
 import org.wheatwall.app.process.StandInVerb;
 
 /** Finds a verb by its name. */
@@ -21,6 +23,8 @@
   private static final List<Verb> ALL =
       List.of(
           new EntryVerb(),
+          new ServeVerb(),
+          new RehearseVerb(),
           new CheckVerb(),
           new StandInVerb(),
           new DemoVerb(),
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -0,0 +1,140 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupMember;
+import org.wheatwall.core.batch.model.GroupState;
+import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.batch.model.TaskName;
+
+/** A run of a group of tasks, from the decision to start it until none of its tasks can run. */
+final class GroupRun {
+  private final GroupKey group;
+  private final BatchJob job;
+  private final String attemptId;
+  private final Set<String> victims;
+  private final List<MemberRun> members = new ArrayList<>();
+  private GroupState state;
+  private boolean launched;
+  private boolean stopping;
+
+  private GroupRun(
+      GroupKey group, BatchJob job, String attemptId, GroupState state, Set<String> victims) {
+    this.group = group;
+    this.job = job;
+    this.attemptId = attemptId;
+    this.state = state;
+    this.victims = victims;
+  }
+
+  /** Returns a run that waits for {@code victims} to end. */
+  static GroupRun planned(
+      GroupKey group,
+      BatchJob job,
+      String attemptId,
+      GroupState state,
+      List<String> workers,
+      Collection<String> victims) {
+    GroupRun run = new GroupRun(group, job, attemptId, state, new HashSet<>(victims));
+    for (int i = 0; i < workers.size(); i++) {
+      run.members.add(new MemberRun(workers.get(i), i, MemberRun.Phase.PLANNED));
+    }
+    return run;
+  }
+
+  /** Returns a run that an earlier decider has written down. */
+  static GroupRun inherited(GroupKey group, BatchJob job, String attemptId, GroupState state) {
+    GroupRun run = new GroupRun(group, job, attemptId, state, new HashSet<>());
+    for (int i = 0; i < state.members().size(); i++) {
+      GroupMember member = state.members().get(i);
+      MemberRun.Phase phase = member.ended() ? MemberRun.Phase.ENDED : MemberRun.Phase.INHERITED;
+      run.members.add(new MemberRun(member.worker(), i, phase));
+    }
+    run.launched = true;
+    return run;
+  }
+
+  GroupKey group() {
+    return group;
+  }
+
+  BatchJob job() {
+    return job;
+  }
+
+  StepSpec step() {
+    return job.steps().get(group.step());
+  }
+
+  String attemptId() {
+    return attemptId;
+  }
+
+  GroupState state() {
+    return state;
+  }
+
+  void setState(GroupState next) {
+    state = next;
+  }
+
+  List<MemberRun> members() {
+    return members;
+  }
+
+  List<String> workers() {
+    return members.stream().map(MemberRun::worker).toList();
+  }
+
+  TaskName task(MemberRun member) {
+    return group.task(member.position());
+  }
+
+  /** Returns the member that runs {@code task}. */
+  MemberRun member(TaskName task) {
+    return members.get(group.index() == GroupKey.WHOLE_STEP ? task.index() : 0);
+  }
+
+  /** Notes that a victim has ended; returns whether none is waited for any more. */
+  boolean victimEnded(String endedAttempt) {
+    return victims.remove(endedAttempt) && victims.isEmpty();
+  }
+
+  boolean waitsForVictims() {
+    return !victims.isEmpty();
+  }
+
+  boolean launched() {
+    return launched;
+  }
+
+  void launch() {
+    launched = true;
+  }
+
+  boolean stopping() {
+    return stopping;
+  }
+
+  void markStopping() {
+    stopping = true;
+  }
+
+  boolean allEnded() {
+    return members.stream().allMatch(MemberRun::ended);
+  }
+
+  @Override
+  public String toString() {
+    StringBuilder text = new StringBuilder("run ").append(state.run());
+    text.append(launched ? "" : " (planned)").append(stopping ? " (stopping)" : "");
+    members.forEach(
+        member -> text.append(' ').append(member.worker()).append('=').append(member.phase()));
+    return victims.isEmpty() ? text.toString() : text.append(" after ").append(victims).toString();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobRuns.java
@@ -0,0 +1,137 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupPhase;
+import org.wheatwall.core.batch.model.GroupState;
+import org.wheatwall.core.batch.model.StepSpec;
+
+/** How far one job is: which of its groups may start, and which are done. */
+final class JobRuns {
+  private final BatchJob job;
+  private final long submittedAtMs;
+  private final Map<GroupKey, GroupState> states = new HashMap<>();
+  private final List<Occurrence> occurrences = new ArrayList<>();
+  private boolean closed;
+
+  /** One due time of the job. */
+  private static final class Occurrence {
+    private final int[] doneGroups;
+    private final boolean[] released;
+
+    private Occurrence(int steps) {
+      doneGroups = new int[steps];
+      released = new boolean[steps];
+    }
+  }
+
+  /**
+   * Creates the progress of a job.
+   *
+   * @param submittedAtMs time of acceptance on the decision loop's clock
+   */
+  JobRuns(BatchJob job, long submittedAtMs) {
+    this.job = job;
+    this.submittedAtMs = submittedAtMs;
+  }
+
+  BatchJob job() {
+    return job;
+  }
+
+  /** Returns when a group became due, on the decision loop's clock. */
+  long submittedAtMs() {
+    return submittedAtMs;
+  }
+
+  GroupState state(GroupKey group) {
+    return states.getOrDefault(group, GroupState.NEW);
+  }
+
+  /** Returns the groups that have a state. */
+  Map<GroupKey, GroupState> states() {
+    return states;
+  }
+
+  /** Sets the state of a group; one that is done is counted once. */
+  void set(GroupKey group, GroupState state) {
+    GroupState before = states.put(group, state);
+    boolean wasDone = before != null && before.phase() == GroupPhase.DONE;
+    if (state.phase() == GroupPhase.DONE && !wasDone) {
+      occurrence(group.occurrence()).doneGroups[group.step()]++;
+    }
+  }
+
+  /** Returns whether the job has ended, so that nothing of it may start. */
+  boolean closed() {
+    return closed;
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /** Returns the groups that may start from now on and were not returned before. */
+  List<GroupKey> release(long wallMs, long earlyMs) {
+    List<GroupKey> ready = new ArrayList<>();
+    if (closed) {
+      return ready;
+    }
+    for (int k = 0; k < job.occurrences(); k++) {
+      Optional<Long> due = job.dueMs(k);
+      if (due.isPresent() && wallMs < due.get() - earlyMs) {
+        break;
+      }
+      releaseSteps(k, occurrence(k), ready);
+    }
+    return ready;
+  }
+
+  /** Returns whether every group of every due time is done. */
+  boolean allDone() {
+    if (occurrences.size() < job.occurrences()) {
+      return false;
+    }
+    for (Occurrence occurrence : occurrences) {
+      for (int step = 0; step < job.steps().size(); step++) {
+        if (!isDone(occurrence, step)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private void releaseSteps(int k, Occurrence occurrence, List<GroupKey> ready) {
+    for (int step = 0; step < job.steps().size(); step++) {
+      StepSpec spec = job.steps().get(step);
+      boolean free = spec.after().stream().allMatch(before -> isDone(occurrence, before));
+      if (occurrence.released[step] || !free) {
+        continue;
+      }
+      occurrence.released[step] = true;
+      for (int i = 0; i < spec.groups(); i++) {
+        GroupKey group = new GroupKey(job.id(), k, step, spec.gang() ? GroupKey.WHOLE_STEP : i);
+        if (state(group).phase() == GroupPhase.WAITING) {
+          ready.add(group);
+        }
+      }
+    }
+  }
+
+  private boolean isDone(Occurrence occurrence, int step) {
+    return occurrence.doneGroups[step] >= job.steps().get(step).groups();
+  }
+
+  private Occurrence occurrence(int k) {
+    while (occurrences.size() <= k) {
+      occurrences.add(new Occurrence(job.steps().size()));
+    }
+    return occurrences.get(k);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -0,0 +1,117 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+
+/**
+ * What the job log says, record by record in the log's order. Every entry host keeps one and
+ * answers from it; a decider starts from it.
+ *
+ * <p>Not thread-safe; the decision loop owns it.
+ */
+public final class JobTable {
+  private final Map<String, JobRecord> jobs = new LinkedHashMap<>();
+  private Optional<LogContent.Term> term = Optional.empty();
+  private long termNumber;
+
+  /** Takes in the record at {@code offset}. */
+  public void apply(LogEntry entry, long offset) {
+    String name = entry.key().name();
+    switch (entry.key().kind()) {
+      case TERM -> entry.content().ifPresent(content -> applyTerm(content, offset));
+      case GROUP -> applyGroup(entry);
+      case JOB -> applyDefinition(name, entry.content());
+      case CANCEL -> record(name).setCancelled(entry.content().isPresent());
+      case END -> record(name).setEnd(entry.content().map(LogContent.End.class::cast));
+    }
+    dropIfEmpty(jobIdOf(entry.key()));
+  }
+
+  /** Returns the record of a job that was accepted and is still kept. */
+  public Optional<JobRecord> job(String id) {
+    return Optional.ofNullable(jobs.get(id)).filter(record -> record.job().isPresent());
+  }
+
+  /** Returns all records, in the order in which their jobs first came. */
+  public Collection<JobRecord> jobs() {
+    return Collections.unmodifiableCollection(jobs.values());
+  }
+
+  /** Returns how many accepted jobs of a queue have not begun. */
+  public int pending(String queue) {
+    int count = 0;
+    for (JobRecord record : jobs.values()) {
+      boolean ofQueue = record.job().filter(job -> job.queue().equals(queue)).isPresent();
+      if (ofQueue && record.state() == BatchState.QUEUED) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Returns the latest claim or renewal. */
+  public Optional<LogContent.Term> term() {
+    return term;
+  }
+
+  /** Returns the number of the latest term, 0 if none was claimed yet. */
+  public long termNumber() {
+    return termNumber;
+  }
+
+  private void applyTerm(LogContent content, long offset) {
+    LogContent.Term next = (LogContent.Term) content;
+    term = Optional.of(next);
+    termNumber = next.term() == 0 ? termOfClaim(offset) : next.term();
+  }
+
+  /** Returns the number of the term whose claim stands at {@code offset}; never 0. */
+  public static long termOfClaim(long offset) {
+    return offset + 1;
+  }
+
+  private void applyDefinition(String id, Optional<LogContent> content) {
+    JobRecord record = record(id);
+    if (content.isEmpty()) {
+      record.forgetJob();
+    } else if (record.job().isEmpty()) {
+      record.setJob(((LogContent.Definition) content.get()).job());
+    }
+  }
+
+  private void applyGroup(LogEntry entry) {
+    GroupKey.parse(entry.key().name())
+        .ifPresent(
+            group ->
+                record(group.jobId())
+                    .setGroup(
+                        group,
+                        entry.content().map(content -> ((LogContent.Group) content).state())));
+  }
+
+  private static String jobIdOf(LogKey key) {
+    if (key.kind() != LogKey.Kind.GROUP) {
+      return key.name();
+    }
+    return GroupKey.parse(key.name()).map(GroupKey::jobId).orElse("");
+  }
+
+  private JobRecord record(String id) {
+    return jobs.computeIfAbsent(id, JobRecord::new);
+  }
+
+  private void dropIfEmpty(String id) {
+    JobRecord record = jobs.get(id);
+    if (record != null && record.isEmpty()) {
+      jobs.remove(id);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/MemberRun.java
@@ -0,0 +1,146 @@
+package org.wheatwall.core.batch.decision;
+
+/** One task of a run that is under way. */
+final class MemberRun {
+  /** How far it is. */
+  enum Phase {
+    /** No order was sent yet. */
+    PLANNED,
+    /** A start was sent and no answer has come. */
+    ORDERED,
+    /** The worker has confirmed the start. */
+    RUNNING,
+    /** An earlier decider may have ordered it; its worker has not been heard yet. */
+    INHERITED,
+    /** It neither runs nor can start any more. */
+    ENDED
+  }
+
+  private final String worker;
+  private final int position;
+  private Phase phase;
+  private int tries;
+  private long repeatAtMs = Long.MAX_VALUE;
+  private int unanswered;
+  private long confirmedAtMs;
+  private boolean stopWanted;
+  private long stopSentAtMs = Long.MIN_VALUE;
+  private long stoppedAtMs = Long.MAX_VALUE;
+  private int percent = -1;
+  private long progressAtMs;
+
+  MemberRun(String worker, int position, Phase phase) {
+    this.worker = worker;
+    this.position = position;
+    this.phase = phase;
+  }
+
+  String worker() {
+    return worker;
+  }
+
+  int position() {
+    return position;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  boolean ended() {
+    return phase == Phase.ENDED;
+  }
+
+  void end() {
+    phase = Phase.ENDED;
+  }
+
+  void ordered() {
+    phase = Phase.ORDERED;
+    repeatAtMs = Long.MAX_VALUE;
+    tries++;
+  }
+
+  /** Asks for the start to be sent again at a time. */
+  void repeatAt(long timeMs) {
+    repeatAtMs = timeMs;
+  }
+
+  boolean startDue(long nowMs) {
+    return phase == Phase.ORDERED && nowMs >= repeatAtMs;
+  }
+
+  int tries() {
+    return tries;
+  }
+
+  void lostAnswer() {
+    unanswered++;
+  }
+
+  /** Returns whether an order without an answer may still be carried out. */
+  boolean mayStartLate() {
+    return unanswered > 0;
+  }
+
+  void confirm(long nowMs) {
+    if (phase == Phase.ORDERED || phase == Phase.INHERITED) {
+      phase = Phase.RUNNING;
+      confirmedAtMs = nowMs;
+      progressAtMs = nowMs;
+    }
+  }
+
+  void progress(int nextPercent, long nowMs) {
+    if (nextPercent != percent) {
+      percent = nextPercent;
+      progressAtMs = nowMs;
+    }
+  }
+
+  long progressAtMs() {
+    return progressAtMs;
+  }
+
+  int percent() {
+    return percent;
+  }
+
+  /** Asks for a stop; returns whether this is new. */
+  boolean wantStop() {
+    boolean fresh = !stopWanted;
+    stopWanted = true;
+    return fresh;
+  }
+
+  boolean stopWanted() {
+    return stopWanted;
+  }
+
+  void stopSent(long nowMs) {
+    stopSentAtMs = nowMs;
+  }
+
+  boolean stopDue(long nowMs, long repeatMs) {
+    return stopWanted && stoppedAtMs == Long.MAX_VALUE && nowMs - stopSentAtMs >= repeatMs;
+  }
+
+  /** Notes that the worker has acknowledged the stop: the run can no longer start there. */
+  void stopAcknowledged(long nowMs) {
+    stoppedAtMs = Math.min(stoppedAtMs, nowMs);
+  }
+
+  boolean stopIsAcknowledged() {
+    return stoppedAtMs != Long.MAX_VALUE;
+  }
+
+  /** Returns whether a report asked for at {@code askedMs} that lacks this run proves its end. */
+  boolean isOverIfMissingAt(long askedMs) {
+    return switch (phase) {
+      case RUNNING -> askedMs > confirmedAtMs || askedMs > stoppedAtMs;
+      case ORDERED -> askedMs > stoppedAtMs;
+      case INHERITED -> true;
+      case PLANNED, ENDED -> false;
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEffects.java
@@ -0,0 +1,27 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.List;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.StartOrder;
+import org.wheatwall.core.batch.model.StopOrder;
+
+/** What the supervisor of runs has done for it by the process around it. */
+public interface RunEffects {
+  /**
+   * Appends records to the job log, in the order of the calls. {@code whenKept} runs on the
+   * decision loop once they are acknowledged; if the term is lost it never does.
+   */
+  void keep(List<LogEntry> entries, Runnable whenKept);
+
+  /** Sends a start; the answer comes to {@link RunSupervisor#onStartAnswer}. */
+  void start(StartOrder order);
+
+  /** Sends a stop; the answer comes to {@link RunSupervisor#onStopAnswer}. */
+  void stop(StopOrder order);
+
+  /** Asks a worker for a report soon; it comes to {@link RunSupervisor#onReport}. */
+  void look(String worker);
+
+  /** Tells operators what was decided. */
+  void decided(RunEvent event);
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/SupervisorSettings.java
@@ -0,0 +1,39 @@
+package org.wheatwall.core.batch.decision;
+
+import org.wheatwall.core.common.Names;
+
+/**
+ * Times of the supervisor of runs, milliseconds.
+ *
+ * @param leaseMs longest lease of what runs on a worker
+ * @param startTries how often a start without an answer is sent before its run is given up
+ * @param roomTries how often a start is sent to a worker that has no room yet
+ * @param stopRepeatMs time after which a stop without an answer is sent again
+ * @param retentionMs how long an ended job is kept
+ * @param stallMs time without progress after which a task counts as stuck
+ */
+public record SupervisorSettings(
+    int leaseMs, int startTries, int roomTries, int stopRepeatMs, int retentionMs, int stallMs) {
+  // Clocks of workers run up to 2% slow; the rest bears the time that an order is under way.
+  private static final int DRIFT_PERCENT = 3;
+  private static final int UNDER_WAY_MS = 500;
+
+  /** Validates. */
+  public SupervisorSettings {
+    Names.requireRange("leaseMs", leaseMs, 1, 600_000);
+    Names.requireRange("startTries", startTries, 1, 100);
+    Names.requireRange("roomTries", roomTries, 1, 100);
+    Names.requireRange("stopRepeatMs", stopRepeatMs, 1, 60_000);
+    Names.requireRange("stallMs", stallMs, 1, Integer.MAX_VALUE);
+  }
+
+  /** Returns settings for workers whose leases last at most {@code leaseMs}. */
+  public static SupervisorSettings of(int leaseMs, int retentionMs) {
+    return new SupervisorSettings(leaseMs, 3, 5, 500, retentionMs, 4000);
+  }
+
+  /** Returns the time after which everything leased by an order has ended, whatever its clock. */
+  public int lapseMs() {
+    return leaseMs + leaseMs * DRIFT_PERCENT / 100 + UNDER_WAY_MS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermSettings.java
@@ -0,0 +1,28 @@
+package org.wheatwall.core.batch.decision;
+
+import org.wheatwall.core.common.Names;
+
+/**
+ * Times of a decider's term, milliseconds.
+ *
+ * @param actMs how long a holder acts after it sent its last confirmed record
+ * @param silenceMs how long others wait after the last record of a holder that they read
+ * @param renewMs time without a record of its own after which a holder renews
+ */
+public record TermSettings(int actMs, int silenceMs, int renewMs) {
+  private static final int DRIFT_PERCENT = 4;
+
+  /**
+   * The shortest take-over that bears a renewal lost once: three renewals within the time to act,
+   * and a wait that exceeds it by the drift of two clocks at 2% each and a scheduling delay.
+   */
+  public static final TermSettings DEFAULT = new TermSettings(1800, 2200, 500);
+
+  /** Validates. */
+  public TermSettings {
+    Names.requireRange("actMs", actMs, 1, 60_000);
+    Names.requireRange("renewMs", renewMs, 1, actMs);
+    int least = actMs + actMs * DRIFT_PERCENT / 100;
+    Names.requireRange("silenceMs", silenceMs, least, 120_000);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -0,0 +1,87 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.Optional;
+import org.wheatwall.core.batch.model.WorkerInfo;
+
+/** What the supervisor knows of one life of a worker. */
+final class WorkerRecord {
+  private final String id;
+  private Optional<WorkerInfo> info = Optional.empty();
+  private boolean listed;
+  private boolean heard;
+  private boolean suspected;
+  private long leasedAtMs;
+  private long answeredAtMs = Long.MIN_VALUE;
+  private long acknowledged;
+
+  /**
+   * Creates the record.
+   *
+   * @param leasedAtMs when an order that extends leases there may last have been sent
+   */
+  WorkerRecord(String id, long leasedAtMs) {
+    this.id = id;
+    this.leasedAtMs = leasedAtMs;
+  }
+
+  String id() {
+    return id;
+  }
+
+  Optional<WorkerInfo> info() {
+    return info;
+  }
+
+  void list(WorkerInfo next) {
+    info = Optional.of(next);
+    listed = true;
+  }
+
+  void unlist() {
+    listed = false;
+  }
+
+  boolean listed() {
+    return listed;
+  }
+
+  /** Returns whether new work may go there. */
+  boolean usable() {
+    return listed && heard && !suspected && !info.map(WorkerInfo::draining).orElse(true);
+  }
+
+  boolean silent() {
+    return listed && (!heard || suspected);
+  }
+
+  void heard(long nowMs) {
+    heard = true;
+    suspected = false;
+    answeredAtMs = nowMs;
+  }
+
+  /** Notes that it does not answer; returns whether that is new. */
+  boolean suspect() {
+    boolean fresh = !suspected;
+    suspected = true;
+    return fresh;
+  }
+
+  void leased(long nowMs) {
+    leasedAtMs = Math.max(leasedAtMs, nowMs);
+  }
+
+  /** Returns whether everything that was leased there has run out without a word from it. */
+  boolean lapsed(long nowMs, long lapseMs) {
+    return answeredAtMs < leasedAtMs && nowMs - leasedAtMs > lapseMs;
+  }
+
+  /** Returns the highest number of an end that need not be reported again. */
+  long acknowledged() {
+    return acknowledged;
+  }
+
+  void acknowledge(long number) {
+    acknowledged = Math.max(acknowledged, number);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/model/BatchState.java
@@ -0,0 +1,15 @@
+package org.wheatwall.core.batch.model;
+
+/** The state of a batch job as its submitter sees it. */
+public enum BatchState {
+  QUEUED,
+  RUNNING,
+  SUCCEEDED,
+  FAILED,
+  CANCELLED;
+
+  /** Returns whether the job has ended. */
+  public boolean ended() {
+    return this != QUEUED && this != RUNNING;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/model/GroupState.java
@@ -0,0 +1,65 @@
+package org.wheatwall.core.batch.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * What the log says about a group of tasks.
+ *
+ * @param run number of the latest run, 0 before the first
+ * @param failures runs that ended failed
+ * @param lastFailedRun number of the latest run that ended failed, 0 if none; several tasks of one
+ *     run count once
+ * @param members workers of the latest run, by position of the task
+ * @param checkpoint from where the next run goes on, empty for the start
+ */
+public record GroupState(
+    GroupPhase phase,
+    int run,
+    int failures,
+    int lastFailedRun,
+    List<GroupMember> members,
+    String checkpoint) {
+  /** A group that was never started. */
+  public static final GroupState NEW = new GroupState(GroupPhase.WAITING, 0, 0, 0, List.of(), "");
+
+  /** Copies the members. */
+  public GroupState {
+    Objects.requireNonNull(phase);
+    Objects.requireNonNull(checkpoint);
+    members = List.copyOf(members);
+  }
+
+  /** Returns the state once the next run is intended on {@code workers}. */
+  public GroupState started(List<String> workers) {
+    List<GroupMember> next = workers.stream().map(GroupMember::open).toList();
+    return new GroupState(GroupPhase.ACTIVE, run + 1, failures, lastFailedRun, next, checkpoint);
+  }
+
+  /** Returns the state after a failed end of {@code failedRun}, which counts once. */
+  public GroupState failedIn(int failedRun) {
+    if (failedRun <= lastFailedRun) {
+      return this;
+    }
+    return new GroupState(phase, run, failures + 1, failedRun, members, checkpoint);
+  }
+
+  /** Returns the state with a checkpoint; an empty one changes nothing. */
+  public GroupState savedAt(String saved) {
+    String next = saved.isEmpty() ? checkpoint : saved;
+    return new GroupState(phase, run, failures, lastFailedRun, members, next);
+  }
+
+  /** Returns the state with the member at {@code position} ended. */
+  public GroupState memberEnded(int position) {
+    List<GroupMember> next = new ArrayList<>(members);
+    next.set(position, new GroupMember(next.get(position).worker(), true));
+    return new GroupState(phase, run, failures, lastFailedRun, next, checkpoint);
+  }
+
+  /** Returns the state in a phase without a run under way. */
+  public GroupState settled(GroupPhase next) {
+    return new GroupState(next, run, failures, lastFailedRun, List.of(), checkpoint);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogEntry.java
@@ -0,0 +1,20 @@
+package org.wheatwall.core.batch.model;
+
+import java.util.Optional;
+
+/**
+ * A record of the job log.
+ *
+ * @param content empty if the key is dropped
+ */
+public record LogEntry(LogKey key, Optional<LogContent> content) {
+  /** Returns a record that sets a key. */
+  public static LogEntry of(LogKey key, LogContent content) {
+    return new LogEntry(key, Optional.of(content));
+  }
+
+  /** Returns a record that drops a key. */
+  public static LogEntry drop(LogKey key) {
+    return new LogEntry(key, Optional.empty());
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -13,6 +13,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.core.job.model.WorkerHost;
@@ -37,7 +38,12 @@
   private int freeAccelerators;
   private int nextIndex;
 
-  private record Held(Placement placement, ResourceAmount amount, boolean reclaimable) {}
+  private record Held(
+      Placement placement, ResourceAmount amount, boolean reclaimable, String spreadGroup) {
+    Held withSpreadGroup(String group) {
+      return new Held(placement, amount, reclaimable, group);
+    }
+  }
 
   /** Adds a host, or does nothing if it is known with the same capacity. */
   public void add(WorkerHost host) {
@@ -89,7 +95,7 @@
   /** Takes {@code amount} per task of {@code placement} for the attempt. */
   public void hold(
       String attemptId, Placement placement, ResourceAmount amount, boolean reclaimable) {
-    Held entry = new Held(placement, amount, reclaimable);
+    Held entry = new Held(placement, amount, reclaimable, "");
     held.put(attemptId, entry);
     for (String name : placement.tasksByHost().keySet()) {
       holdOnHost(attemptId, entry, name);
@@ -102,8 +108,37 @@
     if (entry == null) {
       return;
     }
-    for (String name : entry.placement().tasksByHost().keySet()) {
-      change(name, host -> host.release(attemptId));
+    entry
+        .placement()
+        .tasksByHost()
+        .forEach(
+            (name, count) -> {
+              change(name, host -> host.release(attemptId));
+              spread(name, entry.spreadGroup(), -count);
+            });
+  }
+
+  /** Takes what {@code job} needs at {@code placement} for the attempt. */
+  public void hold(String attemptId, Placement placement, Job job) {
+    hold(attemptId, placement, job.taskAmount(), job.reclaimable());
+    nameSpreadGroup(attemptId, job);
+  }
+
+  /** Counts the tasks that an attempt holds for its job's spread group, until it is released. */
+  void nameSpreadGroup(String attemptId, Job job) {
+    if (job.options().spreadGroup().isEmpty()) {
+      return;
+    }
+    String group = job.options().spreadGroup().get();
+    Held entry = held.get(attemptId).withSpreadGroup(group);
+    held.put(attemptId, entry);
+    entry.placement().tasksByHost().forEach((name, count) -> spread(name, group, count));
+  }
+
+  private void spread(String name, String group, int tasks) {
+    HostState host = hosts.get(name);
+    if (host != null && !group.isEmpty()) {
+      host.countSpread(group, tasks);
     }
   }
 
@@ -190,6 +225,7 @@
     if (count != null) {
       ResourceAmount amount = entry.amount().times(count);
       change(name, host -> host.hold(attemptId, amount, entry.reclaimable()));
+      spread(name, entry.spreadGroup(), count);
     }
   }
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
@@ -1,6 +1,7 @@
 package org.wheatwall.core.job.decision;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -10,33 +11,55 @@
  * host that fails everything is always free and would otherwise attract every job.
  */
 public final class HostHealth {
-  /** Consecutive failures after which a host is out. */
-  public static final int FAILURES_TO_QUARANTINE = 3;
-
-  private static final long FIRST_QUARANTINE_MS = 30_000;
-  private static final long LONGEST_QUARANTINE_MS = 3_600_000;
-
+  private final HostHealthSettings settings;
   private final Map<String, History> histories = new HashMap<>();
 
   private static final class History {
+    private final Set<String> failedJobs = new HashSet<>();
     private int consecutiveFailures;
-    private long quarantineMs = FIRST_QUARANTINE_MS;
+    private long quarantineMs;
     private long usableAgainAtMs;
     private boolean quarantined;
+
+    private History(long quarantineMs) {
+      this.quarantineMs = quarantineMs;
+    }
+  }
+
+  /** Creates the health of hosts of which nothing is known. */
+  public HostHealth(HostHealthSettings settings) {
+    this.settings = settings;
   }
 
-  /** Notes a failed attempt; returns whether the host is out from now on. */
+  /** Notes a failed attempt of an unnamed job; returns whether the host is out from now on. */
   public boolean failed(String host, long nowMs) {
-    History history = histories.computeIfAbsent(host, name -> new History());
+    return count(history(host), nowMs);
+  }
+
+  /**
+   * Notes a failed attempt; returns whether the host is out from now on. A job that fails again on
+   * the same host says more about the job, so it counts once.
+   */
+  public boolean failed(String host, String job, long nowMs) {
+    History history = history(host);
+    return history.failedJobs.add(job) && count(history, nowMs);
+  }
+
+  private History history(String host) {
+    return histories.computeIfAbsent(host, name -> new History(settings.firstQuarantineMs()));
+  }
+
+  private boolean count(History history, long nowMs) {
     history.consecutiveFailures++;
-    if (history.consecutiveFailures < FAILURES_TO_QUARANTINE) {
+    if (history.consecutiveFailures < settings.failures()) {
       return false;
     }
     history.quarantined = true;
     history.usableAgainAtMs = nowMs + history.quarantineMs;
-    history.quarantineMs = Math.min(LONGEST_QUARANTINE_MS, history.quarantineMs * 2);
+    history.quarantineMs = Math.min(settings.longestQuarantineMs(), history.quarantineMs * 2);
     // One further failure, of the probe, is enough to be out again.
-    history.consecutiveFailures = FAILURES_TO_QUARANTINE - 1;
+    history.consecutiveFailures = settings.failures() - 1;
+    history.failedJobs.clear();
     return true;
   }
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobOptions;
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.core.job.model.WorkerHost;
 
@@ -15,6 +17,7 @@
   private ResourceAmount used = ResourceAmount.ZERO;
   private ResourceAmount fixed = ResourceAmount.ZERO;
   private ResourceAmount planned = ResourceAmount.ZERO;
+  private final Map<String, Integer> spread = new HashMap<>();
   private Labels labels = Labels.NONE;
   private boolean usable = true;
 
@@ -61,6 +64,27 @@
     return reclaimableOrFree().minus(planned);
   }
 
+  /** Returns the part of {@code room} that {@code job} may use here, by what it asks of hosts. */
+  public ResourceAmount roomFor(Job job, ResourceAmount room) {
+    JobOptions options = job.options();
+    boolean labelled = labels.entries().keySet().containsAll(options.hostLabels());
+    boolean inRack = options.preferredRack().map(host.rack()::equals).orElse(true);
+    if (!labelled || !inRack || options.avoidedHosts().contains(name())) {
+      return ResourceAmount.ZERO;
+    }
+    if (options.spreadLimit() == 0 || options.spreadGroup().isEmpty()) {
+      return room;
+    }
+    int present = spread.getOrDefault(options.spreadGroup().get(), 0);
+    int allowed = Math.max(0, options.spreadLimit() - present);
+    return room.fits(job.taskAmount()) <= allowed ? room : job.taskAmount().times(allowed);
+  }
+
+  /** Counts tasks of a spread group that came or, if negative, went. */
+  void countSpread(String group, int tasks) {
+    spread.merge(group, tasks, (old, added) -> old + added == 0 ? null : old + added);
+  }
+
   /** Returns the identifiers of the attempts that hold something here. */
   public Collection<String> attempts() {
     return holdings.keySet();
--- a/core/src/main/java/org/wheatwall/core/job/decision/NeverFits.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/NeverFits.java
@@ -17,7 +17,11 @@
     }
     boolean fits =
         PlanSearch.bestFit(
-                cluster, job.adjacency(), job.tasks(), job.taskAmount(), NeverFits::capacity)
+                cluster,
+                job.adjacency(),
+                job.tasks(),
+                job.taskAmount(),
+                host -> capacity(job, host))
             .isPresent();
     return fits ? Optional.empty() : Optional.of(closest(job, cluster));
   }
@@ -26,12 +30,13 @@
   private static boolean fitsQuickly(Job job, Cluster cluster) {
     for (RackState rack : cluster.racks()) {
       for (HostState host : rack.hosts()) {
-        if (capacity(host).fits(job.taskAmount()) >= job.tasks()) {
+        if (capacity(job, host).fits(job.taskAmount()) >= job.tasks()) {
           return true;
         }
       }
       if (job.adjacency() != Adjacency.SAME_HOST
-          && GangFitter.count(rack.hosts(), job.tasks(), job.taskAmount(), NeverFits::capacity)
+          && GangFitter.count(
+                  rack.hosts(), job.tasks(), job.taskAmount(), host -> capacity(job, host))
               >= job.tasks()) {
         return true;
       }
@@ -39,8 +44,9 @@
     return false;
   }
 
-  private static ResourceAmount capacity(HostState host) {
-    return host.usable() ? host.host().capacity() : ResourceAmount.ZERO;
+  private static ResourceAmount capacity(Job job, HostState host) {
+    ResourceAmount whole = host.usable() ? host.host().capacity() : ResourceAmount.ZERO;
+    return host.roomFor(job, whole);
   }
 
   private static String closest(Job job, Cluster cluster) {
@@ -50,8 +56,8 @@
             .max(
                 Comparator.comparingInt(
                         (HostState host) ->
-                            Math.min(job.tasks(), capacity(host).fits(job.taskAmount())))
-                    .thenComparingInt(host -> capacity(host).accelerators()));
+                            Math.min(job.tasks(), capacity(job, host).fits(job.taskAmount())))
+                    .thenComparingInt(host -> capacity(job, host).accelerators()));
     return largest
         .map(
             host ->
@@ -60,9 +66,9 @@
                     + "; closest host "
                     + host.name()
                     + " holds "
-                    + Math.min(job.tasks(), capacity(host).fits(job.taskAmount()))
+                    + Math.min(job.tasks(), capacity(job, host).fits(job.taskAmount()))
                     + " tasks with "
-                    + text(capacity(host)))
+                    + text(host.host().capacity()))
         .orElse("needs " + need + "; the zone has no hosts");
   }
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/PlacementCheck.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/PlacementCheck.java
@@ -25,7 +25,8 @@
       Optional<HostState> host = cluster.host(entry.getKey());
       boolean room =
           host.filter(HostState::usable)
-              .filter(h -> h.free().covers(job.taskAmount().times(entry.getValue())))
+              .filter(
+                  h -> h.roomFor(job, h.free()).covers(job.taskAmount().times(entry.getValue())))
               .isPresent();
       if (!room) {
         return false;
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -74,7 +74,9 @@
 
   private List<Placement> places(Job job) {
     Function<HostState, ResourceAmount> room =
-        job.reclaimable() ? HostState::reclaimableOrFree : HostState::unplanned;
+        job.reclaimable()
+            ? host -> host.roomFor(job, host.reclaimableOrFree())
+            : host -> host.roomFor(job, host.unplanned());
     if (job.adjacency() == Adjacency.SAME_RACK) {
       return racksWithRoom(job, room);
     }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -14,6 +14,7 @@
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.GuaranteedShape;
 import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobOptions;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.PolicySpec;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -34,13 +35,14 @@
   private final Cluster cluster = new Cluster();
   private final GuaranteePlan plan = new GuaranteePlan(cluster);
   private final RunTimeEstimator estimator = new RunTimeEstimator();
-  private final HostHealth health = new HostHealth();
+  private final HostHealth health;
   private final Map<String, QueuedJob> waiting = new LinkedHashMap<>();
   private final Map<String, RunningAttempt> running = new LinkedHashMap<>();
   private final Map<String, String> attemptOfJob = new HashMap<>();
   private final Map<String, WaitReason> reasons = new HashMap<>();
   private final Map<String, Integer> usedByWorkspace = new HashMap<>();
   private final Set<String> cordoned = new HashSet<>();
+  private final Set<String> unavailable = new HashSet<>();
   private final Reclaimer reclaimer = new Reclaimer(cluster, plan, running);
   private Map<String, Workspace> workspaces = Map.of();
   private PolicyTable policies = PolicyTable.ofActive(Map.of());
@@ -51,6 +53,7 @@
   /** Creates a scheduler without hosts or jobs. */
   public Scheduler(SchedulerSettings settings) {
     this.settings = settings;
+    this.health = new HostHealth(settings.health());
   }
 
   /** Sets the part of attempt identifiers that no other decider uses, such as its epoch. */
@@ -109,6 +112,14 @@
     }
   }
 
+  /** Allows or forbids new work on a host for reasons of the caller, such as that it is leaving. */
+  public void setHostAvailable(String name, boolean available) {
+    boolean changed = available ? unavailable.remove(name) : unavailable.add(name);
+    if (changed || !available) {
+      refreshUsable(name);
+    }
+  }
+
   /** Adds a job to the queue unless it is known. */
   public void submit(String name, Job job, long submittedAtMs) {
     if (waiting.containsKey(name) || attemptOfJob.containsKey(name)) {
@@ -136,7 +147,7 @@
       Placement placement,
       long nowMs) {
     waiting.remove(jobName);
-    cluster.hold(attemptId, placement, job.taskAmount(), job.reclaimable());
+    cluster.hold(attemptId, placement, job);
     job.shape().ifPresent(shape -> plan.adopt(attemptId, shape));
     double expectedSeconds = estimator.expectedSeconds(job);
     track(attemptId, new QueuedJob(jobName, job, submittedAtMs, expectedSeconds), placement, nowMs);
@@ -172,6 +183,14 @@
     }
   }
 
+  /** Notes that a task of {@code job} failed on a host; repeats by the same job count once. */
+  public void hostFailedTask(String host, String job, long nowMs) {
+    if (health.failed(host, job, nowMs)) {
+      refreshUsable(host);
+      plan.refresh();
+    }
+  }
+
   /** Returns why a job waits, empty if it is not waiting. */
   public Optional<WaitReason> reason(String jobName) {
     return Optional.ofNullable(reasons.get(jobName));
@@ -250,7 +269,8 @@
   }
 
   private void refreshUsable(String host) {
-    cluster.setUsable(host, !cordoned.contains(host) && !health.isQuarantined(host));
+    boolean allowed = !cordoned.contains(host) && !unavailable.contains(host);
+    cluster.setUsable(host, allowed && !health.isQuarantined(host));
   }
 
   private void track(String attemptId, QueuedJob start, Placement placement, long nowMs) {
@@ -275,8 +295,9 @@
       this.decisions = decisions;
     }
 
-    private void look(QueuedJob job) {
+    private void look(QueuedJob queued) {
       scanned++;
+      QueuedJob job = relaxed(queued);
       Optional<WaitReason> barrier = barrier(job);
       if (barrier.isPresent()) {
         reasons.put(job.name(), barrier.get());
@@ -288,6 +309,16 @@
       }
     }
 
+    // What a job prefers gives way once no host of the zone could meet it, even if all were empty.
+    private QueuedJob relaxed(QueuedJob queued) {
+      Job job = queued.job();
+      if (!job.options().hasPreferences() || NeverFits.explain(job, cluster).isEmpty()) {
+        return queued;
+      }
+      Job plain = job.withOptions(job.options().withoutPreferences());
+      return new QueuedJob(queued.name(), plain, queued.submittedAtMs(), queued.expectedSeconds());
+    }
+
     private Optional<WaitReason> barrier(QueuedJob job) {
       Workspace workspace = workspaces.get(job.job().workspace());
       int used = usedByWorkspace.getOrDefault(job.job().workspace(), 0);
@@ -366,7 +397,7 @@
       Job job = queued.job();
       String attemptId = queued.name() + "." + attemptPrefix + "." + attemptCounter;
       if (job.reclaimable()) {
-        cluster.hold(attemptId, place, job.taskAmount(), true);
+        cluster.hold(attemptId, place, job);
       } else if (!plan.admit(attemptId, place, job.taskAmount(), job.shape())) {
         reasons.put(
             queued.name(),
@@ -374,6 +405,8 @@
                 WaitReason.Kind.WOULD_BREAK_GUARANTEE,
                 "work that is not preemptible would sit on capacity that a guarantee needs"));
         return false;
+      } else {
+        cluster.nameSpreadGroup(attemptId, job);
       }
       attemptCounter++;
       started++;
@@ -408,9 +441,10 @@
   }
 
   /** What makes two gangs alike for the question whether there is room. */
-  private record GangNeed(int tasks, ResourceAmount amount, Adjacency adjacency) {
+  private record GangNeed(
+      int tasks, ResourceAmount amount, Adjacency adjacency, JobOptions options) {
     static GangNeed of(Job job) {
-      return new GangNeed(job.tasks(), job.taskAmount(), job.adjacency());
+      return new GangNeed(job.tasks(), job.taskAmount(), job.adjacency(), job.options());
     }
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
@@ -9,11 +9,18 @@
  *     was submitted
  * @param scanLimit jobs looked at in one pass
  * @param startLimit jobs started in one pass
+ * @param health when a host counts as failing
  */
-public record SchedulerSettings(int starvationBoundMs, int scanLimit, int startLimit) {
+public record SchedulerSettings(
+    int starvationBoundMs, int scanLimit, int startLimit, HostHealthSettings health) {
   /** Settings for ordinary use. */
   public static final SchedulerSettings DEFAULT = new SchedulerSettings(600_000, 500, 64);
 
+  /** Creates settings with the usual health of hosts. */
+  public SchedulerSettings(int starvationBoundMs, int scanLimit, int startLimit) {
+    this(starvationBoundMs, scanLimit, startLimit, HostHealthSettings.DEFAULT);
+  }
+
   /** Validates. */
   public SchedulerSettings {
     Names.requireRange("starvationBoundMs", starvationBoundMs, 1, Integer.MAX_VALUE);
--- a/core/src/main/java/org/wheatwall/core/job/model/Job.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/Job.java
@@ -18,6 +18,7 @@
  *     never is
  * @param urgent whether it goes before all work that is not
  * @param phase what the log says about it
+ * @param options what it asks of its hosts and of the order of the queue
  */
 public record Job(
     Labels labels,
@@ -30,7 +31,8 @@
     int declaredSeconds,
     boolean preemptible,
     boolean urgent,
-    JobPhase phase)
+    JobPhase phase,
+    JobOptions options)
     implements Resource {
   /** Largest gang. */
   public static final int MAX_TASKS = 64;
@@ -43,6 +45,7 @@
     shape = shape == null ? Optional.empty() : shape;
     adjacency = adjacency == null ? Adjacency.ANY : adjacency;
     phase = phase == null ? JobPhase.SUBMITTED : phase;
+    options = options == null ? JobOptions.NONE : options;
     Names.require("workspace", workspace);
     Names.require("zone", zone);
     Names.requireRange("tasks", tasks, 1, MAX_TASKS);
@@ -52,6 +55,34 @@
     }
   }
 
+  /** Creates a job without options. */
+  public Job(
+      Labels labels,
+      String workspace,
+      String zone,
+      Optional<String> shape,
+      int tasks,
+      ResourceAmount taskAmount,
+      Adjacency adjacency,
+      int declaredSeconds,
+      boolean preemptible,
+      boolean urgent,
+      JobPhase phase) {
+    this(
+        labels,
+        workspace,
+        zone,
+        shape,
+        tasks,
+        taskAmount,
+        adjacency,
+        declaredSeconds,
+        preemptible,
+        urgent,
+        phase,
+        JobOptions.NONE);
+  }
+
   /** Returns this job in another phase. */
   public Job withPhase(JobPhase next) {
     return new Job(
@@ -65,6 +96,24 @@
         declaredSeconds,
         preemptible,
         urgent,
+        next,
+        options);
+  }
+
+  /** Returns this job with other options. */
+  public Job withOptions(JobOptions next) {
+    return new Job(
+        labels,
+        workspace,
+        zone,
+        shape,
+        tasks,
+        taskAmount,
+        adjacency,
+        declaredSeconds,
+        preemptible,
+        urgent,
+        phase,
         next);
   }
 
--- a/core/src/main/java/org/wheatwall/core/job/model/PolicyAlgorithm.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/PolicyAlgorithm.java
@@ -9,6 +9,7 @@
   RACK_PACKING,
   SHORTEST_FIRST,
   BACKFILL,
+  PRIORITY_FIRST,
   BLEND;
 
   @Override
--- a/core/src/main/java/org/wheatwall/core/job/model/PolicySpec.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/PolicySpec.java
@@ -34,7 +34,7 @@
     if (algorithm == null) {
       throw Refusal.invalid(
           "algorithm is missing",
-          "give first-fit, best-fit, rack-packing, shortest-first, backfill or blend");
+          "give first-fit, best-fit, rack-packing, shortest-first, backfill, priority-first or blend");
     }
     Names.requireRange("precedence", precedence, 0, 1000);
     Names.requireRange("completionWeight", completionWeight, 0, MAX_WEIGHT);
--- a/core/src/main/java/org/wheatwall/core/job/policy/BestFit.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/BestFit.java
@@ -66,6 +66,7 @@
   }
 
   private static Optional<Placement> fit(Job job, Iterable<HostState> hosts) {
-    return GangFitter.fit(hosts, job.tasks(), job.taskAmount(), HostState::free);
+    return GangFitter.fit(
+        hosts, job.tasks(), job.taskAmount(), host -> host.roomFor(job, host.free()));
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/policy/FirstFit.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/FirstFit.java
@@ -34,11 +34,13 @@
   }
 
   private static boolean fits(Job job, RackState rack) {
-    return GangFitter.count(rack.hosts(), job.tasks(), job.taskAmount(), HostState::free)
+    return GangFitter.count(
+            rack.hosts(), job.tasks(), job.taskAmount(), host -> host.roomFor(job, host.free()))
         == job.tasks();
   }
 
   private static Optional<Placement> fit(Job job, Iterable<HostState> hosts) {
-    return GangFitter.fit(hosts, job.tasks(), job.taskAmount(), HostState::free);
+    return GangFitter.fit(
+        hosts, job.tasks(), job.taskAmount(), host -> host.roomFor(job, host.free()));
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/policy/PolicyCatalog.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/PolicyCatalog.java
@@ -18,6 +18,8 @@
           new SchedulingPolicy(new ShortestExpectedFirst(1), new BestFit(), Backfill.GREEDY);
       case BACKFILL ->
           new SchedulingPolicy(new SubmissionOrder(), new FirstFit(), Backfill.RESERVING);
+      case PRIORITY_FIRST ->
+          new SchedulingPolicy(new PriorityFirst(), new RackPacking(), Backfill.GREEDY);
       case BLEND -> blend(spec);
     };
   }
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/policy/PriorityFirst.java
@@ -0,0 +1,17 @@
+package org.wheatwall.core.job.policy;
+
+/**
+ * The job's own priority class first, then the response ratio (Hansen, 1971), so that within a
+ * class short jobs go first and none waits for ever.
+ */
+public record PriorityFirst() implements QueueRank {
+  // Larger than any response ratio within a class: a month of waiting over one second is 2.6e6.
+  private static final double CLASS_WIDTH = 1e8;
+
+  @Override
+  public double rank(QueuedJob job, long nowMs) {
+    double expected = Math.max(1, job.expectedSeconds());
+    double responseRatio = (job.waitedSeconds(nowMs) + expected) / expected;
+    return job.job().options().priority() * CLASS_WIDTH - responseRatio;
+  }
+}
--- a/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
@@ -149,7 +149,7 @@
   @Test
   void hostThatFailsEverythingIsOutAfterThreeFailuresAndReturnsByProbe() {
     hosts(1, 1);
-    for (int i = 0; i < HostHealth.FAILURES_TO_QUARANTINE; i++) {
+    for (int i = 0; i < HostHealthSettings.DEFAULT.failures(); i++) {
       assertThat(scheduler.cluster().host("worker-0-0").orElseThrow().usable()).isTrue();
       scheduler.hostFailedTask("worker-0-0", i);
     }
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -0,0 +1,308 @@
+package org.wheatwall.entry.batch;
+
+import static org.wheatwall.entry.batch.DecisionLog.field;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.RunEffects;
+import org.wheatwall.core.batch.decision.RunEvent;
+import org.wheatwall.core.batch.decision.RunSupervisor;
+import org.wheatwall.core.batch.decision.SupervisorSettings;
+import org.wheatwall.core.batch.decision.TermRule;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.OrderAnswer;
+import org.wheatwall.core.batch.model.StartOrder;
+import org.wheatwall.core.batch.model.StopOrder;
+import org.wheatwall.core.batch.model.WorkerInfo;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.decision.HostHealthSettings;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.PolicyAlgorithm;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.entry.batch.log.KeyedLog;
+import org.wheatwall.entry.batch.log.KeyedRecord;
+import org.wheatwall.entry.batch.log.LogWriter;
+import org.wheatwall.entry.batch.worker.WorkerDirectory;
+import org.wheatwall.entry.batch.worker.WorkerPort;
+import org.wheatwall.entry.batch.worker.WorkerWatch;
+import org.wheatwall.wire.batch.JobLogCodec;
+
+/**
+ * One term of this host as decider: carries out what the supervisor of runs wants done. After
+ * {@link #end} it gives no more orders and its callbacks do nothing.
+ *
+ * <p>Not thread-safe; the decision loop owns it.
+ */
+final class BatchDecider implements RunEffects, WorkerDirectory.Listener, WorkerWatch.Listener {
+  /** Name under which deciders append; the store refuses all but the latest term's. */
+  static final String PRODUCER = "decider";
+
+  private final BatchHost.Tools tools;
+  private final TermRule rule;
+  private final WorkerPort port;
+  private final long term;
+  private final LogWriter writer;
+  private final RunSupervisor supervisor;
+  private final WorkerWatch watch;
+  private final Runnable onLost;
+  private boolean ended;
+
+  /**
+   * Creates the decider of a term that this host has won.
+   *
+   * @param firstSequence number of the first call after the claim
+   * @param onLost run when the store or a worker has refused the term
+   */
+  BatchDecider(
+      BatchSettings settings,
+      BatchHost.Tools tools,
+      KeyedLog log,
+      WorkerPort port,
+      TermRule rule,
+      long firstSequence,
+      Runnable onLost) {
+    this.tools = tools;
+    this.rule = rule;
+    this.port = port;
+    this.term = rule.term();
+    this.onLost = onLost;
+    this.writer =
+        new LogWriter(
+            log,
+            PRODUCER,
+            term,
+            firstSequence,
+            tools.loop(),
+            tools.timer(),
+            tools.clock(),
+            rule::confirmed);
+    this.supervisor =
+        new RunSupervisor(
+            SupervisorSettings.of(settings.leaseMs(), settings.retentionMs()),
+            SCHEDULING,
+            this,
+            term,
+            tools.clock().nowMs());
+    this.supervisor.scheduler().setPolicies(Map.of("batch", PRIORITY_FIRST));
+    this.watch =
+        new WorkerWatch(
+            port,
+            supervisor,
+            term,
+            settings.leaseMs(),
+            tools.loop(),
+            tools.timer(),
+            tools.clock(),
+            this);
+  }
+
+  // A job that waits this long may stop younger ones; the other bounds are the usual ones.
+  private static final int STARVATION_MS = 600_000;
+  private static final int SCAN_LIMIT = 500;
+  private static final int START_LIMIT = 64;
+  private static final SchedulerSettings SCHEDULING =
+      new SchedulerSettings(STARVATION_MS, SCAN_LIMIT, START_LIMIT, HostHealthSettings.SHORT_JOBS);
+
+  private static final PolicySpec PRIORITY_FIRST =
+      new PolicySpec(Labels.NONE, PolicyAlgorithm.PRIORITY_FIRST, "", 0, 0, 0, false);
+
+  /** Takes over what the log says. */
+  void begin(JobTable table) {
+    supervisor.adopt(table, tools.clock().nowMs(), tools.clock().wallMs());
+  }
+
+  RunSupervisor supervisor() {
+    return supervisor;
+  }
+
+  boolean writerIdle() {
+    return writer.idle();
+  }
+
+  /** Writes a record of the term itself. */
+  CompletableFuture<Void> write(LogEntry entry) {
+    return append(List.of(entry));
+  }
+
+  void accept(BatchJob job) {
+    supervisor.accept(job, tools.clock().nowMs(), tools.clock().wallMs());
+    decideSoon();
+  }
+
+  void cancel(String jobId) {
+    supervisor.cancel(jobId, tools.clock().nowMs(), tools.clock().wallMs());
+  }
+
+  /** Does what time brings. */
+  void tick(JobTable table) {
+    if (ended || !mayAct()) {
+      return;
+    }
+    supervisor.tick(tools.clock().nowMs(), tools.clock().wallMs());
+    supervisor.forgetEnded(table, tools.clock().nowMs(), tools.clock().wallMs());
+    watch.tick();
+  }
+
+  /** Gives no more orders; what was to be written still is. */
+  void stopOrders() {
+    ended = true;
+  }
+
+  /** Ends the term here. */
+  void end(String reason) {
+    ended = true;
+    writer.close(reason);
+  }
+
+  @Override
+  public boolean mayAct() {
+    return !ended && rule.term() == term && rule.mayAct(tools.clock().nowMs());
+  }
+
+  @Override
+  public void fenced(String worker) {
+    if (!ended) {
+      tools.decisions().note("order-fenced", field("worker", worker), field("term", term));
+      onLost.run();
+    }
+  }
+
+  @Override
+  public void keep(List<LogEntry> entries, Runnable whenKept) {
+    append(entries).thenRun(() -> runKept(whenKept));
+  }
+
+  private void runKept(Runnable whenKept) {
+    if (!ended) {
+      whenKept.run();
+    }
+  }
+
+  // An empty list waits for the records before it.
+  private CompletableFuture<Void> append(List<LogEntry> entries) {
+    if (entries.isEmpty() && writer.idle()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    List<KeyedRecord> records =
+        entries.stream()
+            .map(entry -> new KeyedRecord(entry.key().text(), JobLogCodec.value(entry)))
+            .toList();
+    return writer.append(records, Long.MAX_VALUE).whenComplete((done, failure) -> written(failure));
+  }
+
+  private void written(Throwable failure) {
+    if (failure != null && !ended) {
+      tools.decisions().note("write-refused", field("term", term), field("cause", failure));
+      onLost.run();
+    }
+  }
+
+  @Override
+  public void start(StartOrder order) {
+    Optional<WorkerInfo> worker = supervisor.workerInfo(order.worker());
+    Optional<WorkerPort.Lease> lease = watch.lease(order.worker());
+    if (worker.isEmpty() || lease.isEmpty() || !mayAct()) {
+      tools.loop().execute(() -> startAnswered(order, OrderAnswer.NOT_DONE));
+      return;
+    }
+    supervisor.leased(order.worker(), tools.clock().nowMs());
+    port.start(worker.get(), order, lease.get())
+        .thenAcceptAsync(answer -> startAnswered(order, answer), tools.loop());
+  }
+
+  private void startAnswered(StartOrder order, OrderAnswer answer) {
+    if (ended) {
+      return;
+    }
+    if (answer != OrderAnswer.DONE) {
+      noteOrder("start-not-done", order.task().jobId(), order.worker(), order.run(), answer);
+    }
+    if (answer == OrderAnswer.FENCED) {
+      fenced(order.worker());
+      return;
+    }
+    supervisor.onStartAnswer(order, answer, tools.clock().nowMs(), tools.clock().wallMs());
+    watch.look(order.worker());
+  }
+
+  @Override
+  public void stop(StopOrder order) {
+    Optional<WorkerInfo> worker = supervisor.workerInfo(order.worker());
+    if (worker.isEmpty() || !mayAct()) {
+      return;
+    }
+    port.stop(worker.get(), order, term)
+        .thenAcceptAsync(answer -> stopAnswered(order, answer), tools.loop());
+  }
+
+  private void stopAnswered(StopOrder order, OrderAnswer answer) {
+    if (ended) {
+      return;
+    }
+    if (answer == OrderAnswer.FENCED) {
+      fenced(order.worker());
+      return;
+    }
+    supervisor.onStopAnswer(order, answer, tools.clock().nowMs(), tools.clock().wallMs());
+  }
+
+  private void noteOrder(String event, String jobId, String worker, int run, OrderAnswer answer) {
+    tools
+        .decisions()
+        .note(
+            event,
+            field("job", jobId),
+            field("worker", worker),
+            field("run", run),
+            field("answer", answer));
+  }
+
+  @Override
+  public void look(String worker) {
+    watch.look(worker);
+  }
+
+  @Override
+  public void decided(RunEvent event) {
+    tools
+        .decisions()
+        .note(
+            event.kind().toString(),
+            field("job", event.jobId()),
+            field("subject", event.subject()),
+            field("reason", event.reason()),
+            field("term", term));
+  }
+
+  @Override
+  public void listed(WorkerInfo worker) {
+    if (!ended) {
+      supervisor.listWorker(worker, tools.clock().nowMs());
+      decideSoon();
+    }
+  }
+
+  @Override
+  public void unlisted(String worker) {
+    if (!ended) {
+      supervisor.unlistWorker(worker, tools.clock().nowMs());
+    }
+  }
+
+  @Override
+  public void replaced(String worker) {
+    if (!ended) {
+      supervisor.workerGone(worker, tools.clock().nowMs(), tools.clock().wallMs());
+    }
+  }
+
+  private void decideSoon() {
+    if (mayAct()) {
+      supervisor.tick(tools.clock().nowMs(), tools.clock().wallMs());
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/KeyedRecord.java
@@ -0,0 +1,8 @@
+package org.wheatwall.entry.batch.log;
+
+/**
+ * A record of a log that keeps the newest record of each key.
+ *
+ * @param value bytes, not copied; empty if the key is dropped
+ */
+public record KeyedRecord(String key, byte[] value) {}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
@@ -0,0 +1,206 @@
+package org.wheatwall.entry.batch.log;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wheatwall.entry.batch.LoopTimer;
+import org.wheatwall.entry.common.Clock;
+
+/**
+ * Follows a log of keyed records. It starts from the newest record of each key, goes on with what
+ * is appended, and starts anew when records were dropped before it read them.
+ *
+ * <p>Not thread-safe; the decision loop owns it.
+ */
+public final class LogFollower {
+  private static final Logger LOG = LoggerFactory.getLogger(LogFollower.class);
+  private static final int WAIT_MS = 1000;
+  private static final int FIRST_BACKOFF_MS = 50;
+  private static final int LONGEST_BACKOFF_MS = 300;
+
+  private final String name;
+  private final KeyedLog log;
+  private final Executor loop;
+  private final LoopTimer timer;
+  private final Clock clock;
+  private final Listener listener;
+  private long position = -1;
+  private long confirmedAtMs;
+  private boolean failing;
+  private int backoffMs = FIRST_BACKOFF_MS;
+  private boolean stopped;
+
+  /** Takes in what the log says. */
+  public interface Listener {
+    /** Starts anew with the newest records of all keys, in the order of their offsets. */
+    void restart(List<KeyedLog.NewestRecord> newest);
+
+    /** Takes in the next record. */
+    void next(KeyedRecord record, long offset);
+
+    /** Notes that everything up to the log's end, as of {@code askedMs}, was taken in. */
+    default void upToDate(long askedMs) {}
+
+    /** Notes that the log can be read again after it could not. */
+    default void regained() {}
+  }
+
+  /**
+   * Creates a follower; {@link #start} begins.
+   *
+   * @param name of the log, for operators
+   */
+  public LogFollower(
+      String name, KeyedLog log, Executor loop, LoopTimer timer, Clock clock, Listener listener) {
+    this.name = name;
+    this.log = log;
+    this.loop = loop;
+    this.timer = timer;
+    this.clock = clock;
+    this.listener = listener;
+    this.confirmedAtMs = Long.MIN_VALUE / 2;
+  }
+
+  /** Begins to follow. */
+  public void start() {
+    restart(Optional.empty(), new ArrayList<>(), -1, clock.nowMs());
+  }
+
+  /** Stops following. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Returns the offset of the next record to be read, -1 before the first whole reading. */
+  public long position() {
+    return position;
+  }
+
+  /** Returns whether the log was read whole at least once. */
+  public boolean started() {
+    return position >= 0;
+  }
+
+  /** Returns when the latest reading that reached the log's end was asked for. */
+  public long confirmedAtMs() {
+    return confirmedAtMs;
+  }
+
+  /** Returns whether the last call failed. */
+  public boolean failing() {
+    return failing;
+  }
+
+  /**
+   * Reads to the log's end now. Completes once everything that was appended before this call is
+   * taken in; fails with {@link LogFailure} if the log cannot be read.
+   */
+  public CompletableFuture<Void> catchUp() {
+    if (!started()) {
+      return CompletableFuture.failedFuture(
+          new LogFailure(LogFailure.Kind.NOT_DONE, name + " was not read yet"));
+    }
+    long askedMs = clock.nowMs();
+    return log.read(position, 0)
+        .thenAcceptAsync(
+            page -> {
+              take(page, askedMs);
+              if (page.end() > position) {
+                throw new LogFailure(LogFailure.Kind.NOT_DONE, name + " is being read");
+              }
+            },
+            loop);
+  }
+
+  private void restart(
+      Optional<String> afterKey, List<KeyedLog.NewestRecord> read, long end, long askedMs) {
+    if (stopped) {
+      return;
+    }
+    log.newest(afterKey)
+        .whenCompleteAsync(
+            (page, failure) -> {
+              if (failure != null) {
+                failed(LogFailure.of(failure), this::start);
+                return;
+              }
+              read.addAll(page.records());
+              long from = end < 0 ? page.end() : end;
+              if (page.more() && !page.records().isEmpty()) {
+                String last = page.records().get(page.records().size() - 1).record().key();
+                restart(Optional.of(last), read, from, askedMs);
+                return;
+              }
+              read.sort(Comparator.comparingLong(KeyedLog.NewestRecord::offset));
+              position = from;
+              listener.restart(read);
+              succeeded(askedMs, true);
+              follow();
+            },
+            loop);
+  }
+
+  private void follow() {
+    if (stopped) {
+      return;
+    }
+    long askedMs = clock.nowMs();
+    log.read(position, WAIT_MS)
+        .whenCompleteAsync(
+            (page, failure) -> {
+              if (failure == null) {
+                take(page, askedMs);
+                follow();
+                return;
+              }
+              LogFailure cause = LogFailure.of(failure);
+              if (cause.kind() == LogFailure.Kind.HISTORY_GONE) {
+                LOG.info("event=log-history-gone log={} position={}", name, position);
+                start();
+              } else {
+                failed(cause, this::follow);
+              }
+            },
+            loop);
+  }
+
+  private void take(KeyedLog.LogPage page, long askedMs) {
+    long offset = page.from();
+    for (KeyedRecord record : page.records()) {
+      if (offset == position) {
+        position++;
+        listener.next(record, offset);
+      }
+      offset++;
+    }
+    succeeded(askedMs, position >= page.end());
+  }
+
+  private void succeeded(long askedMs, boolean atEnd) {
+    backoffMs = FIRST_BACKOFF_MS;
+    if (failing) {
+      failing = false;
+      LOG.info("event=log-regained log={} position={}", name, position);
+      listener.regained();
+    }
+    if (atEnd) {
+      confirmedAtMs = Math.max(confirmedAtMs, askedMs);
+      listener.upToDate(askedMs);
+    }
+  }
+
+  private void failed(LogFailure failure, Runnable again) {
+    if (!failing) {
+      failing = true;
+      LOG.warn("event=log-lost log={} position={} cause={}", name, position, failure.toString());
+    }
+    long wait = backoffMs;
+    backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
+    timer.after(wait, again);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -0,0 +1,258 @@
+package org.wheatwall.entry.batch.log;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.LongConsumer;
+import org.wheatwall.entry.batch.LoopTimer;
+import org.wheatwall.entry.common.Clock;
+
+/**
+ * Appends the records of one producer. One call is under way at a time, and what comes meanwhile
+ * goes out together with the next. A call without an answer is repeated with the same number until
+ * it is answered, so that each record is appended once.
+ *
+ * <p>Not thread-safe; the decision loop owns it.
+ */
+public final class LogWriter {
+  private static final int MAX_RECORDS = 500;
+  private static final int MAX_BYTES = 1024 * 1024;
+  private static final int MAX_QUEUED = 4000;
+  private static final int FIRST_BACKOFF_MS = 20;
+  private static final int LONGEST_BACKOFF_MS = 300;
+
+  private final KeyedLog log;
+  private final String producer;
+  private final long epoch;
+  private final Executor loop;
+  private final LoopTimer timer;
+  private final Clock clock;
+  private final LongConsumer confirmed;
+  private final Deque<Item> queue = new ArrayDeque<>();
+  private List<Item> inFlight = List.of();
+  private long sequence;
+  private boolean mayHaveArrived;
+  private boolean closed;
+  private int backoffMs = FIRST_BACKOFF_MS;
+
+  /** Records that are appended together. */
+  private static final class Item {
+    private final List<KeyedRecord> records;
+    private final long deadlineMs;
+    private final CompletableFuture<Void> result = new CompletableFuture<>();
+
+    private Item(List<KeyedRecord> records, long deadlineMs) {
+      this.records = records;
+      this.deadlineMs = deadlineMs;
+    }
+  }
+
+  /**
+   * Creates a writer.
+   *
+   * @param firstSequence number of its first call
+   * @param confirmed told, for each call that was answered, when it was first sent
+   */
+  public LogWriter(
+      KeyedLog log,
+      String producer,
+      long epoch,
+      long firstSequence,
+      Executor loop,
+      LoopTimer timer,
+      Clock clock,
+      LongConsumer confirmed) {
+    this.log = log;
+    this.producer = producer;
+    this.epoch = epoch;
+    this.sequence = firstSequence;
+    this.loop = loop;
+    this.timer = timer;
+    this.clock = clock;
+    this.confirmed = confirmed;
+  }
+
+  /**
+   * Appends records, all in one call and in the order of the calls to this method; without records
+   * it waits for those before it. Fails with {@link LogFailure}: NOT_DONE if they were not sent
+   * before the deadline and never will be, UNKNOWN if they may have been appended, FENCED if the
+   * epoch is over.
+   */
+  public CompletableFuture<Void> append(List<KeyedRecord> records, long deadlineMs) {
+    Item item = new Item(records, deadlineMs);
+    if (closed) {
+      item.result.completeExceptionally(
+          new LogFailure(LogFailure.Kind.FENCED, "this writer was closed"));
+      return item.result;
+    }
+    if (queue.size() >= MAX_QUEUED) {
+      item.result.completeExceptionally(
+          new LogFailure(LogFailure.Kind.NOT_DONE, "too many records wait to be appended"));
+      return item.result;
+    }
+    queue.add(item);
+    next();
+    return item.result;
+  }
+
+  /** Returns whether nothing is queued or under way. */
+  public boolean idle() {
+    return queue.isEmpty() && inFlight.isEmpty();
+  }
+
+  /** Fails everything whose deadline has passed; what was sent may still be appended. */
+  public void expire() {
+    long now = clock.nowMs();
+    while (!queue.isEmpty() && queue.peek().deadlineMs <= now) {
+      queue
+          .poll()
+          .result
+          .completeExceptionally(
+              new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time"));
+    }
+    for (Item item : inFlight) {
+      if (item.deadlineMs <= now) {
+        item.result.completeExceptionally(
+            new LogFailure(LogFailure.Kind.UNKNOWN, "the log did not answer in time"));
+      }
+    }
+  }
+
+  /** Stops repeating and fails what is queued or under way. */
+  public void close(String reason) {
+    closed = true;
+    fail(new LogFailure(LogFailure.Kind.FENCED, reason));
+  }
+
+  private void next() {
+    if (closed || !inFlight.isEmpty() || queue.isEmpty()) {
+      return;
+    }
+    List<Item> batch = new ArrayList<>();
+    int records = 0;
+    int bytes = 0;
+    while (!queue.isEmpty()) {
+      Item item = queue.peek();
+      int size = size(item);
+      boolean full = records + item.records.size() > MAX_RECORDS || bytes + size > MAX_BYTES;
+      if (full && !batch.isEmpty()) {
+        break;
+      }
+      batch.add(queue.poll());
+      records += item.records.size();
+      bytes += size;
+    }
+    inFlight = batch;
+    if (records == 0) {
+      // The store does not count a call without records, so none is made.
+      finish();
+      return;
+    }
+    mayHaveArrived = false;
+    backoffMs = FIRST_BACKOFF_MS;
+    send(clock.nowMs());
+  }
+
+  private static int size(Item item) {
+    int bytes = 0;
+    for (KeyedRecord record : item.records) {
+      bytes += record.key().length() + record.value().length;
+    }
+    return bytes;
+  }
+
+  private void send(long firstSentMs) {
+    List<KeyedRecord> records = new ArrayList<>();
+    inFlight.forEach(item -> records.addAll(item.records));
+    long number = sequence;
+    log.append(new KeyedLog.AppendCall(records, OptionalLong.empty(), producer, epoch, number))
+        .whenCompleteAsync(
+            (appended, failure) -> {
+              if (closed || number != sequence) {
+                return;
+              }
+              if (failure == null) {
+                done(firstSentMs);
+              } else {
+                failed(LogFailure.of(failure), firstSentMs);
+              }
+            },
+            loop);
+  }
+
+  private void done(long firstSentMs) {
+    sequence++;
+    confirmed.accept(firstSentMs);
+    finish();
+  }
+
+  private void finish() {
+    List<Item> batch = inFlight;
+    inFlight = List.of();
+    batch.forEach(item -> item.result.complete(null));
+    next();
+  }
+
+  private void failed(LogFailure failure, long firstSentMs) {
+    switch (failure.kind()) {
+      case FENCED, OUT_OF_SEQUENCE -> {
+        closed = true;
+        fail(failure);
+      }
+      case NOT_DONE -> {
+        dropExpiredUnsent();
+        repeat(firstSentMs);
+      }
+      default -> {
+        mayHaveArrived = true;
+        repeat(firstSentMs);
+      }
+    }
+  }
+
+  // A call that surely had no effect may leave out what came too late, under the same number.
+  private void dropExpiredUnsent() {
+    if (mayHaveArrived) {
+      return;
+    }
+    List<Item> kept = new ArrayList<>();
+    for (Item item : inFlight) {
+      if (item.deadlineMs > clock.nowMs()) {
+        kept.add(item);
+      } else {
+        item.result.completeExceptionally(
+            new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time"));
+      }
+    }
+    inFlight = kept;
+  }
+
+  private void repeat(long firstSentMs) {
+    if (inFlight.isEmpty()) {
+      next();
+      return;
+    }
+    long number = sequence;
+    long wait = backoffMs;
+    backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
+    timer.after(
+        wait,
+        () -> {
+          if (!closed && number == sequence && !inFlight.isEmpty()) {
+            send(mayHaveArrived ? firstSentMs : clock.nowMs());
+          }
+        });
+  }
+
+  private void fail(LogFailure failure) {
+    List<Item> failed = new ArrayList<>(inFlight);
+    failed.addAll(queue);
+    inFlight = List.of();
+    queue.clear();
+    failed.forEach(item -> item.result.completeExceptionally(failure));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
@@ -0,0 +1,204 @@
+package org.wheatwall.entry.batch.worker;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.Executor;
+import org.wheatwall.core.batch.decision.RunSupervisor;
+import org.wheatwall.core.batch.model.WorkerInfo;
+import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.entry.batch.LoopTimer;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.wire.http.Problems;
+
+/**
+ * Asks workers for their tasks and keeps the leases there: one call at a time for each worker, as
+ * long as something runs there or ends are left to be acknowledged.
+ *
+ * <p>Not thread-safe; the decision loop owns it. One instance serves one term.
+ */
+public final class WorkerWatch {
+  private static final int WAIT_MS = 1000;
+  private static final int REPEAT_MS = 200;
+  private static final int SUSPECT_AFTER_MS = 1500;
+  private static final int STOP_EXTENDING_AFTER_MS = 2000;
+
+  private final WorkerPort port;
+  private final RunSupervisor supervisor;
+  private final long term;
+  private final int leaseMs;
+  private final Executor loop;
+  private final LoopTimer timer;
+  private final Clock clock;
+  private final Listener listener;
+  private final Map<String, Session> sessions = new HashMap<>();
+
+  /** Is told what ends the term. */
+  public interface Listener {
+    /** Returns whether orders may be given now. */
+    boolean mayAct();
+
+    /** Notes that a worker has seen a higher term. */
+    void fenced(String worker);
+  }
+
+  /** What is known of one worker's clock, and whether a call is under way. */
+  private static final class Session {
+    private boolean asking;
+    private boolean lookAgain;
+    private boolean clockKnown;
+    private long clockMs;
+    private long clockAtMs;
+    private long silentSinceMs = -1;
+  }
+
+  /**
+   * Creates a watch for a term.
+   *
+   * @param leaseMs longest lease of what runs on a worker, milliseconds
+   */
+  public WorkerWatch(
+      WorkerPort port,
+      RunSupervisor supervisor,
+      long term,
+      int leaseMs,
+      Executor loop,
+      LoopTimer timer,
+      Clock clock,
+      Listener listener) {
+    this.port = port;
+    this.supervisor = supervisor;
+    this.term = term;
+    this.leaseMs = leaseMs;
+    this.loop = loop;
+    this.timer = timer;
+    this.clock = clock;
+    this.listener = listener;
+  }
+
+  /** Asks a worker soon, at once if no call is under way. */
+  public void look(String worker) {
+    Session session = session(worker);
+    if (session.asking) {
+      session.lookAgain = true;
+    } else {
+      ask(worker, 0);
+    }
+  }
+
+  /** Returns the lease for an order now; empty while the worker's clock is not known. */
+  public Optional<WorkerPort.Lease> lease(String worker) {
+    Session session = session(worker);
+    if (!session.clockKnown) {
+      return Optional.empty();
+    }
+    return Optional.of(new WorkerPort.Lease(term, until(session)));
+  }
+
+  /** Asks the workers that have to be asked and are not. */
+  public void tick() {
+    for (String worker : supervisor.workersInUse()) {
+      if (!session(worker).asking) {
+        ask(worker, WAIT_MS);
+      }
+    }
+    for (String worker : supervisor.silentWorkers()) {
+      if (!session(worker).asking) {
+        ask(worker, 0);
+      }
+    }
+  }
+
+  private Session session(String worker) {
+    return sessions.computeIfAbsent(worker, key -> new Session());
+  }
+
+  private long until(Session session) {
+    return session.clockMs + (clock.nowMs() - session.clockAtMs) + leaseMs;
+  }
+
+  private void ask(String worker, int waitMs) {
+    Optional<WorkerInfo> info = supervisor.workerInfo(worker);
+    if (info.isEmpty() || !listener.mayAct()) {
+      return;
+    }
+    Session session = session(worker);
+    session.asking = true;
+    session.lookAgain = false;
+    long askedMs = clock.nowMs();
+    boolean extend = session.clockKnown && !isSilentFor(session, STOP_EXTENDING_AFTER_MS);
+    if (extend) {
+      supervisor.leased(worker, askedMs);
+    }
+    WorkerPort.RenewCall call =
+        new WorkerPort.RenewCall(
+            term,
+            extend ? OptionalLong.of(until(session)) : OptionalLong.empty(),
+            supervisor.acknowledged(worker),
+            session.clockKnown ? waitMs : 0);
+    port.renew(info.get(), call)
+        .whenCompleteAsync(
+            (report, failure) -> answered(worker, session, askedMs, report, failure), loop);
+  }
+
+  private boolean isSilentFor(Session session, int ms) {
+    return session.silentSinceMs >= 0 && clock.nowMs() - session.silentSinceMs >= ms;
+  }
+
+  private void answered(
+      String worker, Session session, long askedMs, WorkerInventory report, Throwable failure) {
+    session.asking = false;
+    if (!listener.mayAct()) {
+      return;
+    }
+    if (failure != null) {
+      notAnswered(worker, session, askedMs, failure);
+      return;
+    }
+    boolean first = !session.clockKnown;
+    session.silentSinceMs = -1;
+    session.clockKnown = true;
+    session.clockMs = report.clockMs();
+    session.clockAtMs = clock.nowMs();
+    supervisor.onReport(worker, report, askedMs, clock.nowMs(), clock.wallMs());
+    if (session.asking) {
+      return;
+    }
+    if (session.lookAgain || (first && supervisor.needsReports(worker))) {
+      ask(worker, 0);
+    } else if (supervisor.needsReports(worker)) {
+      ask(worker, WAIT_MS);
+    }
+  }
+
+  private void notAnswered(String worker, Session session, long askedMs, Throwable failure) {
+    Throwable cause = Problems.unwrap(failure);
+    WorkerFailure.Kind kind =
+        cause instanceof WorkerFailure known ? known.kind() : WorkerFailure.Kind.SILENT;
+    if (kind == WorkerFailure.Kind.FENCED) {
+      listener.fenced(worker);
+      return;
+    }
+    if (kind == WorkerFailure.Kind.GONE) {
+      sessions.remove(worker);
+      supervisor.workerGone(worker, clock.nowMs(), clock.wallMs());
+      return;
+    }
+    if (session.silentSinceMs < 0) {
+      session.silentSinceMs = askedMs;
+    }
+    if (isSilentFor(session, SUSPECT_AFTER_MS) || !session.clockKnown) {
+      supervisor.unreachable(worker, String.valueOf(cause), clock.nowMs());
+    }
+    session.asking = true;
+    timer.after(
+        REPEAT_MS,
+        () -> {
+          session.asking = false;
+          if (supervisor.needsReports(worker)) {
+            ask(worker, 0);
+          }
+        });
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/job/DecisionLoop.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/DecisionLoop.java
@@ -1,4 +1,4 @@
-package org.wheatwall.entry.job;
+package org.wheatwall.entry.common;
 
 import com.lmax.disruptor.BlockingWaitStrategy;
 import com.lmax.disruptor.ExceptionHandler;
@@ -11,8 +11,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The single writer of the job plane's state: one thread behind a Disruptor ring. */
-final class DecisionLoop implements Executor {
+/** The single writer of a plane's state: one thread behind a Disruptor ring. */
+public final class DecisionLoop implements Executor {
   private static final Logger LOG = LoggerFactory.getLogger(DecisionLoop.class);
   private static final int RING_SIZE = 1024;
 
@@ -28,7 +28,8 @@
     }
   }
 
-  DecisionLoop(ThreadFactory threads) {
+  /** Creates a loop that runs on one thread of {@code threads} once started. */
+  public DecisionLoop(ThreadFactory threads) {
     disruptor =
         new Disruptor<>(
             Cell::new, RING_SIZE, threads, ProducerType.MULTI, new BlockingWaitStrategy());
@@ -36,11 +37,13 @@
     disruptor.setDefaultExceptionHandler(new FailureLog());
   }
 
-  void start() {
+  /** Starts the thread. */
+  public void start() {
     disruptor.start();
   }
 
-  void stop() {
+  /** Stops the thread; events that are still queued are dropped. */
+  public void stop() {
     disruptor.halt();
   }
 
@@ -49,7 +52,8 @@
     disruptor.publishEvent((cell, sequence) -> cell.task = task);
   }
 
-  <T> CompletableFuture<T> call(Supplier<T> supplier) {
+  /** Runs {@code supplier} on the loop and returns its result. */
+  public <T> CompletableFuture<T> call(Supplier<T> supplier) {
     return CompletableFuture.supplyAsync(supplier, this);
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -22,6 +22,7 @@
 import org.wheatwall.core.membership.model.Member;
 import org.wheatwall.core.membership.model.ZoneView;
 import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.common.DecisionLoop;
 import org.wheatwall.entry.common.EntrySettings;
 import org.wheatwall.entry.configuration.ConfigurationListener;
 import org.wheatwall.entry.configuration.ConfigurationService;
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -0,0 +1,105 @@
+package org.wheatwall.entry.batch;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.Executor;
+import org.wheatwall.core.batch.decision.TermSettings;
+import org.wheatwall.entry.common.Clock;
+
+/** An entry host in simulated time: it may be killed, frozen and started again. */
+final class SimulatedHost {
+  private final VirtualTime time;
+  private final String name;
+  private final SimulatedStore store;
+  private final SimulatedWorkers workers;
+  private final int leaseMs;
+  private BatchHost batch;
+  private int life;
+  private long frozenUntilMs;
+
+  SimulatedHost(
+      VirtualTime time, String name, SimulatedStore store, SimulatedWorkers workers, int leaseMs) {
+    this.time = time;
+    this.name = name;
+    this.store = store;
+    this.workers = workers;
+    this.leaseMs = leaseMs;
+  }
+
+  String name() {
+    return name;
+  }
+
+  BatchHost batch() {
+    return batch;
+  }
+
+  boolean alive() {
+    return batch != null;
+  }
+
+  void start() {
+    int own = ++life;
+    Clock clock = clock();
+    Executor loop = task -> post(own, task);
+    LoopTimer timer = (delayMs, task) -> time.after(delayMs, () -> loop.execute(task));
+    BatchSettings settings =
+        new BatchSettings(name, "address-" + name, leaseMs, 600_000, TermSettings.DEFAULT);
+    batch =
+        new BatchHost(
+            settings,
+            name + "-" + own,
+            1 + time.random().nextLong(1L << 40),
+            store.viewOf(this),
+            workers.portOf(this),
+            workers.directoryOf(this),
+            loop,
+            timer,
+            clock,
+            new DecisionLog(clock),
+            new MetricRegistry());
+    batch.start();
+  }
+
+  void kill() {
+    life++;
+    batch = null;
+    workers.directoryOf(this).close();
+  }
+
+  void freeze(long ms) {
+    frozenUntilMs = time.nowMs() + ms;
+  }
+
+  private void post(int own, Runnable task) {
+    if (own != life) {
+      return;
+    }
+    long wait = Math.max(0, frozenUntilMs - time.nowMs());
+    time.after(
+        wait,
+        () -> {
+          if (own != life) {
+            return;
+          }
+          if (time.nowMs() < frozenUntilMs) {
+            post(own, task);
+          } else {
+            task.run();
+          }
+        });
+  }
+
+  private Clock clock() {
+    return new Clock() {
+      @Override
+      public long nowMs() {
+        return time.nowMs();
+      }
+
+      @Override
+      public long wallMs() {
+        return time.nowMs();
+      }
+    };
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -0,0 +1,240 @@
+package org.wheatwall.entry.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.wheatwall.core.batch.model.OrderAnswer;
+import org.wheatwall.core.batch.model.StartOrder;
+import org.wheatwall.core.batch.model.StopOrder;
+import org.wheatwall.core.batch.model.WorkerInfo;
+import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.entry.batch.worker.WorkerDirectory;
+import org.wheatwall.entry.batch.worker.WorkerFailure;
+import org.wheatwall.entry.batch.worker.WorkerPort;
+import org.wheatwall.standin.task.TaskLedger;
+import org.wheatwall.standin.task.TaskWorkerModel;
+
+/** Workers in simulated time: orders that are lost, late or overtaken, cuts, crashes, restarts. */
+final class SimulatedWorkers {
+  private static final int TICK_MS = 10;
+  private static final int ORDER_TIMEOUT_MS = 400;
+  private static final int REPORT_SLACK_MS = 600;
+  private static final int GANG_WAIT_MS = 3000;
+  private static final int HOSTS_A_RACK = 4;
+
+  private final VirtualTime time;
+  private final TaskLedger ledger = new TaskLedger();
+  private final int accelerators;
+  private final List<TaskWorkerModel> workers = new ArrayList<>();
+  private final List<WorkerInfo> infos = new ArrayList<>();
+  private final Set<Integer> cut = new HashSet<>();
+  private final Map<SimulatedHost, WorkerDirectory.Listener> listeners = new HashMap<>();
+  private double lostShare;
+  private int lives;
+
+  SimulatedWorkers(VirtualTime time, int count, int accelerators) {
+    this.time = time;
+    this.accelerators = accelerators;
+    for (int i = 0; i < count; i++) {
+      workers.add(null);
+      infos.add(null);
+      bear(i);
+    }
+    time.after(TICK_MS, this::tick);
+  }
+
+  TaskLedger ledger() {
+    return ledger;
+  }
+
+  int count() {
+    return workers.size();
+  }
+
+  void setLostShare(double next) {
+    lostShare = next;
+  }
+
+  void setCut(int index, boolean next) {
+    if (next) {
+      cut.add(index);
+    } else {
+      cut.remove(index);
+    }
+  }
+
+  void setStuck(int index, boolean next) {
+    workers.get(index).setStuck(next);
+  }
+
+  /** Crashes a worker; another life of it comes at the same address. */
+  void restart(int index) {
+    workers.get(index).crash(time.nowMs());
+    String before = infos.get(index).id();
+    bear(index);
+    for (WorkerDirectory.Listener listener : List.copyOf(listeners.values())) {
+      listener.replaced(before);
+      listener.listed(infos.get(index));
+    }
+  }
+
+  private void bear(int index) {
+    String id = "i-" + lives++;
+    long offset = time.random().nextInt(1_000_000);
+    workers.set(index, new TaskWorkerModel(id, accelerators, ledger, offset, GANG_WAIT_MS));
+    infos.set(
+        index,
+        new WorkerInfo(
+            id,
+            "127.0.0.1:" + (1000 + index),
+            "service",
+            "zone",
+            "rack" + index / HOSTS_A_RACK,
+            Set.of("a"),
+            new ResourceAmount(32_000, 64_000, accelerators),
+            false));
+  }
+
+  private void tick() {
+    workers.forEach(worker -> worker.tick(time.nowMs(), TICK_MS));
+    time.after(TICK_MS, this::tick);
+  }
+
+  WorkerDirectory directoryOf(SimulatedHost host) {
+    return new WorkerDirectory() {
+      @Override
+      public void open(Listener listener) {
+        listeners.put(host, listener);
+        time.after(5, () -> tellAll(host, listener));
+      }
+
+      @Override
+      public void close() {
+        listeners.remove(host);
+      }
+    };
+  }
+
+  private void tellAll(SimulatedHost host, WorkerDirectory.Listener listener) {
+    if (listeners.get(host) == listener) {
+      List.copyOf(infos).forEach(listener::listed);
+    }
+  }
+
+  WorkerPort portOf(SimulatedHost host) {
+    return new WorkerPort() {
+      @Override
+      public CompletableFuture<OrderAnswer> start(
+          WorkerInfo worker, StartOrder order, Lease lease) {
+        return order(
+            worker, model -> model.start(order, lease.term(), lease.untilMs(), time.nowMs()));
+      }
+
+      @Override
+      public CompletableFuture<OrderAnswer> stop(WorkerInfo worker, StopOrder order, long term) {
+        return order(worker, model -> model.stop(order, term, time.nowMs()));
+      }
+
+      @Override
+      public CompletableFuture<WorkerInventory> renew(WorkerInfo worker, RenewCall call) {
+        return SimulatedWorkers.this.renew(worker, call);
+      }
+    };
+  }
+
+  private int indexOf(WorkerInfo worker) {
+    for (int i = 0; i < infos.size(); i++) {
+      if (infos.get(i).address().equals(worker.address())) {
+        return i;
+      }
+    }
+    throw new IllegalArgumentException("no worker at " + worker.address());
+  }
+
+  private CompletableFuture<OrderAnswer> order(
+      WorkerInfo worker, Function<TaskWorkerModel, OrderAnswer> work) {
+    CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
+    int index = indexOf(worker);
+    boolean lost = time.random().nextDouble() < lostShare;
+    if (cut.contains(index)) {
+      time.after(ORDER_TIMEOUT_MS, () -> answer.complete(OrderAnswer.UNKNOWN));
+      return answer;
+    }
+    long delay = lost ? 2000 + time.random().nextInt(10_000) : 1 + time.random().nextInt(4);
+    time.after(
+        delay,
+        () -> {
+          TaskWorkerModel model = workers.get(index);
+          OrderAnswer result =
+              model.id().equals(worker.id()) ? work.apply(model) : OrderAnswer.WORKER_GONE;
+          if (!lost) {
+            time.after(1 + time.random().nextInt(4), () -> answer.complete(result));
+          }
+        });
+    if (lost) {
+      time.after(ORDER_TIMEOUT_MS, () -> answer.complete(OrderAnswer.UNKNOWN));
+    }
+    return answer;
+  }
+
+  private CompletableFuture<WorkerInventory> renew(WorkerInfo worker, WorkerPort.RenewCall call) {
+    CompletableFuture<WorkerInventory> answer = new CompletableFuture<>();
+    int index = indexOf(worker);
+    long deadline = time.nowMs() + call.waitMs();
+    if (cut.contains(index)) {
+      time.after(call.waitMs() + REPORT_SLACK_MS, () -> silent(answer));
+      return answer;
+    }
+    time.after(
+        1 + time.random().nextInt(4), () -> renewAt(worker, index, call, deadline, answer, true));
+    return answer;
+  }
+
+  private void renewAt(
+      WorkerInfo worker,
+      int index,
+      WorkerPort.RenewCall call,
+      long deadline,
+      CompletableFuture<WorkerInventory> answer,
+      boolean first) {
+    TaskWorkerModel model = workers.get(index);
+    if (cut.contains(index)) {
+      time.after(REPORT_SLACK_MS, () -> silent(answer));
+      return;
+    }
+    if (!model.id().equals(worker.id())) {
+      fail(answer, WorkerFailure.Kind.GONE);
+      return;
+    }
+    Optional<WorkerInventory> report =
+        model.renew(
+            call.term(),
+            first ? call.untilMs() : OptionalLong.empty(),
+            call.acknowledged(),
+            time.nowMs());
+    if (report.isEmpty()) {
+      fail(answer, WorkerFailure.Kind.FENCED);
+    } else if (!report.get().ended().isEmpty() || time.nowMs() >= deadline) {
+      time.after(1 + time.random().nextInt(4), () -> answer.complete(report.get()));
+    } else {
+      time.after(TICK_MS, () -> renewAt(worker, index, call, deadline, answer, false));
+    }
+  }
+
+  private static void silent(CompletableFuture<WorkerInventory> answer) {
+    answer.completeExceptionally(
+        new WorkerFailure(WorkerFailure.Kind.SILENT, "the worker is cut off"));
+  }
+
+  private void fail(CompletableFuture<WorkerInventory> answer, WorkerFailure.Kind kind) {
+    time.after(1, () -> answer.completeExceptionally(new WorkerFailure(kind, "refused")));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
@@ -0,0 +1,195 @@
+package org.wheatwall.standin.task;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.wheatwall.core.batch.model.OrderAnswer;
+import org.wheatwall.core.batch.model.StartOrder;
+import org.wheatwall.core.batch.model.StopOrder;
+import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.wire.http.HttpCall;
+import org.wheatwall.wire.http.HttpReply;
+import org.wheatwall.wire.http.HttpServer;
+import org.wheatwall.wire.json.Json;
+
+/** Stand-in for a worker of the platform: {@link TaskWorkerModel} behind HTTP, on real time. */
+public final class TaskWorkerStandIn implements AutoCloseable {
+  private static final int MAX_BODY = 1024 * 1024;
+  private static final int TICK_MS = 10;
+
+  private final TaskWorkerModel model;
+  private final EventLoopGroup group;
+  private final HttpServer server;
+  private final ScheduledFuture<?> ticker;
+  private long tickedMs = System.nanoTime() / 1_000_000;
+
+  private TaskWorkerStandIn(
+      EventLoopGroup group, InetSocketAddress address, TaskWorkerModel model) {
+    this.model = model;
+    this.group = group;
+    this.server = HttpServer.start(group, address, MAX_BODY, this::handle);
+    this.ticker =
+        group.next().scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Starts the stand-in. */
+  public static TaskWorkerStandIn start(
+      EventLoopGroup group, InetSocketAddress address, TaskWorkerModel model) {
+    return new TaskWorkerStandIn(group, address, model);
+  }
+
+  /** Returns the port. */
+  public int port() {
+    return server.port();
+  }
+
+  @Override
+  public void close() {
+    ticker.cancel(false);
+    server.close();
+  }
+
+  private static long nowMs() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private void tick() {
+    synchronized (model) {
+      long now = nowMs();
+      model.tick(now, now - tickedMs);
+      tickedMs = now;
+    }
+  }
+
+  private CompletableFuture<HttpReply> handle(HttpCall call) {
+    JsonNode body = Json.tree(call.body());
+    if (!call.header("X-Expect-Instance").orElse(model.id()).equals(model.id())) {
+      return CompletableFuture.completedFuture(HttpReply.empty(421));
+    }
+    return switch (call.path()) {
+      case "/v1/run-start" -> CompletableFuture.completedFuture(start(body));
+      case "/v1/run-stop" -> CompletableFuture.completedFuture(stop(body));
+      case "/v1/hold" -> renew(body);
+      default -> CompletableFuture.completedFuture(HttpReply.empty(404));
+    };
+  }
+
+  private HttpReply start(JsonNode body) {
+    synchronized (model) {
+      StartOrder order =
+          new StartOrder(
+              model.id(),
+              task(body),
+              body.path("run_id").asInt(),
+              body.path("spec").asText(),
+              body.path("checkpoint").asText());
+      return answer(
+          model.start(
+              order,
+              body.path("fencing_token").asLong(),
+              body.path("deadline_ms").asLong(),
+              nowMs()));
+    }
+  }
+
+  private HttpReply stop(JsonNode body) {
+    synchronized (model) {
+      StopOrder order = new StopOrder(model.id(), task(body), body.path("run_id").asInt());
+      return answer(model.stop(order, body.path("fencing_token").asLong(), nowMs()));
+    }
+  }
+
+  private HttpReply answer(OrderAnswer answer) {
+    ObjectNode body = Json.mapper().createObjectNode().put("clock_ms", model.clockMs(nowMs()));
+    String reason =
+        switch (answer) {
+          case FENCED -> "fence";
+          case OLD_RUN -> "old";
+          case TOO_LATE -> "late";
+          case NO_ROOM -> "room";
+          default -> "";
+        };
+    if (answer == OrderAnswer.DONE) {
+      return HttpReply.json(200, Json.bytes(body));
+    }
+    return HttpReply.json(409, Json.bytes(body.put("reason", reason)));
+  }
+
+  private CompletableFuture<HttpReply> renew(JsonNode body) {
+    CompletableFuture<HttpReply> answer = new CompletableFuture<>();
+    OptionalLong until =
+        body.has("deadline_ms")
+            ? OptionalLong.of(body.path("deadline_ms").asLong())
+            : OptionalLong.empty();
+    long waitUntil = nowMs() + body.path("wait_ms").asLong();
+    renew(body, until, waitUntil, answer);
+    return answer;
+  }
+
+  private void renew(
+      JsonNode body, OptionalLong until, long waitUntil, CompletableFuture<HttpReply> answer) {
+    synchronized (model) {
+      Optional<WorkerInventory> report =
+          model.renew(
+              body.path("fencing_token").asLong(), until, body.path("last_seen").asLong(), nowMs());
+      if (report.isEmpty()) {
+        answer.complete(answer(OrderAnswer.FENCED));
+      } else if (!report.get().ended().isEmpty() || nowMs() >= waitUntil) {
+        answer.complete(HttpReply.json(200, Json.bytes(text(report.get()))));
+      } else {
+        group
+            .next()
+            .schedule(
+                () -> renew(body, OptionalLong.empty(), waitUntil, answer),
+                TICK_MS,
+                TimeUnit.MILLISECONDS);
+      }
+    }
+  }
+
+  private static ObjectNode text(WorkerInventory report) {
+    ObjectNode body = Json.mapper().createObjectNode().put("clock_ms", report.clockMs());
+    ArrayNode running = body.putArray("running");
+    for (WorkerInventory.RunningTask task : report.running()) {
+      running
+          .addArray()
+          .add(name(task.task()))
+          .add(task.run())
+          .add(task.checkpoint())
+          .add(task.percent());
+    }
+    ArrayNode finished = body.putArray("finished");
+    for (WorkerInventory.EndedTask end : report.ended()) {
+      finished
+          .addArray()
+          .add(end.number())
+          .add(name(end.task()))
+          .add(end.run())
+          .add(end.kind().name().toLowerCase(Locale.ROOT))
+          .add(end.checkpoint());
+    }
+    return body;
+  }
+
+  private static String name(TaskName task) {
+    return task.jobId() + "." + task.occurrence() + "." + task.step() + "." + task.index();
+  }
+
+  private static TaskName task(JsonNode body) {
+    String[] parts = body.path("task").asText().split("\\.", -1);
+    return new TaskName(
+        parts[0],
+        Integer.parseInt(parts[1]),
+        Integer.parseInt(parts[2]),
+        Integer.parseInt(parts[3]));
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -0,0 +1,258 @@
+package org.wheatwall.wire.batch;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.GroupMember;
+import org.wheatwall.core.batch.model.GroupPhase;
+import org.wheatwall.core.batch.model.GroupState;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.Recurrence;
+import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.wire.message.BatchJobRecord;
+import org.wheatwall.wire.message.BatchStepRecord;
+import org.wheatwall.wire.message.CancelRecord;
+import org.wheatwall.wire.message.GroupMemberRecord;
+import org.wheatwall.wire.message.GroupRecord;
+import org.wheatwall.wire.message.GroupRunPhase;
+import org.wheatwall.wire.message.JobEndRecord;
+import org.wheatwall.wire.message.JobEndState;
+import org.wheatwall.wire.message.TermRecord;
+
+/** Writes and reads the records of the job log. */
+public final class JobLogCodec {
+  private static final byte[] NO_VALUE = new byte[0];
+
+  private JobLogCodec() {}
+
+  /** Returns the value that is stored under the entry's key; none if the key is dropped. */
+  public static byte[] value(LogEntry entry) {
+    return entry.content().map(JobLogCodec::bytes).orElse(NO_VALUE);
+  }
+
+  /** Reads a record; empty if its key is none of the job log's. Malformed values are refused. */
+  public static Optional<LogEntry> entry(String key, byte[] value) {
+    return LogKey.parse(key).map(parsed -> entry(parsed, value));
+  }
+
+  private static LogEntry entry(LogKey key, byte[] value) {
+    if (value.length == 0) {
+      return LogEntry.drop(key);
+    }
+    try {
+      return LogEntry.of(key, content(key, value));
+    } catch (InvalidProtocolBufferException e) {
+      throw Refusal.invalid(
+          "record " + key.text() + " of the job log is malformed: " + e.getMessage(),
+          "check which program else writes to the topic of the job log");
+    }
+  }
+
+  private static byte[] bytes(LogContent content) {
+    if (content instanceof LogContent.Definition definition) {
+      return job(definition.job()).toByteArray();
+    }
+    if (content instanceof LogContent.Cancellation cancellation) {
+      return CancelRecord.newBuilder()
+          .setRequestedAtMs(cancellation.requestedAtMs())
+          .build()
+          .toByteArray();
+    }
+    if (content instanceof LogContent.End end) {
+      return JobEndRecord.newBuilder()
+          .setState(state(end.state()))
+          .setReason(end.reason())
+          .setEndedAtMs(end.endedAtMs())
+          .build()
+          .toByteArray();
+    }
+    if (content instanceof LogContent.Group group) {
+      return group(group.state()).toByteArray();
+    }
+    return term((LogContent.Term) content).toByteArray();
+  }
+
+  private static LogContent content(LogKey key, byte[] value)
+      throws InvalidProtocolBufferException {
+    return switch (key.kind()) {
+      case JOB -> new LogContent.Definition(job(key.name(), BatchJobRecord.parseFrom(value)));
+      case CANCEL -> new LogContent.Cancellation(CancelRecord.parseFrom(value).getRequestedAtMs());
+      case END -> end(JobEndRecord.parseFrom(value));
+      case GROUP -> new LogContent.Group(group(GroupRecord.parseFrom(value)));
+      case TERM -> term(TermRecord.parseFrom(value));
+    };
+  }
+
+  private static BatchJobRecord job(BatchJob job) {
+    BatchJobRecord.Builder record =
+        BatchJobRecord.newBuilder()
+            .setQueue(job.queue())
+            .setService(job.service())
+            .setWorkspace(job.workspace())
+            .setSpecification(job.specification())
+            .setPriority(job.priority())
+            .setMaxAttempts(job.maxAttempts())
+            .setAcceptedAtMs(job.acceptedAtMs());
+    job.steps().forEach(step -> record.addSteps(step(step)));
+    job.recurrence()
+        .ifPresent(
+            times ->
+                record
+                    .setTimes(times.times())
+                    .setFirstDueMs(times.firstDueMs())
+                    .setIntervalMs(times.intervalMs()));
+    return record.build();
+  }
+
+  private static BatchJob job(String id, BatchJobRecord record) {
+    Optional<Recurrence> recurrence =
+        record.getTimes() == 0
+            ? Optional.empty()
+            : Optional.of(
+                new Recurrence(record.getFirstDueMs(), record.getIntervalMs(), record.getTimes()));
+    return new BatchJob(
+        id,
+        record.getQueue(),
+        record.getService(),
+        record.getWorkspace(),
+        record.getSpecification(),
+        record.getStepsList().stream().map(JobLogCodec::step).toList(),
+        recurrence,
+        record.getPriority(),
+        record.getMaxAttempts(),
+        record.getAcceptedAtMs());
+  }
+
+  private static BatchStepRecord step(StepSpec step) {
+    return BatchStepRecord.newBuilder()
+        .setTasks(step.tasks())
+        .setProcessors(step.taskAmount().processors())
+        .setMemoryMb(step.taskAmount().memoryMb())
+        .setAccelerators(step.taskAmount().accelerators())
+        .setEstimateMs(step.estimateMs())
+        .addAllAfter(step.after())
+        .setCheckpointing(step.checkpointing())
+        .setGang(step.gang())
+        .setSameRack(step.sameRack())
+        .setHostLabel(step.hostLabel().orElse(""))
+        .setDataRack(step.dataRack().orElse(""))
+        .setSpreadLimit(step.spreadLimit())
+        .setLongRunning(step.longRunning())
+        .build();
+  }
+
+  private static StepSpec step(BatchStepRecord record) {
+    return new StepSpec(
+        record.getTasks(),
+        new ResourceAmount(record.getProcessors(), record.getMemoryMb(), record.getAccelerators()),
+        record.getEstimateMs(),
+        record.getAfterList(),
+        record.getCheckpointing(),
+        record.getGang(),
+        record.getSameRack(),
+        text(record.getHostLabel()),
+        text(record.getDataRack()),
+        record.getSpreadLimit(),
+        record.getLongRunning());
+  }
+
+  private static Optional<String> text(String value) {
+    return value.isEmpty() ? Optional.empty() : Optional.of(value);
+  }
+
+  private static LogContent.End end(JobEndRecord record) {
+    return new LogContent.End(state(record), record.getReason(), record.getEndedAtMs());
+  }
+
+  private static JobEndState state(BatchState state) {
+    return switch (state) {
+      case SUCCEEDED -> JobEndState.JOB_END_SUCCEEDED;
+      case FAILED -> JobEndState.JOB_END_FAILED;
+      case CANCELLED -> JobEndState.JOB_END_CANCELLED;
+      case QUEUED, RUNNING -> throw new IllegalStateException(state + " is no end of a job");
+    };
+  }
+
+  private static BatchState state(JobEndRecord record) {
+    return switch (record.getState()) {
+      case JOB_END_SUCCEEDED -> BatchState.SUCCEEDED;
+      case JOB_END_FAILED -> BatchState.FAILED;
+      case JOB_END_CANCELLED -> BatchState.CANCELLED;
+      case JOB_END_UNSPECIFIED, UNRECOGNIZED -> throw unknown("end of a job");
+    };
+  }
+
+  private static GroupRunPhase phase(GroupPhase phase) {
+    return switch (phase) {
+      case WAITING -> GroupRunPhase.GROUP_RUN_WAITING;
+      case ACTIVE -> GroupRunPhase.GROUP_RUN_ACTIVE;
+      case DONE -> GroupRunPhase.GROUP_RUN_DONE;
+      case FAILED -> GroupRunPhase.GROUP_RUN_FAILED;
+    };
+  }
+
+  private static GroupPhase phase(GroupRecord record) {
+    return switch (record.getPhase()) {
+      case GROUP_RUN_WAITING -> GroupPhase.WAITING;
+      case GROUP_RUN_ACTIVE -> GroupPhase.ACTIVE;
+      case GROUP_RUN_DONE -> GroupPhase.DONE;
+      case GROUP_RUN_FAILED -> GroupPhase.FAILED;
+      case UNRECOGNIZED -> throw unknown("state of a group of tasks");
+    };
+  }
+
+  private static Refusal unknown(String what) {
+    return Refusal.invalid("the job log holds an unknown " + what, "run a version that knows it");
+  }
+
+  private static GroupRecord group(GroupState state) {
+    GroupRecord.Builder record =
+        GroupRecord.newBuilder()
+            .setPhase(phase(state.phase()))
+            .setRun(state.run())
+            .setFailures(state.failures())
+            .setLastFailedRun(state.lastFailedRun())
+            .setCheckpoint(state.checkpoint());
+    for (GroupMember member : state.members()) {
+      record.addMembers(
+          GroupMemberRecord.newBuilder().setWorker(member.worker()).setEnded(member.ended()));
+    }
+    return record.build();
+  }
+
+  private static GroupState group(GroupRecord record) {
+    return new GroupState(
+        phase(record),
+        record.getRun(),
+        record.getFailures(),
+        record.getLastFailedRun(),
+        record.getMembersList().stream()
+            .map(member -> new GroupMember(member.getWorker(), member.getEnded()))
+            .toList(),
+        record.getCheckpoint());
+  }
+
+  private static TermRecord term(LogContent.Term term) {
+    return TermRecord.newBuilder()
+        .setHolder(term.holder())
+        .setAddress(term.address())
+        .setLife(term.life())
+        .setTerm(term.term())
+        .setReleased(term.released())
+        .build();
+  }
+
+  private static LogContent.Term term(TermRecord record) {
+    return new LogContent.Term(
+        record.getHolder(),
+        record.getAddress(),
+        record.getLife(),
+        record.getTerm(),
+        record.getReleased());
+  }
+}
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -62,7 +62,9 @@
   public CompletableFuture<HttpReply> send(
       InetSocketAddress address, HttpCall call, String requestId, long timeoutMs) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
-    call.headers().set(REQUEST_HEADER, requestId);
+    if (matching == AnswerMatching.BY_IDENTIFIER) {
+      call.headers().set(REQUEST_HEADER, requestId);
+    }
     Channel pooled = takeIdle(address);
     if (pooled != null) {
       exchange(pooled, address, call, requestId, timeoutMs, result);
--- a/wire/src/main/java/org/wheatwall/wire/settings/SettingsSection.java
+++ b/wire/src/main/java/org/wheatwall/wire/settings/SettingsSection.java
@@ -70,6 +70,21 @@
     return fallback;
   }
 
+  /** Returns a number within bounds, whole or not. */
+  public double number(String key, double low, double high, double fallback) {
+    SettingsNode node = node(key, false, "a number");
+    if (node == null) {
+      return fallback;
+    }
+    boolean known = node.value() instanceof Long || node.value() instanceof Double;
+    double value = known ? ((Number) node.value()).doubleValue() : Double.NaN;
+    if (value >= low && value <= high) {
+      return value;
+    }
+    fault(node.line(), key, "is " + node.value(), "write a number from " + low + " to " + high);
+    return fallback;
+  }
+
   /** Returns a list of texts; empty if absent. */
   public List<String> texts(String key) {
     SettingsNode node = node(key, false, "a list");
