--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -257,7 +257,6 @@
       String worker, WorkerInventory report, long askedMs, long steadyMs, long dayMs) {
     at(steadyMs, dayMs);
     heard(worker);
-    dirty = true;
     Set<GroupRun> touched = new LinkedHashSet<>();
     long handled = handledEnds.getOrDefault(worker, 0L);
     long last = handled;
@@ -275,6 +274,9 @@
     }
     acknowledgeAfterKeeping(worker, last);
     forgetIfIdle(worker);
+    if (dirty) {
+      decide();
+    }
   }
 
   /** Does what time brings: due times, repeats, lapsed leases, and a look at the queue. */
@@ -316,6 +318,7 @@
 
   private void heard(String worker) {
     if (workers.heard(worker, nowMs)) {
+      dirty = true;
       effects.decided(new RunEvent(RunEvent.Kind.WORKER_HEARD, "", worker, "it answers"));
     }
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -39,7 +39,10 @@
  * <p>Everything runs on the decision loop; the public methods may be called on any thread.
  */
 public final class BatchHost {
-  private static final int TICK_MS = 50;
+  // A decider looks at repeats and due times this often; other hosts have little to look at, and each
+  // wake-up costs.
+  private static final int DECIDER_TICK_MS = 100;
+  private static final int TICK_MS = 250;
   private static final int STALE_AFTER_MS = 3000;
   private static final int RELEASE_LIMIT_MS = 1000;
 
@@ -284,7 +287,7 @@
   }
 
   private void tick() {
-    tools.timer().after(TICK_MS, this::tick);
+    tools.timer().after(decider.isPresent() ? DECIDER_TICK_MS : TICK_MS, this::tick);
     intake.expire();
     decider.ifPresent(current -> current.tick(table));
     renewIfDue();
