Guaranteed urgent work takes the place of any other; checkpoints count in the choice of victims

Cause: urgent work stopped only what is not urgent, so a burst of one workspace could keep another from its guaranteed accelerators, and places were sought on room that could not be had.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
@@ -54,7 +54,13 @@
     step.hostLabel().ifPresent(hostLabels::add);
     JobOptions options =
         new JobOptions(
-            job.priority(), hostLabels, step.dataRack(), spread, step.spreadLimit(), avoided);
+            job.priority(),
+            hostLabels,
+            step.dataRack(),
+            spread,
+            step.spreadLimit(),
+            step.checkpointing(),
+            avoided);
     return new Job(
         new Labels(Map.of(CLASS, job.queue())),
         job.workspace(),
@@ -64,7 +70,7 @@
         step.taskAmount(),
         oneRack ? Adjacency.SAME_RACK : Adjacency.ANY,
         seconds,
-        !job.urgent(),
+        true,
         job.urgent(),
         JobPhase.SUBMITTED,
         options);
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -22,11 +22,19 @@
 
   private final Cluster cluster;
   private final GuaranteePlan plan;
+  private final UrgentGuarantees guarantees;
+  private final Map<String, RunningAttempt> running;
   private final VictimChooser victims;
 
-  Reclaimer(Cluster cluster, GuaranteePlan plan, Map<String, RunningAttempt> running) {
+  Reclaimer(
+      Cluster cluster,
+      GuaranteePlan plan,
+      UrgentGuarantees guarantees,
+      Map<String, RunningAttempt> running) {
     this.cluster = cluster;
     this.plan = plan;
+    this.guarantees = guarantees;
+    this.running = running;
     this.victims = new VictimChooser(running);
   }
 
@@ -42,7 +50,7 @@
         .flatMap(plan::plannedPlace)
         .map(place -> trim(place, job))
         .ifPresent(candidates::add);
-    candidates.addAll(places(job));
+    candidates.addAll(places(job, mayStop));
     Reclaim best = null;
     double least = Double.MAX_VALUE;
     for (Placement candidate : candidates) {
@@ -57,11 +65,16 @@
   }
 
   // Without a strict order two jobs that both waited too long would stop each other in turn, for
-  // ever. So urgent work stops what is not urgent, and otherwise the older stops the younger.
-  private static Predicate<RunningAttempt> mayStop(QueuedJob queued) {
+  // ever. So guaranteed urgent work stops all other, urgent work what is not urgent, and otherwise
+  // the
+  // older stops the younger.
+  private Predicate<RunningAttempt> mayStop(QueuedJob queued) {
     if (queued.job().shape().isPresent()) {
       return attempt -> true;
     }
+    if (guarantees.covers(queued.job())) {
+      return attempt -> !guarantees.covers(attempt.job());
+    }
     if (queued.job().urgent()) {
       return attempt -> !attempt.job().urgent();
     }
@@ -72,20 +85,35 @@
     return new Placement(place.hosts().subList(0, job.tasks()));
   }
 
-  private List<Placement> places(Job job) {
-    Function<HostState, ResourceAmount> room =
-        job.reclaimable()
-            ? host -> host.roomFor(job, host.reclaimableOrFree())
-            : host -> host.roomFor(job, host.unplanned());
-    if (job.adjacency() == Adjacency.SAME_RACK) {
-      return racksWithRoom(job, room);
-    }
+  private List<Placement> places(Job job, Predicate<RunningAttempt> mayStop) {
+    Function<HostState, ResourceAmount> room = host -> host.roomFor(job, room(host, job, mayStop));
     List<Placement> places = new ArrayList<>();
-    PlanSearch.bestFit(cluster, job.adjacency(), job.tasks(), job.taskAmount(), room)
-        .ifPresent(places::add);
+    if (job.adjacency() != Adjacency.SAME_HOST) {
+      places.addAll(racksWithRoom(job, room));
+    }
+    if (job.adjacency() != Adjacency.SAME_RACK) {
+      PlanSearch.bestFit(cluster, job.adjacency(), job.tasks(), job.taskAmount(), room)
+          .ifPresent(places::add);
+    }
     return places;
   }
 
+  // Work that cannot be reclaimed may take only what no guaranteed shape has been planned on.
+  private ResourceAmount room(HostState host, Job job, Predicate<RunningAttempt> mayStop) {
+    if (!job.reclaimable()) {
+      return host.unplanned();
+    }
+    ResourceAmount kept = ResourceAmount.ZERO;
+    for (String attemptId : host.attempts()) {
+      RunningAttempt attempt = running.get(attemptId);
+      boolean stays = attempt == null || !(attempt.stopping() || mayStop.test(attempt));
+      if (stays || !host.holdsReclaimable(attemptId)) {
+        kept = kept.plus(host.held(attemptId));
+      }
+    }
+    return host.usable() ? host.host().capacity().minus(kept) : ResourceAmount.ZERO;
+  }
+
   private List<Placement> racksWithRoom(Job job, Function<HostState, ResourceAmount> room) {
     List<RackState> racks = new ArrayList<>();
     for (RackState rack : cluster.racks()) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
@@ -6,6 +6,9 @@
 
 /** An attempt that holds resources, from the decision to start it until it has ended. */
 public final class RunningAttempt {
+  // A checkpoint is at most a second old, and going on from it takes a quarter of one.
+  private static final long LOST_SINCE_CHECKPOINT_MS = 1000;
+
   private final String attemptId;
   private final String jobName;
   private final Job job;
@@ -78,6 +81,8 @@
 
   /** Returns the accelerator seconds that stopping it now would lose. */
   double lostWork(long nowMs) {
-    return Math.max(1, nowMs - startedAtMs) / 1000.0 * Math.max(1, job.totalAccelerators());
+    long worked = Math.max(1, nowMs - startedAtMs);
+    long lost = job.options().resumable() ? Math.min(worked, LOST_SINCE_CHECKPOINT_MS) : worked;
+    return lost / 1000.0 * Math.max(1, job.totalAccelerators());
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -43,7 +43,8 @@
   private final Map<String, Integer> usedByWorkspace = new HashMap<>();
   private final Set<String> cordoned = new HashSet<>();
   private final Set<String> unavailable = new HashSet<>();
-  private final Reclaimer reclaimer = new Reclaimer(cluster, plan, running);
+  private final UrgentGuarantees guarantees = new UrgentGuarantees();
+  private final Reclaimer reclaimer = new Reclaimer(cluster, plan, guarantees, running);
   private Map<String, Workspace> workspaces = Map.of();
   private PolicyTable policies = PolicyTable.ofActive(Map.of());
   private String attemptPrefix = "0";
@@ -77,6 +78,11 @@
     workspaces = Map.copyOf(next);
   }
 
+  /** Sets how many accelerators each workspace can always have for its urgent work. */
+  public void setUrgentGuarantees(Map<String, Integer> acceleratorsByWorkspace) {
+    guarantees.set(acceleratorsByWorkspace);
+  }
+
   /** Returns the workspaces by name. */
   public Map<String, Workspace> workspaces() {
     return workspaces;
@@ -126,12 +132,16 @@
       return;
     }
     waiting.put(name, new QueuedJob(name, job, submittedAtMs, estimator.expectedSeconds(job)));
+    guarantees.add(job);
     reasons.put(name, new WaitReason(WaitReason.Kind.QUEUED, "not looked at yet"));
   }
 
   /** Removes a job from the queue and returns its attempt, if it has one, to be stopped. */
   public Optional<String> withdraw(String name) {
-    waiting.remove(name);
+    QueuedJob queued = waiting.remove(name);
+    if (queued != null) {
+      guarantees.remove(queued.job());
+    }
     reasons.remove(name);
     Optional<String> attempt = Optional.ofNullable(attemptOfJob.get(name));
     attempt.map(running::get).ifPresent(RunningAttempt::markStopping);
@@ -146,7 +156,9 @@
       long submittedAtMs,
       Placement placement,
       long nowMs) {
-    waiting.remove(jobName);
+    if (waiting.remove(jobName) == null) {
+      guarantees.add(job);
+    }
     cluster.hold(attemptId, placement, job);
     job.shape().ifPresent(shape -> plan.adopt(attemptId, shape));
     double expectedSeconds = estimator.expectedSeconds(job);
@@ -160,6 +172,7 @@
       return;
     }
     cluster.release(attemptId);
+    guarantees.remove(attempt.job());
     plan.ended(attemptId);
     attemptOfJob.remove(attempt.jobName());
     usedByWorkspace.merge(
@@ -246,6 +259,7 @@
     }
     ranked.sort(
         java.util.Comparator.comparing((Ranked entry) -> !entry.job().job().urgent())
+            .thenComparing(entry -> !guarantees.covers(entry.job().job()))
             .thenComparing(entry -> entry.job().job().shape().isEmpty())
             .thenComparing(entry -> !isStarved(entry.job(), nowMs))
             .thenComparingDouble(Ranked::rank)
--- a/core/src/main/java/org/wheatwall/core/job/model/JobOptions.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/JobOptions.java
@@ -13,6 +13,7 @@
  * @param preferredRack rack that holds the job's data; used alone while the zone has it
  * @param spreadGroup name of the set of jobs that {@code spreadLimit} counts together
  * @param spreadLimit most tasks of the spread group on one host, 0 for no limit
+ * @param resumable whether a stopped task goes on later from a recent checkpoint
  * @param avoidedHosts hosts that are used only if nothing else is left, because the job failed
  *     there
  */
@@ -22,10 +23,11 @@
     Optional<String> preferredRack,
     Optional<String> spreadGroup,
     int spreadLimit,
+    boolean resumable,
     Set<String> avoidedHosts) {
   /** Nothing asked for. */
   public static final JobOptions NONE =
-      new JobOptions(0, Set.of(), Optional.empty(), Optional.empty(), 0, Set.of());
+      new JobOptions(0, Set.of(), Optional.empty(), Optional.empty(), 0, false, Set.of());
 
   private static final int MAX_PRIORITY = 1000;
 
@@ -47,6 +49,6 @@
   /** Returns these options without the preferences. */
   public JobOptions withoutPreferences() {
     return new JobOptions(
-        priority, hostLabels, Optional.empty(), spreadGroup, spreadLimit, Set.of());
+        priority, hostLabels, Optional.empty(), spreadGroup, spreadLimit, resumable, Set.of());
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/JobTableTest.java
@@ -0,0 +1,103 @@
+package org.wheatwall.core.batch.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupState;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.job.model.ResourceAmount;
+
+/** What the job log says, whatever order its records come in. */
+final class JobTableTest {
+  private static final String ID = "00000000000000aa";
+
+  private final JobTable table = new JobTable();
+  private long offset;
+
+  private void apply(LogEntry entry) {
+    table.apply(entry, offset++);
+  }
+
+  private static BatchJob job(String specification) {
+    StepSpec step =
+        new StepSpec(
+            1,
+            new ResourceAmount(1, 1, 1),
+            100,
+            List.of(),
+            false,
+            false,
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false);
+    return new BatchJob(ID, "q", "s", "w", specification, List.of(step), Optional.empty(), 1, 2, 0);
+  }
+
+  private static LogEntry definition(String specification) {
+    return LogEntry.of(LogKey.job(ID), new LogContent.Definition(job(specification)));
+  }
+
+  @Test
+  void theFirstDefinitionCounts() {
+    apply(definition("first"));
+    apply(definition("second"));
+    assertThat(table.job(ID).get().job().get().specification()).isEqualTo("first");
+  }
+
+  @Test
+  void aCancelledIdentifierStaysCancelledWhateverComesLater() {
+    apply(definition("first"));
+    apply(LogEntry.of(LogKey.cancel(ID), new LogContent.Cancellation(1)));
+    apply(definition("again"));
+    assertThat(table.job(ID).get().state()).isEqualTo(BatchState.CANCELLED);
+  }
+
+  @Test
+  void aJobCountsAsPendingUntilATaskOfItIsIntended() {
+    apply(definition("first"));
+    assertThat(table.pending("q")).isEqualTo(1);
+    GroupKey group = new GroupKey(ID, 0, 0, 0);
+    GroupState started = GroupState.NEW.started(List.of("worker"));
+    apply(LogEntry.of(LogKey.group(group), new LogContent.Group(started)));
+    assertThat(table.pending("q")).isEqualTo(0);
+    assertThat(table.job(ID).get().state()).isEqualTo(BatchState.RUNNING);
+  }
+
+  @Test
+  void anEndIsShownWhateverItsGroupsSay() {
+    apply(definition("first"));
+    apply(LogEntry.of(LogKey.end(ID), new LogContent.End(BatchState.SUCCEEDED, "every task", 5)));
+    assertThat(table.job(ID).get().state()).isEqualTo(BatchState.SUCCEEDED);
+  }
+
+  @Test
+  void aForgottenJobLeavesNothing() {
+    apply(definition("first"));
+    apply(LogEntry.of(LogKey.end(ID), new LogContent.End(BatchState.FAILED, "task", 5)));
+    apply(LogEntry.drop(LogKey.job(ID)));
+    apply(LogEntry.drop(LogKey.end(ID)));
+    assertThat(table.job(ID)).isEmpty();
+    assertThat(table.jobs()).isEmpty();
+  }
+
+  @Test
+  void termsRiseWithTheOffsetsOfTheirClaims() {
+    LogContent.Term claim = new LogContent.Term("h", "a", "l", 0, false);
+    table.apply(LogEntry.of(LogKey.TERM, claim), 0);
+    assertThat(table.termNumber()).isEqualTo(1);
+    table.apply(LogEntry.of(LogKey.TERM, new LogContent.Term("h", "a", "l", 1, false)), 40);
+    assertThat(table.termNumber()).isEqualTo(1);
+    table.apply(LogEntry.of(LogKey.TERM, claim), 41);
+    assertThat(table.termNumber()).isEqualTo(42);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/TermRuleTest.java
@@ -0,0 +1,72 @@
+package org.wheatwall.core.batch.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.LogContent;
+
+/** A term is held by one host at a time, measured on steady clocks that drift. */
+final class TermRuleTest {
+  private static final TermSettings TIMES = TermSettings.DEFAULT;
+
+  private static Optional<LogContent.Term> heldBy(String address, String life, boolean released) {
+    return Optional.of(new LogContent.Term("host", address, life, 7, released));
+  }
+
+  @Test
+  void aFreeTermIsClaimedAtOnce() {
+    TermRule rule = new TermRule(TIMES, "a", "life-1", 0);
+    assertThat(rule.mayClaim(Optional.empty(), 0)).isTrue();
+    assertThat(rule.mayClaim(heldBy("b", "other", true), 0)).isTrue();
+  }
+
+  @Test
+  void aSilentHolderIsReplacedOnlyAfterItHasStopped() {
+    TermRule holder = new TermRule(TIMES, "a", "life-1", 0);
+    TermRule rival = new TermRule(TIMES, "b", "life-2", 0);
+    holder.won(7, 1000);
+    rival.sawDecider(1000);
+    long claimAt = 1000;
+    while (!rival.mayClaim(heldBy("a", "life-1", false), claimAt)) {
+      claimAt++;
+    }
+    // The rival's clock may be 2% fast and the holder's 2% slow.
+    long holderThen = 1000 + (long) ((claimAt - 1000) * 0.98 * 0.98);
+    assertThat(holder.mayAct(holderThen)).isFalse();
+  }
+
+  @Test
+  void silenceDuringAnOutageDoesNotCount() {
+    TermRule rival = new TermRule(TIMES, "b", "life-2", 0);
+    rival.sawOutageEnd(50_000);
+    assertThat(rival.mayClaim(heldBy("a", "life-1", false), 50_001)).isFalse();
+  }
+
+  @Test
+  void aRestartedHolderNeedNotWaitForItsEarlierLife() {
+    TermRule rule = new TermRule(TIMES, "a", "life-2", 0);
+    assertThat(rule.mayClaim(heldBy("a", "life-1", false), 1)).isTrue();
+    assertThat(rule.mayClaim(heldBy("a", "life-2", false), 1)).isFalse();
+  }
+
+  @Test
+  void confirmationCountsFromWhenItWasSent() {
+    TermRule rule = new TermRule(TIMES, "a", "life-1", 0);
+    rule.won(7, 1000);
+    rule.confirmed(2000);
+    assertThat(rule.mayAct(2000 + TIMES.actMs() - 1)).isTrue();
+    assertThat(rule.mayAct(2000 + TIMES.actMs())).isFalse();
+    rule.confirmed(1500);
+    assertThat(rule.mayAct(2000 + TIMES.actMs() - 1)).isTrue();
+  }
+
+  @Test
+  void aLostTermGivesNoLeave() {
+    TermRule rule = new TermRule(TIMES, "a", "life-1", 0);
+    rule.won(7, 1000);
+    rule.lost(1100);
+    assertThat(rule.mayAct(1101)).isFalse();
+    assertThat(rule.holds()).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/job/decision/JobOptionsTest.java
@@ -0,0 +1,167 @@
+package org.wheatwall.core.job.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobOptions;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+
+/**
+ * What a job asks of its hosts holds under every policy, also for attempts that were taken over.
+ */
+final class JobOptionsTest {
+  private static final ResourceAmount HOST = new ResourceAmount(32, 1000, 8);
+  private static final ResourceAmount TASK = new ResourceAmount(1, 10, 1);
+
+  private final Scheduler scheduler = new Scheduler(SchedulerSettings.DEFAULT);
+  private long nowMs = 1000;
+
+  private void addHost(String name, String rack, String label) {
+    scheduler.cluster().add(new WorkerHost(name, "zone", rack, HOST));
+    scheduler.cluster().setLabels(name, new Labels(Map.of(label, label)));
+    scheduler.hostsChanged();
+  }
+
+  private static Job job(int tasks, JobOptions options) {
+    return new Job(
+            Labels.NONE,
+            "workspace",
+            "zone",
+            Optional.empty(),
+            tasks,
+            TASK,
+            Adjacency.ANY,
+            10,
+            true,
+            false,
+            JobPhase.SUBMITTED)
+        .withOptions(options);
+  }
+
+  private static JobOptions spread(int limit) {
+    return new JobOptions(
+        0, Set.of(), Optional.empty(), Optional.of("step"), limit, false, Set.of());
+  }
+
+  private List<String> placeOf(String name, Job job) {
+    scheduler.submit(name, job, nowMs);
+    for (Decision decision : scheduler.decide(nowMs++)) {
+      if (decision instanceof Decision.Start start && start.jobName().equals(name)) {
+        return start.placement().hosts();
+      }
+    }
+    return List.of();
+  }
+
+  @Test
+  void onlyHostsWithTheLabelAreUsed() {
+    addHost("plain", "r1", "other");
+    addHost("labelled", "r1", "wanted");
+    JobOptions options =
+        new JobOptions(0, Set.of("wanted"), Optional.empty(), Optional.empty(), 0, false, Set.of());
+    assertThat(placeOf("job", job(2, options))).containsExactly("labelled", "labelled");
+  }
+
+  @Test
+  void theRackWithTheDataIsUsedWhileThereIsOne() {
+    addHost("a", "r1", "x");
+    addHost("b", "r2", "x");
+    JobOptions options =
+        new JobOptions(0, Set.of(), Optional.of("r2"), Optional.empty(), 0, false, Set.of());
+    assertThat(placeOf("near", job(1, options))).containsExactly("b");
+    JobOptions gone =
+        new JobOptions(0, Set.of(), Optional.of("r9"), Optional.empty(), 0, false, Set.of());
+    assertThat(placeOf("anywhere", job(1, gone))).hasSize(1);
+  }
+
+  @Test
+  void aHostWhereTheJobFailedIsUsedOnlyIfNothingElseIsLeft() {
+    addHost("a", "r1", "x");
+    addHost("b", "r1", "x");
+    JobOptions avoid =
+        new JobOptions(0, Set.of(), Optional.empty(), Optional.empty(), 0, false, Set.of("a"));
+    assertThat(placeOf("first", job(8, avoid))).doesNotContain("a");
+    scheduler.cluster().remove("b");
+    assertThat(placeOf("second", job(1, avoid))).containsExactly("a");
+  }
+
+  @Test
+  void theSpreadLimitCountsTasksThatStartedApart() {
+    addHost("a", "r1", "x");
+    assertThat(placeOf("one", job(1, spread(2)))).containsExactly("a");
+    assertThat(placeOf("two", job(1, spread(2)))).containsExactly("a");
+    assertThat(placeOf("three", job(1, spread(2)))).isEmpty();
+    scheduler.attemptEnded(scheduler.attemptOf("one").get(), EndReason.SUCCEEDED, nowMs);
+    assertThat(scheduler.decide(nowMs++)).hasSize(1);
+  }
+
+  // A decider that takes over learns of attempts before it learns of hosts; counting only on known
+  // hosts forgot them.
+  @Test
+  void theSpreadLimitCountsAttemptsAdoptedBeforeTheirHostIsKnown() {
+    Job job = job(1, spread(2));
+    scheduler.adopt("x1", "one", job, 0, new Placement(List.of("a")), nowMs);
+    scheduler.adopt("x2", "two", job, 0, new Placement(List.of("a")), nowMs);
+    addHost("a", "r1", "x");
+    assertThat(placeOf("three", job)).isEmpty();
+  }
+
+  // Three failures by one job took a host out of use for half a minute, and with a few such jobs
+  // the
+  // zone had no place left for a gang.
+  @Test
+  void aJobThatAlwaysFailsDoesNotTakeItsHostsOutOfUse() {
+    addHost("a", "r1", "x");
+    for (int i = 0; i < 10; i++) {
+      scheduler.hostFailedTask("a", "bad-job", nowMs);
+    }
+    assertThat(placeOf("other", job(1, JobOptions.NONE))).containsExactly("a");
+    scheduler.hostFailedTask("a", "second", nowMs);
+    scheduler.hostFailedTask("a", "third", nowMs);
+    assertThat(placeOf("another", job(1, JobOptions.NONE))).isEmpty();
+  }
+
+  private static Job urgent(String workspace, int tasks) {
+    return new Job(
+        Labels.NONE,
+        workspace,
+        "zone",
+        Optional.empty(),
+        tasks,
+        TASK,
+        Adjacency.ANY,
+        10,
+        true,
+        true,
+        JobPhase.SUBMITTED);
+  }
+
+  // Urgent work never stopped urgent work, so one workspace's burst kept the others from what they
+  // are guaranteed.
+  @Test
+  void guaranteedUrgentWorkTakesThePlaceOfUrgentWorkBeyondItsGuarantee() {
+    addHost("a", "r1", "x");
+    scheduler.setUrgentGuarantees(Map.of("greedy", 4, "modest", 4));
+    assertThat(placeOf("burst", urgent("greedy", 8))).hasSize(8);
+    assertThat(placeOf("guaranteed", urgent("modest", 4))).hasSize(4);
+    assertThat(scheduler.withdraw("burst")).isPresent();
+  }
+
+  @Test
+  void urgentWorkWithinEveryGuaranteeIsNotStopped() {
+    addHost("a", "r1", "x");
+    scheduler.setUrgentGuarantees(Map.of("one", 8, "two", 4));
+    assertThat(placeOf("first", urgent("one", 8))).hasSize(8);
+    assertThat(placeOf("second", urgent("two", 4))).isEmpty();
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -39,7 +39,8 @@
  * <p>Everything runs on the decision loop; the public methods may be called on any thread.
  */
 public final class BatchHost {
-  // A decider looks at repeats and due times this often; other hosts have little to look at, and each
+  // A decider looks at repeats and due times this often; other hosts have little to look at, and
+  // each
   // wake-up costs.
   private static final int DECIDER_TICK_MS = 100;
   private static final int TICK_MS = 250;
@@ -58,6 +59,7 @@
   private final long claimSequence;
   private final Map<String, CompletableFuture<Void>> accepting = new HashMap<>();
   private JobTable table = new JobTable();
+  private Map<String, Integer> urgentGuarantees = Map.of();
   private Optional<BatchDecider> decider = Optional.empty();
   private Optional<CompletableFuture<Void>> reading = Optional.empty();
   private Optional<CompletableFuture<Void>> nextReading = Optional.empty();
@@ -169,6 +171,17 @@
                 decider.map(current -> current.supervisor().explain(jobId)).orElse(List.of())));
   }
 
+  /** Sets how many accelerators each workspace can always have for its urgent jobs. */
+  public void setUrgentGuarantees(Map<String, Integer> acceleratorsByWorkspace) {
+    tools
+        .loop()
+        .execute(
+            () -> {
+              urgentGuarantees = Map.copyOf(acceleratorsByWorkspace);
+              decider.ifPresent(this::passGuarantees);
+            });
+  }
+
   /** Returns whether this host can take jobs now. */
   public CompletableFuture<Boolean> ready() {
     return onLoop(() -> CompletableFuture.completedFuture(fresh() && !stopping));
@@ -371,10 +384,15 @@
             claimSequence + 1,
             () -> lose("the term was refused"));
     decider = Optional.of(next);
+    passGuarantees(next);
     next.begin(table);
     directory.open(next);
   }
 
+  private void passGuarantees(BatchDecider current) {
+    current.supervisor().scheduler().setUrgentGuarantees(urgentGuarantees);
+  }
+
   private void lose(String reason) {
     if (decider.isEmpty()) {
       return;
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -0,0 +1,166 @@
+package org.wheatwall.entry.batch.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.entry.common.Clock;
+
+/** Each record is appended once, whatever becomes of the answers. */
+final class LogWriterTest {
+  private final FakeLog log = new FakeLog();
+  private final Deque<Runnable> timers = new ArrayDeque<>();
+  private final List<Long> confirmed = new ArrayList<>();
+  private long nowMs = 1000;
+
+  private final Clock clock =
+      new Clock() {
+        @Override
+        public long nowMs() {
+          return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+          return nowMs;
+        }
+      };
+
+  private final LogWriter writer =
+      new LogWriter(
+          log, "p", 3, 10, Runnable::run, (ms, task) -> timers.add(task), clock, confirmed::add);
+
+  /** Answers each call as the test says. */
+  private static final class FakeLog implements KeyedLog {
+    private final List<AppendCall> calls = new ArrayList<>();
+    private final List<CompletableFuture<Appended>> answers = new ArrayList<>();
+
+    @Override
+    public CompletableFuture<Appended> append(AppendCall call) {
+      calls.add(call);
+      answers.add(new CompletableFuture<>());
+      return answers.get(answers.size() - 1);
+    }
+
+    @Override
+    public CompletableFuture<LogPage> read(long from, int waitMs) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Optional<String> afterKey) {
+      throw new UnsupportedOperationException();
+    }
+
+    private void fail(LogFailure.Kind kind) {
+      answers.get(answers.size() - 1).completeExceptionally(new LogFailure(kind, "test"));
+    }
+
+    private void accept() {
+      answers.get(answers.size() - 1).complete(new Appended(0));
+    }
+  }
+
+  private CompletableFuture<Void> append(String key, long deadlineMs) {
+    return writer.append(List.of(new KeyedRecord(key, new byte[] {1})), deadlineMs);
+  }
+
+  private static LogFailure.Kind kindOf(CompletableFuture<Void> future) {
+    try {
+      future.join();
+    } catch (CompletionException e) {
+      return LogFailure.of(e).kind();
+    }
+    throw new AssertionError("it did not fail");
+  }
+
+  @Test
+  void aCallWithoutAnswerIsRepeatedWithItsNumber() {
+    CompletableFuture<Void> result = append("a", 5000);
+    log.fail(LogFailure.Kind.UNKNOWN);
+    timers.poll().run();
+    assertThat(log.calls.get(1).sequence()).isEqualTo(10);
+    assertThat(log.calls.get(1).records()).isEqualTo(log.calls.get(0).records());
+    log.accept();
+    assertThat(result.isDone()).isTrue();
+    append("b", 5000);
+    assertThat(log.calls.get(2).sequence()).isEqualTo(11);
+  }
+
+  @Test
+  void whatComesMeanwhileGoesOutTogether() {
+    append("a", 5000);
+    append("b", 5000);
+    append("c", 5000);
+    log.accept();
+    assertThat(log.calls).hasSize(2);
+    assertThat(log.calls.get(1).records()).hasSize(2);
+  }
+
+  @Test
+  void notDoneIsSaidOnlyOfWhatCanNoLongerBeAppended() {
+    CompletableFuture<Void> sent = append("a", 2000);
+    CompletableFuture<Void> queued = append("b", 2000);
+    log.fail(LogFailure.Kind.UNKNOWN);
+    nowMs = 2500;
+    writer.expire();
+    assertThat(kindOf(sent)).isEqualTo(LogFailure.Kind.UNKNOWN);
+    assertThat(kindOf(queued)).isEqualTo(LogFailure.Kind.NOT_DONE);
+    timers.poll().run();
+    log.accept();
+    assertThat(log.calls.get(log.calls.size() - 1).records()).hasSize(1);
+  }
+
+  @Test
+  void aRefusedCallLeavesOutWhatCameTooLate() {
+    CompletableFuture<Void> late = append("a", 1100);
+    log.fail(LogFailure.Kind.NOT_DONE);
+    nowMs = 1200;
+    timers.poll().run();
+    log.fail(LogFailure.Kind.NOT_DONE);
+    assertThat(kindOf(late)).isEqualTo(LogFailure.Kind.NOT_DONE);
+    append("b", 5000);
+    assertThat(log.calls.get(log.calls.size() - 1).records().get(0).key()).isEqualTo("b");
+    assertThat(log.calls.get(log.calls.size() - 1).sequence()).isEqualTo(10);
+  }
+
+  // The store does not count a call without records; numbers after a counted one were out of turn.
+  @Test
+  void aBarrierIsNotSent() {
+    append("a", 5000);
+    CompletableFuture<Void> barrier = writer.append(List.of(), 5000);
+    assertThat(barrier.isDone()).isFalse();
+    log.accept();
+    assertThat(barrier.isDone()).isTrue();
+    assertThat(log.calls).hasSize(1);
+    append("b", 5000);
+    assertThat(log.calls.get(1).sequence()).isEqualTo(11);
+  }
+
+  @Test
+  void aFencedWriterSendsNothingMore() {
+    CompletableFuture<Void> first = append("a", 5000);
+    CompletableFuture<Void> second = append("b", 5000);
+    log.fail(LogFailure.Kind.FENCED);
+    assertThat(kindOf(first)).isEqualTo(LogFailure.Kind.FENCED);
+    assertThat(kindOf(second)).isEqualTo(LogFailure.Kind.FENCED);
+    assertThat(kindOf(append("c", 5000))).isEqualTo(LogFailure.Kind.FENCED);
+    assertThat(log.calls).hasSize(1);
+  }
+
+  @Test
+  void confirmationNamesWhenTheCallWasFirstSent() {
+    append("a", 5000);
+    log.fail(LogFailure.Kind.UNKNOWN);
+    nowMs = 1700;
+    timers.poll().run();
+    log.accept();
+    assertThat(confirmed).containsExactly(1000L);
+  }
+}
