Room left for urgent work; the decision loop never waits for itself; a refused intake is renewed

Now other work leaves 40% of the accelerators free while urgent work came within 10 s, unless under half is in use. Ruled out for now: nothing else was tried; reservations for gangs and the speed of workers come next. Also, on reading: a task of the decision loop that hands in more than the ring holds would have waited for itself for ever (DecisionLoopTest, fails before); an intake whose numbers the store refuses would have refused every job from then on.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -31,6 +31,9 @@
  * <p>Pure: the clock is passed in. Not thread-safe; the decision loop owns it.
  */
 public final class Scheduler {
+  // Urgent work is expected while some came within this time.
+  private static final int URGENT_MEMORY_MS = 10_000;
+
   private final SchedulerSettings settings;
   private final Cluster cluster = new Cluster();
   private final GuaranteePlan plan = new GuaranteePlan(cluster);
@@ -50,6 +53,7 @@
   private String attemptPrefix = "0";
   private long attemptCounter;
   private long invalidProposals;
+  private long lastUrgentMs = Long.MIN_VALUE / 2;
 
   /** Creates a scheduler without hosts or jobs. */
   public Scheduler(SchedulerSettings settings) {
@@ -133,6 +137,9 @@
     }
     waiting.put(name, new QueuedJob(name, job, submittedAtMs, estimator.expectedSeconds(job)));
     guarantees.add(job);
+    if (job.urgent()) {
+      lastUrgentMs = Math.max(lastUrgentMs, submittedAtMs);
+    }
     reasons.put(name, new WaitReason(WaitReason.Kind.QUEUED, "not looked at yet"));
   }
 
@@ -376,12 +383,27 @@
         return false;
       }
       BackfillWindow window = windows.get(policy.name());
+      if (takesHeadroom(job.job())) {
+        return false;
+      }
       if (window != null && window.isDelayedBy(place.get(), job.expectedSeconds(), nowMs)) {
         return false;
       }
       return start(job, place.get(), List.of());
     }
 
+    // With less than half in use nothing has to wait: urgent work finds room beside it.
+    private boolean takesHeadroom(Job job) {
+      boolean urgentComes = nowMs - lastUrgentMs < URGENT_MEMORY_MS;
+      boolean halfEmpty = cluster.freeAccelerators() * 2 > cluster.totalAccelerators();
+      boolean exempt = job.urgent() || job.shape().isPresent() || job.totalAccelerators() == 0;
+      if (exempt || halfEmpty || !urgentComes) {
+        return false;
+      }
+      int left = cluster.freeAccelerators() - job.totalAccelerators();
+      return left * 100 < cluster.totalAccelerators() * settings.urgentHeadroomPercent();
+    }
+
     // A policy that fails or proposes what cannot be counts as one that found no place.
     private Optional<Placement> propose(Job job, PolicyTable.Entry policy) {
       Optional<Placement> place;
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
@@ -10,15 +10,21 @@
  * @param scanLimit jobs looked at in one pass
  * @param startLimit jobs started in one pass
  * @param health when a host counts as failing
+ * @param urgentHeadroomPercent share of all accelerators that other work leaves free while urgent
+ *     work comes, so that urgent work seldom has to stop something
  */
 public record SchedulerSettings(
-    int starvationBoundMs, int scanLimit, int startLimit, HostHealthSettings health) {
+    int starvationBoundMs,
+    int scanLimit,
+    int startLimit,
+    HostHealthSettings health,
+    int urgentHeadroomPercent) {
   /** Settings for ordinary use. */
   public static final SchedulerSettings DEFAULT = new SchedulerSettings(600_000, 500, 64);
 
   /** Creates settings with the usual health of hosts. */
   public SchedulerSettings(int starvationBoundMs, int scanLimit, int startLimit) {
-    this(starvationBoundMs, scanLimit, startLimit, HostHealthSettings.DEFAULT);
+    this(starvationBoundMs, scanLimit, startLimit, HostHealthSettings.DEFAULT, 0);
   }
 
   /** Validates. */
@@ -26,5 +32,6 @@
     Names.requireRange("starvationBoundMs", starvationBoundMs, 1, Integer.MAX_VALUE);
     Names.requireRange("scanLimit", scanLimit, 1, 1_000_000);
     Names.requireRange("startLimit", startLimit, 1, 1_000_000);
+    Names.requireRange("urgentHeadroomPercent", urgentHeadroomPercent, 0, 100);
   }
 }
--- a/core/src/test/java/org/wheatwall/core/job/decision/JobOptionsTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/JobOptionsTest.java
@@ -164,4 +164,18 @@
     assertThat(placeOf("first", urgent("one", 8))).hasSize(8);
     assertThat(placeOf("second", urgent("two", 4))).isEmpty();
   }
+
+  @Test
+  void otherWorkLeavesRoomWhileUrgentWorkComes() {
+    Scheduler careful =
+        new Scheduler(new SchedulerSettings(600_000, 500, 64, HostHealthSettings.DEFAULT, 25));
+    careful.cluster().add(new WorkerHost("a", "zone", "r1", HOST));
+    careful.hostsChanged();
+    careful.submit("urgent", urgent("w", 3), 1000);
+    careful.submit("fits", job(3, JobOptions.NONE), 1000);
+    careful.submit("waits", job(1, JobOptions.NONE), 1000);
+    assertThat(careful.decide(1000)).hasSize(2);
+    assertThat(careful.waiting()).hasSize(1);
+    assertThat(careful.decide(20_000)).hasSize(1);
+  }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -104,8 +104,14 @@
   private static final int STARVATION_MS = 600_000;
   private static final int SCAN_LIMIT = 500;
   private static final int START_LIMIT = 64;
+  private static final int URGENT_HEADROOM_PERCENT = 40;
   private static final SchedulerSettings SCHEDULING =
-      new SchedulerSettings(STARVATION_MS, SCAN_LIMIT, START_LIMIT, HostHealthSettings.SHORT_JOBS);
+      new SchedulerSettings(
+          STARVATION_MS,
+          SCAN_LIMIT,
+          START_LIMIT,
+          HostHealthSettings.SHORT_JOBS,
+          URGENT_HEADROOM_PERCENT);
 
   private static final PolicySpec PRIORITY_FIRST =
       new PolicySpec(Labels.NONE, PolicyAlgorithm.PRIORITY_FIRST, "", 0, 0, 0, false);
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -53,11 +53,12 @@
   private final WorkerPort port;
   private final WorkerDirectory directory;
   private final LogFollower follower;
-  private final LogWriter intake;
   private final TermRule rule;
   private final String life;
   private final long claimSequence;
   private final Map<String, CompletableFuture<Void>> accepting = new HashMap<>();
+  private LogWriter intake;
+  private int intakes;
   private JobTable table = new JobTable();
   private Map<String, Integer> urgentGuarantees = Map.of();
   private Optional<BatchDecider> decider = Optional.empty();
@@ -98,8 +99,7 @@
     this.tools = new Tools(loop, timer, clock, decisions, metrics);
     this.rule = new TermRule(settings.term(), settings.address(), life, clock.nowMs());
     this.follower = new LogFollower("jobs", log, loop, timer, clock, new Replay());
-    String producer = "entry-" + settings.address() + "-" + life;
-    this.intake = new LogWriter(log, producer, 1, 0, loop, timer, clock, sentMs -> {});
+    this.intake = newIntake();
     metrics.gauge("batch.jobs.kept", () -> () -> table.jobs().size());
     metrics.gauge("batch.term.held", () -> rule::term);
     metrics.gauge("batch.log.position", () -> follower::position);
@@ -226,7 +226,17 @@
     return kept;
   }
 
+  private LogWriter newIntake() {
+    String producer = "entry-" + settings.address() + "-" + life + "-" + intakes++;
+    return new LogWriter(
+        log, producer, 1, 0, tools.loop(), tools.timer(), tools.clock(), sentMs -> {});
+  }
+
   private CompletableFuture<Void> keep(LogEntry entry, long deadlineMs) {
+    if (intake.closed()) {
+      tools.decisions().note("intake-renewed", field("intake", intakes));
+      intake = newIntake();
+    }
     KeyedRecord record = new KeyedRecord(entry.key().text(), JobLogCodec.value(entry));
     return intake
         .append(List.of(record), deadlineMs)
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -99,6 +99,11 @@
     return item.result;
   }
 
+  /** Returns whether it sends nothing any more. */
+  public boolean closed() {
+    return closed;
+  }
+
   /** Returns whether nothing is queued or under way. */
   public boolean idle() {
     return queue.isEmpty() && inFlight.isEmpty();
--- a/entry/src/main/java/org/wheatwall/entry/common/DecisionLoop.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/DecisionLoop.java
@@ -4,6 +4,8 @@
 import com.lmax.disruptor.ExceptionHandler;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadFactory;
@@ -17,6 +19,8 @@
   private static final int RING_SIZE = 1024;
 
   private final Disruptor<Cell> disruptor;
+  private final Deque<Runnable> own = new ArrayDeque<>();
+  private volatile Thread thread;
 
   private static final class Cell {
     private Runnable task;
@@ -33,10 +37,27 @@
     disruptor =
         new Disruptor<>(
             Cell::new, RING_SIZE, threads, ProducerType.MULTI, new BlockingWaitStrategy());
-    disruptor.handleEventsWith((cell, sequence, endOfBatch) -> cell.run());
+    disruptor.handleEventsWith((cell, sequence, endOfBatch) -> handle(cell));
     disruptor.setDefaultExceptionHandler(new FailureLog());
   }
 
+  private void handle(Cell cell) {
+    thread = Thread.currentThread();
+    runLogged(cell::run);
+    while (!own.isEmpty()) {
+      runLogged(own.poll());
+    }
+  }
+
+  // One failed task must not stop the loop; it is a fault of this program, so it is logged whole.
+  private static void runLogged(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException failure) {
+      LOG.error("event=decision-failed", failure);
+    }
+  }
+
   /** Starts the thread. */
   public void start() {
     disruptor.start();
@@ -47,8 +68,16 @@
     disruptor.halt();
   }
 
+  /**
+   * Runs {@code task} on the loop. A task that comes from the loop itself is kept beside the ring:
+   * the loop must not wait for room that only it can make.
+   */
   @Override
   public void execute(Runnable task) {
+    if (Thread.currentThread() == thread) {
+      own.add(task);
+      return;
+    }
     disruptor.publishEvent((cell, sequence) -> cell.task = task);
   }
 
@@ -57,7 +86,6 @@
     return CompletableFuture.supplyAsync(supplier, this);
   }
 
-  // One failed event must not stop the loop; it is a fault of this program, so it is logged whole.
   private static final class FailureLog implements ExceptionHandler<Cell> {
     @Override
     public void handleEventException(Throwable failure, long sequence, Cell cell) {
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/common/DecisionLoopTest.java
@@ -0,0 +1,42 @@
+package org.wheatwall.entry.common;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** The loop goes on whatever its tasks do. */
+final class DecisionLoopTest {
+  private static final int MORE_THAN_THE_RING = 5000;
+
+  // A loop that waits for room in its own ring never gets any.
+  @Test
+  void aTaskMayHandInMoreThanTheRingHolds() throws InterruptedException {
+    DecisionLoop loop = new DecisionLoop(Thread::new);
+    loop.start();
+    CountDownLatch done = new CountDownLatch(MORE_THAN_THE_RING);
+    loop.execute(
+        () -> {
+          for (int i = 0; i < MORE_THAN_THE_RING; i++) {
+            loop.execute(done::countDown);
+          }
+        });
+    assertThat(done.await(10, TimeUnit.SECONDS)).isTrue();
+    loop.stop();
+  }
+
+  @Test
+  void aTaskThatFailsDoesNotStopTheLoop() throws InterruptedException {
+    DecisionLoop loop = new DecisionLoop(Thread::new);
+    loop.start();
+    CountDownLatch done = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          throw new IllegalStateException("on purpose");
+        });
+    loop.execute(done::countDown);
+    assertThat(done.await(10, TimeUnit.SECONDS)).isTrue();
+    loop.stop();
+  }
+}
