--- a/app/src/test/java/org/wheatwall/app/ArchitectureTest.java
+++ b/app/src/test/java/org/wheatwall/app/ArchitectureTest.java
@@ -78,4 +78,26 @@
           .dependOnClassesThat()
           .resideInAnyPackage(
               "org.wheatwall.entry..", "org.wheatwall.standin..", "org.wheatwall.app..");
+
+  @ArchTest
+  static final ArchRule ONLY_THE_COMMAND_LINE_KNOWS_THE_PLATFORM_ADAPTER =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.wheatwall.core..",
+              "org.wheatwall.wire..",
+              "org.wheatwall.entry..",
+              "org.wheatwall.standin..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.wheatwall.platform..");
+
+  @ArchTest
+  static final ArchRule PLATFORM_ADAPTER_KNOWS_NO_STAND_IN =
+      noClasses()
+          .that()
+          .resideInAPackage("org.wheatwall.platform..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("org.wheatwall.standin..", "org.wheatwall.app..");
 }
