HUP reads the settings; a call that the log does not take is answered within 0.9 s; the supervisor is split

Now: HUP re-reads and checks the settings (ServeProcessIT, which ends with 129 before); a call is refused at once while the job log cannot be read, and given up after 0.9 s: 503 if it was not sent, 504 if it may have arrived; an append that was surely refused is never called unknown. RunSupervisor keeps what a term may be asked, RunLifecycle the course of runs, WorkerReports what workers say, TermState what they share. Checked: RunSupervisorTest; eight faults put in on purpose, of which BatchFaultTest caught seven within 241 schedules and RunSupervisorTest covers the eighth (a cancellation forgotten at a take-over).

--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/process/HangUpSignal.java
@@ -0,0 +1,46 @@
+package org.wheatwall.app.process;
+
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Handles the signal HUP, which would otherwise end the process. The virtual machine offers this
+ * only in a class that the compiler warns of, so it is called by reflection.
+ */
+final class HangUpSignal {
+  private static final Logger LOG = LoggerFactory.getLogger(HangUpSignal.class);
+
+  private HangUpSignal() {}
+
+  /** Runs {@code action} on each signal, on a thread of the virtual machine. */
+  static void handle(Runnable action) {
+    try {
+      Class<?> signal = Class.forName("sun.misc.Signal");
+      Class<?> handler = Class.forName("sun.misc.SignalHandler");
+      Object proxy =
+          Proxy.newProxyInstance(
+              handler.getClassLoader(),
+              new Class<?>[] {handler},
+              (self, method, arguments) -> react(self, method, arguments, action));
+      signal
+          .getMethod("handle", signal, handler)
+          .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+    } catch (ReflectiveOperationException e) {
+      LOG.atWarn().setCause(e).log("hang-up-signal-not-handled");
+    }
+  }
+
+  private static Object react(Object self, Method method, Object[] arguments, Runnable action) {
+    return switch (method.getName()) {
+      case "equals" -> self == arguments[0];
+      case "hashCode" -> System.identityHashCode(self);
+      case "toString" -> "HangUpSignal";
+      default -> {
+        action.run();
+        yield null;
+      }
+    };
+  }
+}
--- a/app/src/main/java/org/wheatwall/app/process/ServeVerb.java
+++ b/app/src/main/java/org/wheatwall/app/process/ServeVerb.java
@@ -6,15 +6,20 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.ParseException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wheatwall.app.command.Console;
 import org.wheatwall.app.command.Verb;
 import org.wheatwall.app.command.VerbOptions;
+import org.wheatwall.core.common.Refusal;
 import org.wheatwall.platform.PlatformHost;
 import org.wheatwall.platform.PlatformSettings;
 import org.wheatwall.wire.settings.SettingsFile;
 
 /** Runs an entry host on the users' platform until it is told to stop. */
 public final class ServeVerb implements Verb {
+  private static final Logger LOG = LoggerFactory.getLogger(ServeVerb.class);
+
   // Hosts have one core; a second loop would only add wake-ups.
   private static final int EVENT_LOOPS = 1;
 
@@ -36,14 +41,25 @@
     if (!options.parse(arguments, console)) {
       return DONE;
     }
-    String text = SettingsText.read(options.required("settings"));
-    PlatformSettings settings = SettingsFile.require(text, PlatformSettings::read);
+    String file = options.required("settings");
+    PlatformSettings settings =
+        SettingsFile.require(SettingsText.read(file), PlatformSettings::read);
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
     PlatformHost host = PlatformHost.start(settings, group);
+    HangUpSignal.handle(() -> reload(host, file));
     waitForStop(host);
     return DONE;
   }
 
+  // Faulty settings change nothing: the process goes on with those it has.
+  private static void reload(PlatformHost host, String file) {
+    try {
+      host.reload(SettingsFile.require(SettingsText.read(file), PlatformSettings::read));
+    } catch (Refusal refusal) {
+      LOG.atWarn().addKeyValue("cause", refusal.getMessage()).log("settings-refused");
+    }
+  }
+
   private static void waitForStop(PlatformHost host) {
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
--- a/app/src/main/launcher/wheatwall.sh
+++ b/app/src/main/launcher/wheatwall.sh
@@ -3,6 +3,7 @@
 # Memory settings keep a daemon inside its budget of 128 MB; see docs/design/process-memory.md.
 case "$1" in
   entry) memory="-Xms16m -Xmx40m -XX:MaxDirectMemorySize=16m -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m -Xss384k -XX:TieredStopAtLevel=1" ;;
+  serve) memory="-Xms24m -Xmx96m -XX:MaxDirectMemorySize=32m -XX:ReservedCodeCacheSize=32m -Xss384k -XX:TieredStopAtLevel=1 -Dlogback.configurationFile=logback-process.xml" ;;
   standin) memory="-Xmx64m -XX:MaxDirectMemorySize=32m -XX:ReservedCodeCacheSize=32m -Xss384k -XX:TieredStopAtLevel=1" ;;
   demo|load|compare) memory="-Xmx1g" ;;
   bench) memory="-Xmx1g -XX:TieredStopAtLevel=1 -XX:MarkSweepAlwaysCompactCount=1" ;;
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -0,0 +1,330 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupPhase;
+import org.wheatwall.core.batch.model.GroupState;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.OrderAnswer;
+import org.wheatwall.core.batch.model.StartOrder;
+import org.wheatwall.core.batch.model.StopOrder;
+import org.wheatwall.core.job.decision.EndReason;
+import org.wheatwall.core.job.policy.QueuedJob;
+
+/**
+ * The course of runs within a term: from the intent over orders and ends to the next run, or to the
+ * end of the job.
+ */
+final class RunLifecycle {
+  private static final int ROOM_REPEAT_MS = 100;
+
+  private final TermState term;
+
+  RunLifecycle(TermState term) {
+    this.term = term;
+  }
+
+  void launch(GroupRun run) {
+    boolean usable =
+        run.workers().stream()
+            .allMatch(id -> term.workers.find(id).filter(WorkerRecord::usable).isPresent());
+    if (!usable) {
+      stopRun(run, "a worker was lost before the start");
+      return;
+    }
+    GroupState state = run.state().started(run.workers());
+    run.setState(state);
+    run.launch();
+    term.jobs.get(run.group().jobId()).set(run.group(), state);
+    term.outgoing.add(LogEntry.of(LogKey.group(run.group()), new LogContent.Group(state)));
+    term.flush(() -> order(run));
+  }
+
+  void order(GroupRun run) {
+    if (run.stopping() || term.runs.get(run.group()) != run) {
+      return;
+    }
+    term.note(
+        RunEvent.Kind.GROUP_STARTED,
+        run.group().jobId(),
+        run.group().text(),
+        "run " + run.state().run() + " on " + String.join(",", run.workers()));
+    for (MemberRun member : run.members()) {
+      sendStart(run, member);
+    }
+  }
+
+  void sendStart(GroupRun run, MemberRun member) {
+    member.ordered();
+    term.effects.start(
+        new StartOrder(
+            member.worker(),
+            run.task(member),
+            run.state().run(),
+            run.job().specification(),
+            run.state().checkpoint()));
+  }
+
+  void startAnswered(GroupRun run, MemberRun member, OrderAnswer answer) {
+    switch (answer) {
+      case DONE -> {
+        member.confirm(term.nowMs);
+        term.heard(member.worker());
+      }
+      case NO_ROOM -> {
+        if (run.stopping() || member.tries() >= term.settings.roomTries()) {
+          refused(run, member, "no room at " + member.worker());
+        } else {
+          member.repeatAt(term.nowMs + ROOM_REPEAT_MS);
+        }
+      }
+      case OLD_RUN -> {
+        member.stopAcknowledged(term.nowMs);
+        term.effects.look(member.worker());
+      }
+      case TOO_LATE, NOT_DONE -> refused(run, member, answer + " at " + member.worker());
+      case UNKNOWN -> unanswered(run, member);
+      case FENCED, WORKER_GONE -> {
+        // The caller ends the term, or the worker; there is nothing to do for a single member.
+      }
+    }
+  }
+
+  void refused(GroupRun run, MemberRun member, String reason) {
+    if (!member.mayStartLate()) {
+      member.end();
+      run.setState(run.state().memberEnded(member.position()));
+    }
+    stopRun(run, reason);
+  }
+
+  void unanswered(GroupRun run, MemberRun member) {
+    member.lostAnswer();
+    if (!run.stopping() && member.tries() < term.settings.startTries()) {
+      sendStart(run, member);
+      return;
+    }
+    term.unreachable(member.worker(), "a start was not answered");
+    stopRun(run, "no answer from " + member.worker());
+  }
+
+  void stopRun(GroupRun run, String reason) {
+    if (!run.stopping()) {
+      run.markStopping();
+      term.note(RunEvent.Kind.RUN_STOPPING, run.group().jobId(), run.group().text(), reason);
+    }
+    for (MemberRun member : run.members()) {
+      if (member.phase() == MemberRun.Phase.PLANNED) {
+        member.end();
+      } else if (!member.ended() && member.wantStop()) {
+        sendStop(run, member);
+      }
+    }
+    if (run.allEnded()) {
+      settle(run);
+    }
+  }
+
+  void sendStop(GroupRun run, MemberRun member) {
+    member.stopSent(term.nowMs);
+    term.effects.stop(new StopOrder(member.worker(), run.task(member), run.state().run()));
+  }
+
+  void noteFailure(JobRuns progress, GroupKey group, String worker, int failedRun) {
+    term.scheduler.hostFailedTask(worker, group.jobId(), term.nowMs);
+    term.avoided.computeIfAbsent(group, key -> new HashSet<>()).add(worker);
+    GroupState state = progress.state(group).failedIn(failedRun);
+    progress.set(group, state);
+    GroupRun run = term.runs.get(group);
+    if (run != null) {
+      run.setState(state);
+    }
+    if (!progress.closed()) {
+      term.outgoing.add(LogEntry.of(LogKey.group(group), new LogContent.Group(state)));
+    }
+  }
+
+  // A failure that is heard of late may be the last one allowed while no run is under way.
+  void failIfWaitingInVain(JobRuns progress, GroupKey group) {
+    GroupState state = progress.state(group);
+    boolean exhausted = state.failures() >= progress.job().maxAttempts();
+    boolean lasts = progress.job().steps().get(group.step()).longRunning();
+    if (exhausted && !lasts && !progress.closed() && !term.runs.containsKey(group)) {
+      term.scheduler.withdraw(group.text());
+      finishFailed(progress, group, state);
+    }
+  }
+
+  void complete(JobRuns progress, GroupKey group, int doneRun) {
+    if (progress.closed() || progress.state(group).phase() == GroupPhase.DONE) {
+      GroupRun leftOver = term.runs.get(group);
+      if (leftOver != null && leftOver.state().run() == doneRun) {
+        leftOver.members().forEach(MemberRun::end);
+        settle(leftOver);
+      }
+      return;
+    }
+    GroupState state = progress.state(group).settled(GroupPhase.DONE);
+    progress.set(group, state);
+    term.outgoing.add(LogEntry.of(LogKey.group(group), new LogContent.Group(state)));
+    term.note(RunEvent.Kind.GROUP_DONE, group.jobId(), group.text(), "run " + doneRun);
+    GroupRun run = term.runs.get(group);
+    if (run == null) {
+      term.scheduler.withdraw(group.text());
+    } else if (run.state().run() == doneRun && run.launched()) {
+      removeRun(run, EndReason.SUCCEEDED);
+    } else {
+      stopRun(run, "an earlier run was done");
+    }
+    term.submitReady(progress);
+    if (progress.allDone()) {
+      endJob(progress, BatchState.SUCCEEDED, "every task is done");
+    }
+  }
+
+  void endMember(GroupRun run, MemberRun member) {
+    member.end();
+    run.setState(run.state().memberEnded(member.position()));
+    JobRuns progress = term.jobs.get(run.group().jobId());
+    if (progress != null) {
+      progress.set(run.group(), run.state());
+    }
+  }
+
+  void endMembersOn(String worker, String reason) {
+    for (GroupRun run : List.copyOf(term.runsByWorker.getOrDefault(worker, Set.of()))) {
+      for (MemberRun member : run.members()) {
+        if (member.worker().equals(worker) && !member.ended()) {
+          endMember(run, member);
+        }
+      }
+      stopRun(run, reason);
+    }
+  }
+
+  void endLapsed() {
+    for (String worker : List.copyOf(term.runsByWorker.keySet())) {
+      if (term.workers.record(worker).lapsed(term.nowMs, term.settings.lapseMs())) {
+        endMembersOn(worker, "every lease at its worker has run out");
+      }
+    }
+  }
+
+  void repeatOrders() {
+    for (GroupRun run : List.copyOf(term.runs.values())) {
+      for (MemberRun member : run.members()) {
+        if (!member.ended() && member.stopDue(term.nowMs, term.settings.stopRepeatMs())) {
+          sendStop(run, member);
+        } else if (member.startDue(term.nowMs) && !run.stopping()) {
+          sendStart(run, member);
+        }
+      }
+    }
+  }
+
+  void settle(GroupRun run) {
+    JobRuns progress = term.jobs.get(run.group().jobId());
+    GroupState state = run.launched() ? progress.state(run.group()) : run.state();
+    removeRun(run, EndReason.INTERRUPTED);
+    if (progress.closed()) {
+      progress.states().remove(run.group());
+      term.outgoing.add(LogEntry.drop(LogKey.group(run.group())));
+      term.forgetIfOver(progress);
+      return;
+    }
+    if (state.phase() == GroupPhase.DONE) {
+      return;
+    }
+    int attempts = progress.job().maxAttempts();
+    if (state.failures() >= attempts && !run.step().longRunning()) {
+      finishFailed(progress, run.group(), state);
+      return;
+    }
+    if (run.launched()) {
+      GroupState waiting = state.settled(GroupPhase.WAITING);
+      progress.set(run.group(), waiting);
+      term.outgoing.add(LogEntry.of(LogKey.group(run.group()), new LogContent.Group(waiting)));
+      term.note(
+          RunEvent.Kind.GROUP_INTERRUPTED,
+          run.group().jobId(),
+          run.group().text(),
+          "run " + state.run() + ", " + state.failures() + " failed");
+    }
+    term.submit(progress, run.group());
+  }
+
+  void finishFailed(JobRuns progress, GroupKey group, GroupState state) {
+    GroupState failed = state.settled(GroupPhase.FAILED);
+    progress.set(group, failed);
+    term.note(
+        RunEvent.Kind.GROUP_FAILED,
+        group.jobId(),
+        group.text(),
+        state.failures() + " of " + progress.job().maxAttempts() + " runs failed");
+    endJob(progress, BatchState.FAILED, "group " + group.text() + " failed as often as is allowed");
+  }
+
+  void endJob(JobRuns progress, BatchState state, String reason) {
+    progress.close();
+    term.rememberEnded(progress.job().id());
+    term.outgoing.add(
+        LogEntry.of(
+            LogKey.end(progress.job().id()), new LogContent.End(state, reason, term.wallMs)));
+    term.note(RunEvent.Kind.JOB_ENDED, progress.job().id(), state.toString(), reason);
+    closeGroups(progress);
+  }
+
+  // Runs under way are stopped and dropped as they end; all other groups are dropped now.
+  void closeGroups(JobRuns progress) {
+    for (GroupKey group : List.copyOf(progress.states().keySet())) {
+      GroupRun run = term.runs.get(group);
+      if (run == null) {
+        term.scheduler.withdraw(group.text());
+        progress.states().remove(group);
+        term.outgoing.add(LogEntry.drop(LogKey.group(group)));
+      }
+    }
+    withdrawAll(progress.job());
+    for (GroupRun run : List.copyOf(term.runs.values())) {
+      if (run.group().jobId().equals(progress.job().id())) {
+        stopRun(run, "its job has ended");
+      }
+    }
+    term.forgetIfOver(progress);
+  }
+
+  void withdrawAll(BatchJob job) {
+    String prefix = job.id() + ".";
+    List<String> names =
+        term.scheduler.waiting().stream()
+            .map(QueuedJob::name)
+            .filter(name -> name.startsWith(prefix))
+            .toList();
+    names.forEach(term.scheduler::withdraw);
+  }
+
+  void removeRun(GroupRun run, EndReason reason) {
+    term.runs.remove(run.group());
+    term.runsByAttempt.remove(run.attemptId());
+    for (String worker : new HashSet<>(run.workers())) {
+      Set<GroupRun> there = term.runsByWorker.getOrDefault(worker, new HashSet<>());
+      there.remove(run);
+      if (there.isEmpty()) {
+        term.runsByWorker.remove(worker);
+      }
+    }
+    term.scheduler.attemptEnded(run.attemptId(), reason, term.nowMs);
+    term.dirty = true;
+    for (GroupRun other : List.copyOf(term.runs.values())) {
+      if (other.victimEnded(run.attemptId()) && !other.stopping()) {
+        launch(other);
+      }
+    }
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -45,6 +45,10 @@
   private static final int DECIDER_TICK_MS = 100;
   private static final int TICK_MS = 250;
   private static final int STALE_AFTER_MS = 3000;
+  // Longer than an append takes at a store that is 60 times slower than usual; a caller that is
+  // answered
+  // after this time can still be served by another host.
+  private static final int GIVE_UP_MS = 900;
   private static final int RELEASE_LIMIT_MS = 1000;
 
   private final BatchSettings settings;
@@ -209,8 +213,8 @@
   }
 
   private CompletableFuture<Void> submitOnLoop(BatchJob job, long deadlineMs) {
-    if (!follower.started()) {
-      throw unavailable("the job log was not read yet");
+    if (!follower.started() || follower.failing()) {
+      throw unavailable("the job log cannot be read now");
     }
     if (table.job(job.id()).isPresent()) {
       return CompletableFuture.completedFuture(null);
@@ -238,8 +242,9 @@
       intake = newIntake();
     }
     KeyedRecord record = new KeyedRecord(entry.key().text(), JobLogCodec.value(entry));
+    long giveUpMs = Math.min(deadlineMs, tools.clock().nowMs() + GIVE_UP_MS);
     return intake
-        .append(List.of(record), deadlineMs)
+        .append(List.of(record), giveUpMs)
         .exceptionally(
             failure -> {
               throw refusal(LogFailure.of(failure));
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -35,6 +35,7 @@
   private final Deque<Item> queue = new ArrayDeque<>();
   private List<Item> inFlight = List.of();
   private long sequence;
+  private boolean sending;
   private boolean mayHaveArrived;
   private boolean closed;
   private int backoffMs = FIRST_BACKOFF_MS;
@@ -95,6 +96,9 @@
       return item.result;
     }
     queue.add(item);
+    if (deadlineMs != Long.MAX_VALUE) {
+      timer.after(Math.max(0, deadlineMs - clock.nowMs()), this::expire);
+    }
     next();
     return item.result;
   }
@@ -112,12 +116,16 @@
   /** Fails everything whose deadline has passed; what was sent may still be appended. */
   public void expire() {
     long now = clock.nowMs();
-    while (!queue.isEmpty() && queue.peek().deadlineMs <= now) {
-      queue
-          .poll()
-          .result
-          .completeExceptionally(
-              new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time"));
+    List<Item> late = queue.stream().filter(item -> item.deadlineMs <= now).toList();
+    queue.removeAll(late);
+    for (Item item : late) {
+      item.result.completeExceptionally(
+          new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time"));
+    }
+    if (!sending && !mayHaveArrived) {
+      dropExpiredUnsent();
+      next();
+      return;
     }
     for (Item item : inFlight) {
       if (item.deadlineMs <= now) {
@@ -174,12 +182,14 @@
     List<KeyedRecord> records = new ArrayList<>();
     inFlight.forEach(item -> records.addAll(item.records));
     long number = sequence;
+    sending = true;
     log.append(new KeyedLog.AppendCall(records, OptionalLong.empty(), producer, epoch, number))
         .whenCompleteAsync(
             (appended, failure) -> {
               if (closed || number != sequence) {
                 return;
               }
+              sending = false;
               if (failure == null) {
                 done(firstSentMs);
               } else {
@@ -221,7 +231,7 @@
 
   // A call that surely had no effect may leave out what came too late, under the same number.
   private void dropExpiredUnsent() {
-    if (mayHaveArrived) {
+    if (mayHaveArrived || inFlight.isEmpty()) {
       return;
     }
     List<Item> kept = new ArrayList<>();
