--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -104,7 +104,7 @@
   private static final int STARVATION_MS = 600_000;
   private static final int SCAN_LIMIT = 500;
   private static final int START_LIMIT = 64;
-  private static final int URGENT_HEADROOM_PERCENT = 40;
+  private static final int URGENT_HEADROOM_PERCENT = 30;
   private static final SchedulerSettings SCHEDULING =
       new SchedulerSettings(
           STARVATION_MS,
