--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
@@ -1,28 +1,39 @@
 package org.wheatwall.entry.batch.worker;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import org.wheatwall.core.batch.decision.RunSupervisor;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.entry.batch.LoopTimer;
 import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.common.LoopCallbacks;
 import org.wheatwall.wire.http.Problems;
 
 /**
  * Asks workers for their tasks and keeps the leases there: one call at a time for each worker, as
- * long as something runs there or ends are left to be acknowledged.
+ * long as something runs there or ends are left to be acknowledged. Workers that were not heard yet
+ * are met a few at a time, those on which something may run first.
  *
  * <p>Not thread-safe; the decision loop owns it. One instance serves one term.
  */
 public final class WorkerWatch {
   private static final int WAIT_MS = 1000;
   private static final int REPEAT_MS = 200;
+  // While ends of a worker are being written down its reports do not wait, so it is asked for
+  // renewals only: a slow log would otherwise bring a call each millisecond and worker.
+  private static final int RENEW_WHILE_WRITING_MS = 500;
   private static final int SUSPECT_AFTER_MS = 1500;
   private static final int STOP_EXTENDING_AFTER_MS = 2000;
+  // A new decider meets every worker. A host of a third of a core needs some 10 ms for each first
+  // call; with 245 at once every call passed its time limit, and again when repeated. With 24 at
+  // once, calls to the workers of a zone that was cut off held up all others.
+  private static final int MAX_FIRST_CALLS = 100;
 
   private final WorkerPort port;
   private final RunSupervisor supervisor;
@@ -33,12 +44,18 @@
   private final Clock clock;
   private final Listener listener;
   private final Map<String, Session> sessions = new HashMap<>();
+  private final Set<String> toMeetInUse = new LinkedHashSet<>();
+  private final Set<String> toMeet = new LinkedHashSet<>();
+  private int firstCalls;
 
   /** Is told what ends the term. */
   public interface Listener {
     /** Returns whether orders may be given now. */
     boolean mayAct();
 
+    /** Notes that the report of a worker was taken in. */
+    void reported();
+
     /** Notes that a worker has seen a higher term. */
     void fenced(String worker);
   }
@@ -50,7 +67,9 @@
     private boolean clockKnown;
     private long clockMs;
     private long clockAtMs;
+    private long askedAtMs = Long.MIN_VALUE / 2;
     private long silentSinceMs = -1;
+    private long toldAcknowledged;
   }
 
   /**
@@ -124,9 +143,20 @@
       return;
     }
     Session session = session(worker);
+    if (!session.clockKnown && firstCalls >= MAX_FIRST_CALLS) {
+      (supervisor.needsReports(worker) ? toMeetInUse : toMeet).add(worker);
+      return;
+    }
+    long askedMs = clock.nowMs();
+    boolean writing = session.clockKnown && supervisor.awaitsLog(worker);
+    if (writing && askedMs - session.askedAtMs < RENEW_WHILE_WRITING_MS) {
+      return;
+    }
     session.asking = true;
     session.lookAgain = false;
-    long askedMs = clock.nowMs();
+    session.askedAtMs = askedMs;
+    boolean first = !session.clockKnown;
+    firstCalls += first ? 1 : 0;
     boolean extend = session.clockKnown && !isSilentFor(session, STOP_EXTENDING_AFTER_MS);
     if (extend) {
       supervisor.leased(worker, askedMs);
@@ -137,9 +167,28 @@
             extend ? OptionalLong.of(until(session)) : OptionalLong.empty(),
             supervisor.acknowledged(worker),
             session.clockKnown ? waitMs : 0);
-    port.renew(info.get(), call)
-        .whenCompleteAsync(
-            (report, failure) -> answered(worker, session, askedMs, report, failure), loop);
+    LoopCallbacks.whenDone(
+        port.renew(info.get(), call),
+        loop,
+        (report, failure) -> {
+          firstCalls -= first ? 1 : 0;
+          if (failure == null) {
+            session.toldAcknowledged = call.acknowledged();
+          }
+          answered(worker, session, askedMs, report, failure);
+          meetNext();
+        });
+  }
+
+  private void meetNext() {
+    while (firstCalls < MAX_FIRST_CALLS && !(toMeetInUse.isEmpty() && toMeet.isEmpty())) {
+      Set<String> from = toMeetInUse.isEmpty() ? toMeet : toMeetInUse;
+      String worker = from.iterator().next();
+      from.remove(worker);
+      if (!session(worker).asking) {
+        ask(worker, 0);
+      }
+    }
   }
 
   private boolean isSilentFor(Session session, int ms) {
@@ -162,6 +211,7 @@
     session.clockMs = report.clockMs();
     session.clockAtMs = clock.nowMs();
     supervisor.onReport(worker, report, askedMs, clock.nowMs(), clock.wallMs());
+    listener.reported();
     if (session.asking) {
       return;
     }
@@ -172,6 +222,11 @@
     }
   }
 
+  private boolean mustAsk(String worker, Session session) {
+    boolean untold = supervisor.acknowledged(worker) > session.toldAcknowledged;
+    return untold || supervisor.needsReports(worker);
+  }
+
   private void notAnswered(String worker, Session session, long askedMs, Throwable failure) {
     Throwable cause = Problems.unwrap(failure);
     WorkerFailure.Kind kind =
@@ -196,7 +251,7 @@
         REPEAT_MS,
         () -> {
           session.asking = false;
-          if (supervisor.needsReports(worker)) {
+          if (mustAsk(worker, session)) {
             ask(worker, 0);
           }
         });
--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -20,7 +20,6 @@
 import org.wheatwall.core.gang.decision.GangAttempt;
 import org.wheatwall.core.gang.decision.GangPhase;
 import org.wheatwall.core.gang.model.TaskReport;
-import org.wheatwall.core.gang.model.WorkerOperation;
 import org.wheatwall.core.gang.model.WorkerReport;
 import org.wheatwall.core.job.decision.Decision;
 import org.wheatwall.core.job.decision.EndReason;
@@ -44,8 +43,8 @@
 final class Decider {
   /** What the decider needs from the rest of the entry host. */
   interface Outside {
-    /** Returns the epoch of this host's mandate and until when it holds, if it may decide now. */
-    Optional<Mandate> mandate();
+    /** Returns the epoch of this host's lease and until when it holds, if it may decide now. */
+    Optional<DeciderLease> lease();
 
     /** Sends an exchange; the reply comes back on the decision loop. */
     CompletableFuture<WorkerReport> exchange(
@@ -64,7 +63,7 @@
    * @param continuous whether this host was the decider of the view before, with none between
    * @param first whether the zone never had a view before
    */
-  record Mandate(long epoch, long untilMs, boolean continuous, boolean first) {}
+  record DeciderLease(long epoch, long untilMs, boolean continuous, boolean first) {}
 
   /** Stages of being the decider. */
   enum Stage {
@@ -77,7 +76,6 @@
   private static final long RETRY_MS = 100;
   private static final long SWEEP_MS = 250;
   private static final long DECIDE_MS = 200;
-  private static final long EXCHANGE_TIMEOUT_MS = 500;
   private static final long FIRST_INVENTORY_MS = 1000;
 
   private final Clock clock;
@@ -87,14 +85,14 @@
   private final WorkerLinks links;
   private final GangTable gangs = new GangTable();
   private final AttemptEnds ends;
+  private final WorkerExchanges exchanges;
   private final Timer decideTimer;
-  private final Meter exchanges;
   private final Meter starts;
   private final Meter stops;
   private final Shadows shadows;
   private Scheduler scheduler;
   private Stage stage = Stage.PASSIVE;
-  private Mandate mandate = new Mandate(0, Long.MIN_VALUE, false, false);
+  private DeciderLease lease = new DeciderLease(0, Long.MIN_VALUE, false, false);
   private Inventory inventory;
   private long nextSweepMs;
   private long nextDecideMs;
@@ -113,10 +111,18 @@
     this.schedulerSettings = schedulerSettings;
     this.links = new WorkerLinks(workerMessagesPerSecond);
     this.ends = new AttemptEnds(gangs, configuration, outside);
+    this.exchanges =
+        new WorkerExchanges(
+            clock,
+            outside,
+            links,
+            gangs,
+            ends,
+            new DutyView(),
+            metrics.meter("jobs.worker-exchanges"));
     this.scheduler = new Scheduler(schedulerSettings);
     this.shadows = new Shadows(schedulerSettings);
     this.decideTimer = metrics.timer("jobs.decide-time");
-    this.exchanges = metrics.meter("jobs.worker-exchanges");
     this.starts = metrics.meter("jobs.attempts-started");
     this.stops = metrics.meter("jobs.attempts-stopped");
     metrics.gauge("jobs.waiting", () -> () -> scheduler.waiting().size());
@@ -128,7 +134,7 @@
   }
 
   long epoch() {
-    return mandate.epoch();
+    return lease.epoch();
   }
 
   Scheduler scheduler() {
@@ -168,16 +174,16 @@
   /** Does what is due. */
   void tick() {
     long nowMs = clock.nowMs();
-    Optional<Mandate> now = outside.mandate();
+    Optional<DeciderLease> now = outside.lease();
     if (now.isEmpty()) {
-      // The mandate may come back within the same view; only another epoch ends the duty.
-      mandate = new Mandate(mandate.epoch(), Long.MIN_VALUE, false, false);
+      // The lease may come back within the same view; only another epoch ends the duty.
+      lease = new DeciderLease(lease.epoch(), Long.MIN_VALUE, false, false);
       return;
     }
-    if (now.get().epoch() != mandate.epoch() || stage == Stage.PASSIVE) {
+    if (now.get().epoch() != lease.epoch() || stage == Stage.PASSIVE) {
       takeDuty(now.get(), nowMs);
     }
-    mandate = now.get();
+    lease = now.get();
     if (stage == Stage.INVENTORY) {
       endInventory(nowMs);
     }
@@ -185,13 +191,13 @@
       decide(nowMs);
       sweep(nowMs);
     }
-    exchangeWhatIsDue(nowMs);
+    exchanges.exchangeWhatIsDue(nowMs);
   }
 
   /** Gives up the duty, because another host has it in the view now in force. */
   void loseDuty() {
     if (stage != Stage.PASSIVE) {
-      LOG.info("event=decider-ended epoch={}", mandate.epoch());
+      LOG.info("event=decider-ended epoch={}", lease.epoch());
       stage = Stage.PASSIVE;
       gangs.clear();
       links.clear();
@@ -201,7 +207,7 @@
     }
   }
 
-  private void takeDuty(Mandate next, long nowMs) {
+  private void takeDuty(DeciderLease next, long nowMs) {
     if (next.continuous() && stage == Stage.DECIDING) {
       scheduler.setAttemptPrefix(Long.toString(next.epoch(), 36));
       LOG.info("event=decider-continues epoch={}", next.epoch());
@@ -232,7 +238,7 @@
     dirty = true;
     LOG.info(
         "event=decider-ready epoch={} adopted={} waiting={} complete={}",
-        mandate.epoch(),
+        lease.epoch(),
         gangs.all().size(),
         scheduler.waiting().size(),
         complete);
@@ -426,111 +432,6 @@
     };
   }
 
-  private void exchangeWhatIsDue(long nowMs) {
-    for (WorkerLink link : links.all()) {
-      if (link.isDue(nowMs)) {
-        exchange(link, nowMs);
-      }
-    }
-  }
-
-  private void exchange(WorkerLink link, long nowMs) {
-    long validUntilMs = Math.min(nowMs + links.times().commandMs(), mandate.untilMs());
-    boolean knowsClock = link.report().isPresent();
-    List<WorkerOperation> operations =
-        knowsClock ? Renewals.shorten(operations(link, nowMs), link.report()) : List.of();
-    WorkerExchange exchange =
-        new WorkerExchange(
-            mandate.epoch(),
-            knowsClock ? link.workerTime(validUntilMs) : 0,
-            operations,
-            link.knownVersion());
-    long epoch = mandate.epoch();
-    link.sent(nowMs, links.heartbeatMs());
-    exchanges.mark();
-    outside
-        .exchange(link.address(), exchange, EXCHANGE_TIMEOUT_MS)
-        .whenComplete(
-            (report, failure) -> {
-              if (links.get(link.host()).orElse(null) != link) {
-                return;
-              }
-              if (failure != null) {
-                link.failed();
-                link.want();
-              } else {
-                onReport(link, report, Renewals.isForAll(operations), nowMs, epoch);
-              }
-            });
-  }
-
-  private List<WorkerOperation> operations(WorkerLink link, long nowMs) {
-    List<WorkerOperation> operations = new ArrayList<>();
-    for (GangAttempt attempt : gangs.onHost(link.host())) {
-      if (!ends.isPublishing(attempt.jobName())) {
-        attempt.operationFor(link.host(), nowMs).ifPresent(operations::add);
-      }
-    }
-    for (TaskReport task : link.report().map(WorkerReport::tasks).orElse(List.of())) {
-      if (gangs.get(task.attemptId()).isEmpty()) {
-        unknownPart(task, nowMs).ifPresent(operations::add);
-      }
-    }
-    return operations;
-  }
-
-  // During the inventory every gang found whole is kept alive; after it, what is not ours is
-  // stopped.
-  private Optional<WorkerOperation> unknownPart(TaskReport task, long nowMs) {
-    if (stage == Stage.DECIDING) {
-      WorkerOperation.Kind kind =
-          task.phase().ended() ? WorkerOperation.Kind.FORGET : WorkerOperation.Kind.STOP;
-      return Optional.of(WorkerOperation.simple(kind, task.attemptId(), 0));
-    }
-    return inventory
-        .leaseMs(task, nowMs)
-        .map(
-            leaseMs ->
-                WorkerOperation.simple(WorkerOperation.Kind.RENEW, task.attemptId(), leaseMs));
-  }
-
-  private void onReport(
-      WorkerLink link, WorkerReport received, boolean renewedAll, long sentMs, long epoch) {
-    long nowMs = clock.nowMs();
-    boolean firstReport = link.report().isEmpty();
-    Optional<WorkerReport> whole = link.received(received, sentMs, nowMs);
-    if (whole.isEmpty()) {
-      link.want();
-      return;
-    }
-    WorkerReport report = whole.get();
-    if (renewedAll && !received.unchanged()) {
-      // Nothing was renewed, since the renewal named an older version of the inventory.
-      link.want();
-    }
-    if (epoch != mandate.epoch() || stage != Stage.DECIDING) {
-      if (firstReport) {
-        link.want();
-      }
-      return;
-    }
-    for (GangAttempt attempt : gangs.onHost(link.host())) {
-      attempt.onReport(report, sentMs);
-      if (report.refusal().isPresent() && report.task(attempt.attemptId()).isEmpty()) {
-        attempt.onRefused(link.host(), nowMs);
-      }
-      advance(attempt, nowMs);
-    }
-    boolean foreign =
-        report.tasks().stream().anyMatch(task -> gangs.get(task.attemptId()).isEmpty());
-    if (firstReport || foreign) {
-      link.want();
-    }
-    if (dirty) {
-      decide(nowMs);
-    }
-  }
-
   /** Returns why a job waits or how it runs, in words. */
   String explain(String jobName) {
     JobEntry entry = configuration.jobs().get(jobName);
@@ -552,4 +453,34 @@
         .map(reason -> reason.kind() + ": " + reason.detail())
         .orElse("about to be looked at");
   }
+
+  /** What the exchanges with workers have to know of this duty, and what they bring about. */
+  private final class DutyView implements WorkerExchanges.Duty {
+    @Override
+    public DeciderLease lease() {
+      return lease;
+    }
+
+    @Override
+    public boolean isDeciding() {
+      return stage == Stage.DECIDING;
+    }
+
+    @Override
+    public Inventory inventory() {
+      return inventory;
+    }
+
+    @Override
+    public void reported(GangAttempt attempt, long nowMs) {
+      advance(attempt, nowMs);
+    }
+
+    @Override
+    public void reportTaken(long nowMs) {
+      if (dirty) {
+        decide(nowMs);
+      }
+    }
+  }
 }
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -27,9 +27,9 @@
 import org.wheatwall.entry.configuration.ConfigurationListener;
 import org.wheatwall.entry.configuration.ConfigurationService;
 import org.wheatwall.entry.configuration.Draft;
-import org.wheatwall.entry.membership.MandateStatus;
 import org.wheatwall.entry.membership.MembershipListener;
 import org.wheatwall.entry.membership.MembershipService;
+import org.wheatwall.entry.membership.ViewLeaseStatus;
 import org.wheatwall.entry.platform.HostDirectory;
 import org.wheatwall.entry.platform.WorkerService;
 import org.wheatwall.wire.json.Json;
@@ -61,7 +61,7 @@
   private final Decider decider;
   private final LeaseKeeper keeper;
   // Confined to the decision loop.
-  private MandateStatus lastStatus = MandateStatus.NONE;
+  private ViewLeaseStatus lastStatus = ViewLeaseStatus.NONE;
   private boolean continuous;
 
   /** Creates the plane; {@link #start} begins. */
@@ -121,7 +121,7 @@
   }
 
   @Override
-  public void epochChanged(MandateStatus status) {
+  public void epochChanged(ViewLeaseStatus status) {
     loop.execute(() -> onEpoch(status));
   }
 
@@ -214,7 +214,7 @@
     }
   }
 
-  private void onEpoch(MandateStatus status) {
+  private void onEpoch(ViewLeaseStatus status) {
     boolean holds = holdsDuty(status.view());
     boolean held = holdsDuty(lastStatus.view());
     boolean directSuccessor =
@@ -229,7 +229,7 @@
   }
 
   private boolean holdsDuty(Optional<ZoneView> view) {
-    Optional<Member> holder = view.flatMap(current -> MandateStatus.dutyHolder(DUTY, current));
+    Optional<Member> holder = view.flatMap(current -> ViewLeaseStatus.dutyHolder(DUTY, current));
     return holder.map(membership.self()::equals).orElse(false);
   }
 
@@ -246,15 +246,15 @@
   /** Connects the decider to the rest of the host; replies come back on the loop. */
   private final class Surroundings implements Decider.Outside {
     @Override
-    public Optional<Decider.Mandate> mandate() {
-      MandateStatus status = membership.status();
+    public Optional<Decider.DeciderLease> lease() {
+      ViewLeaseStatus status = membership.status();
       boolean may =
           status.mayAct(clock.nowMs())
               && status.epoch() == lastStatus.epoch()
               && holdsDuty(status.view());
       return may
           ? Optional.of(
-              new Decider.Mandate(
+              new Decider.DeciderLease(
                   status.epoch(),
                   status.actingUntilMs(),
                   continuous,
--- a/entry/src/main/java/org/wheatwall/entry/membership/MembershipListener.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipListener.java
@@ -5,7 +5,7 @@
 /** Learns of views and of other members' state. Called on the state thread. */
 public interface MembershipListener {
   /** Takes in a new status; called at every change of epoch. */
-  void epochChanged(MandateStatus status);
+  void epochChanged(ViewLeaseStatus status);
 
   /** Takes in another member's reply to a heartbeat. */
   void memberReplied(String memberId, HeartbeatReply reply);
--- a/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
@@ -19,7 +19,7 @@
 import org.wheatwall.core.configuration.model.ResourceKey;
 import org.wheatwall.core.configuration.model.ResourceKind;
 import org.wheatwall.core.configuration.model.StoredResource;
-import org.wheatwall.core.membership.decision.ViewMandate;
+import org.wheatwall.core.membership.decision.ViewLease;
 import org.wheatwall.core.membership.decision.ViewProposer;
 import org.wheatwall.core.membership.model.Member;
 import org.wheatwall.core.membership.model.ZoneView;
@@ -41,8 +41,8 @@
 
 /**
  * Keeps the view of this host's zone: heartbeats to the zone's other entry hosts, proposals of new
- * views through the log, and the mandate that rests on both. Confined to the state thread; the
- * status is published for readers on any thread.
+ * views through the log, and the lease that rests on both. Confined to the state thread; the status
+ * is published for readers on any thread.
  */
 public final class MembershipService {
   private static final Logger LOG = LoggerFactory.getLogger(MembershipService.class);
@@ -64,7 +64,7 @@
   private final ConfigurationService configuration;
   private final HostDirectory directory;
   private final PeerClient peers;
-  private final ViewMandate mandate;
+  private final ViewLease lease;
   private final ViewProposer proposer;
   private final List<MembershipListener> listeners = new CopyOnWriteArrayList<>();
   private final Map<String, Member> known = new LinkedHashMap<>();
@@ -74,7 +74,7 @@
   private boolean proposing;
   private boolean retired;
   private boolean pulling;
-  private volatile MandateStatus status = MandateStatus.NONE;
+  private volatile ViewLeaseStatus status = ViewLeaseStatus.NONE;
 
   /** Creates the service; {@link #start} begins. */
   public MembershipService(
@@ -93,7 +93,7 @@
     this.configuration = configuration;
     this.directory = directory;
     this.peers = peers;
-    this.mandate = new ViewMandate(self.id(), PROMISE_MS);
+    this.lease = new ViewLease(self.id(), PROMISE_MS);
     this.proposer = new ViewProposer(self, SUSPECT_MS);
     metrics.gauge("membership.epoch", () -> () -> status.epoch());
     metrics.gauge("membership.acting", () -> () -> status.mayAct(clock.nowMs()) ? 1 : 0);
@@ -116,7 +116,7 @@
   }
 
   /** Returns the status as last computed. */
-  public MandateStatus status() {
+  public ViewLeaseStatus status() {
     return status;
   }
 
@@ -132,7 +132,7 @@
 
   /** Returns whether this host may act now and has the duty. */
   public boolean holdsDuty(String duty) {
-    MandateStatus current = status;
+    ViewLeaseStatus current = status;
     return current.mayAct(clock.nowMs())
         && current.dutyHolder(duty).map(self::equals).orElse(false);
   }
@@ -141,9 +141,9 @@
   public CompletableFuture<Boolean> dutyIsOwnOrDeserted(String duty) {
     return CompletableFuture.supplyAsync(
         () ->
-            mandate
+            lease
                 .view()
-                .flatMap(view -> MandateStatus.dutyHolder(duty, view))
+                .flatMap(view -> ViewLeaseStatus.dutyHolder(duty, view))
                 .map(holder -> holder.equals(self) || !isHeard(holder.id()))
                 .orElse(true),
         stateThread);
@@ -160,15 +160,15 @@
           }
           // The sender has this view now; waiting for the next regular heartbeat would only keep
           // the zone from acting for that long.
-          if (heartbeat.getEpoch() == mandate.epoch() && mandate.awaits(sender.id())) {
+          if (heartbeat.getEpoch() == lease.epoch() && lease.awaits(sender.id())) {
             sendHeartbeat(sender.address(), heartbeat());
           }
           HeartbeatReply.Builder reply =
               replyDetails
                   .get()
                   .setSender(identity())
-                  .setEpoch(retired ? 0 : mandate.epoch())
-                  .setActing(mandate.mayAct(clock.nowMs()))
+                  .setEpoch(retired ? 0 : lease.epoch())
+                  .setActing(lease.mayAct(clock.nowMs()))
                   .setNextOffset(configuration.nextOffset());
           return Envelope.newBuilder().setHeartbeatReply(reply);
         },
@@ -180,7 +180,7 @@
     return CompletableFuture.supplyAsync(
         () -> {
           String id = member(retire.getSender()).id();
-          mandate.onRetired(id);
+          lease.onRetired(id);
           retiredMembers.add(id);
           proposer.onRetired(id);
           known.remove(id);
@@ -198,7 +198,7 @@
     return CompletableFuture.supplyAsync(
             () -> {
               retired = true;
-              status = new MandateStatus(status.epoch(), status.view(), Long.MIN_VALUE);
+              status = new ViewLeaseStatus(status.epoch(), status.view(), Long.MIN_VALUE);
               List<CompletableFuture<Envelope>> told = new ArrayList<>();
               Envelope.Builder message =
                   Envelope.newBuilder().setRetire(Retire.newBuilder().setSender(identity()));
@@ -233,10 +233,10 @@
   }
 
   private void install(long epoch, ZoneView view) {
-    if (epoch <= mandate.epoch()) {
+    if (epoch <= lease.epoch()) {
       return;
     }
-    mandate.install(epoch, view, clock.nowMs());
+    lease.install(epoch, view, clock.nowMs());
     LOG.info("event=view-installed zone={} epoch={} members={}", zone, epoch, view.memberIds());
     publishStatus();
     listeners.forEach(listener -> listener.epochChanged(status));
@@ -248,9 +248,9 @@
       return;
     }
     long nowMs = clock.nowMs();
-    mandate.tick(nowMs);
+    lease.tick(nowMs);
     if (configuration.sinceHeadMs() < HEARTBEAT_MS * 4) {
-      mandate.onVerified();
+      lease.onVerified();
     }
     publishStatus();
     sendHeartbeats();
@@ -261,8 +261,8 @@
     if (retired) {
       return;
     }
-    long until = mandate.actingUntil(clock.nowMs()).orElse(Long.MIN_VALUE);
-    status = new MandateStatus(mandate.epoch(), mandate.view(), until);
+    long until = lease.actingUntil(clock.nowMs()).orElse(Long.MIN_VALUE);
+    status = new ViewLeaseStatus(lease.epoch(), lease.view(), until);
   }
 
   private void sendHeartbeats() {
@@ -273,7 +273,7 @@
   private Heartbeat heartbeat() {
     return Heartbeat.newBuilder()
         .setSender(identity())
-        .setEpoch(mandate.epoch())
+        .setEpoch(lease.epoch())
         .setNextOffset(configuration.nextOffset())
         .build();
   }
@@ -292,7 +292,7 @@
         targets.add(host.address());
       }
     }
-    mandate.view().ifPresent(view -> view.members().forEach(m -> targets.add(m.address())));
+    lease.view().ifPresent(view -> view.members().forEach(m -> targets.add(m.address())));
     targets.remove(self.address());
     return targets;
   }
@@ -300,7 +300,7 @@
   private void onReply(HeartbeatReply reply, long sentMs) {
     Member sender = member(reply.getSender());
     hear(sender);
-    mandate.onConfirmation(sender.id(), reply.getEpoch(), reply.getActing(), sentMs);
+    lease.onConfirmation(sender.id(), reply.getEpoch(), reply.getActing(), sentMs);
     publishStatus();
     listeners.forEach(listener -> listener.memberReplied(sender.id(), reply));
     if (reply.getNextOffset() > configuration.nextOffset()) {
@@ -329,12 +329,12 @@
     ResourceKey key = new ResourceKey(ResourceKind.VIEWS, zone);
     Set<String> live = new HashSet<>();
     directory.entryHosts().forEach(host -> live.add(host.name()));
-    Optional<ZoneView> proposal = proposer.propose(mandate.view(), live, nowMs);
+    Optional<ZoneView> proposal = proposer.propose(lease.view(), live, nowMs);
     if (proposal.isEmpty()) {
       return;
     }
     proposing = true;
-    long base = mandate.epoch();
+    long base = lease.epoch();
     configuration
         .publish(Draft.of(key, base, Optional.of(proposal.get()), Draft.Priority.VIEW))
         .whenCompleteAsync((verdict, failure) -> proposing = false, stateThread);
--- a/entry/src/main/java/org/wheatwall/entry/membership/MandateStatus.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/ViewLeaseStatus.java
@@ -12,9 +12,10 @@
  * @param view view in force
  * @param actingUntilMs monotonic time until which this host may act; in the past if it may not
  */
-public record MandateStatus(long epoch, Optional<ZoneView> view, long actingUntilMs) {
+public record ViewLeaseStatus(long epoch, Optional<ZoneView> view, long actingUntilMs) {
   /** No view. */
-  public static final MandateStatus NONE = new MandateStatus(0, Optional.empty(), Long.MIN_VALUE);
+  public static final ViewLeaseStatus NONE =
+      new ViewLeaseStatus(0, Optional.empty(), Long.MIN_VALUE);
 
   /** Returns whether this host may act at {@code nowMs}. */
   public boolean mayAct(long nowMs) {
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotBorrowing.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/BorrowedPermits.java
@@ -23,7 +23,7 @@
  * first, another zone if the own one has no runner of the service, and now and then one while the
  * own zone has nothing free.
  */
-final class SlotBorrowing {
+final class BorrowedPermits {
   private static final int MOST_ASKS = 32;
   private static final int WAIT_MS = 300;
   private static final long TIMEOUT_MS = 700;
@@ -39,7 +39,7 @@
   // By service, the other members that own runners of it, one entry a runner.
   private volatile Map<String, List<Member>> owners = Map.of();
 
-  SlotBorrowing(
+  BorrowedPermits(
       int maxDeadlineMs,
       MembershipService membership,
       PeerClient peers,
--- a/entry/src/main/java/org/wheatwall/entry/request/LedgerSync.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/LedgerSync.java
@@ -12,8 +12,8 @@
 import org.wheatwall.core.membership.model.ZoneView;
 import org.wheatwall.core.request.decision.StepLedger;
 import org.wheatwall.entry.common.Clock;
-import org.wheatwall.entry.membership.MandateStatus;
 import org.wheatwall.entry.membership.MembershipService;
+import org.wheatwall.entry.membership.ViewLeaseStatus;
 import org.wheatwall.wire.message.Envelope;
 import org.wheatwall.wire.message.LedgerPage;
 import org.wheatwall.wire.message.LedgerPull;
@@ -54,7 +54,7 @@
   }
 
   /** Notes another view; starts to pull if this host needs the ledger. */
-  void epochChanged(MandateStatus status) {
+  void epochChanged(ViewLeaseStatus status) {
     boolean member = isMember(status);
     boolean continues =
         status.view().map(view -> view.previous().contains(membership.self())).orElse(false);
@@ -69,7 +69,7 @@
     timer.execute(this::pullIfNeeded);
   }
 
-  private boolean isMember(MandateStatus status) {
+  private boolean isMember(ViewLeaseStatus status) {
     return status.view().map(view -> view.members().contains(membership.self())).orElse(false);
   }
 
@@ -80,7 +80,7 @@
   }
 
   private void pullIfNeeded() {
-    MandateStatus status = membership.status();
+    ViewLeaseStatus status = membership.status();
     if (pulling || isCovered() || !isMember(status)) {
       return;
     }
--- a/entry/src/main/java/org/wheatwall/entry/request/RemoteZones.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/RemoteZones.java
@@ -12,7 +12,7 @@
 import org.wheatwall.core.membership.model.Member;
 import org.wheatwall.core.membership.model.ZoneView;
 import org.wheatwall.entry.configuration.ConfigurationListener;
-import org.wheatwall.entry.membership.MandateStatus;
+import org.wheatwall.entry.membership.ViewLeaseStatus;
 
 /** The views of all zones, as the configuration shows them. */
 public final class RemoteZones implements ConfigurationListener {
@@ -44,7 +44,7 @@
 
   /** Returns the member of a zone that has a duty there. */
   public Optional<Member> dutyHolder(String zone, String duty) {
-    return view(zone).flatMap(entry -> MandateStatus.dutyHolder(duty, entry.view()));
+    return view(zone).flatMap(entry -> ViewLeaseStatus.dutyHolder(duty, entry.view()));
   }
 
   /** Returns the address of one random member of each other zone. */
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotLending.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotPermits.java
@@ -20,7 +20,7 @@
  * Lends slots of runners that this host owns. Another host's request waits in the same fair queue
  * as this host's own, so it makes no difference through which host a caller comes.
  */
-final class SlotLending {
+final class SlotPermits {
   private static final long LENT_MARGIN_MS = 1000;
   private static final int MAX_WAIT_MS = 1000;
 
@@ -35,7 +35,7 @@
 
   private record Lent(Slot slot, long untilMs) {}
 
-  SlotLending(
+  SlotPermits(
       Clock clock,
       long maxDeadlineMs,
       BooleanSupplier mayAct,
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
@@ -17,9 +17,9 @@
 import org.wheatwall.core.request.model.Runner;
 import org.wheatwall.core.request.model.ServiceSpec;
 import org.wheatwall.entry.common.Clock;
-import org.wheatwall.entry.membership.MandateStatus;
 import org.wheatwall.entry.membership.MembershipListener;
 import org.wheatwall.entry.membership.MembershipService;
+import org.wheatwall.entry.membership.ViewLeaseStatus;
 import org.wheatwall.entry.platform.HostDirectory;
 import org.wheatwall.wire.json.Json;
 import org.wheatwall.wire.message.Envelope;
@@ -41,8 +41,8 @@
   private final MembershipService membership;
   private final HostDirectory directory;
   private final Map<String, ServiceSlots> services = new ConcurrentHashMap<>();
-  private final SlotLending lending;
-  private final SlotBorrowing borrowing;
+  private final SlotPermits permits;
+  private final BorrowedPermits borrowedPermits;
   // Confined to the state thread.
   private final Map<String, String> restingFor = new HashMap<>();
   private final Set<String> retired = new HashSet<>();
@@ -64,15 +64,15 @@
     this.maxDeadlineMs = maxDeadlineMs;
     this.membership = membership;
     this.directory = directory;
-    this.lending =
-        new SlotLending(
+    this.permits =
+        new SlotPermits(
             clock,
             maxDeadlineMs,
             () -> membership.status().mayAct(clock.nowMs()),
             this::slots,
             metrics);
-    this.borrowing =
-        new SlotBorrowing((int) maxDeadlineMs, membership, peers, remoteZones, metrics);
+    this.borrowedPermits =
+        new BorrowedPermits((int) maxDeadlineMs, membership, peers, remoteZones, metrics);
     metrics.gauge(
         "requests.queued",
         () -> () -> services.values().stream().mapToInt(ServiceSlots::queued).sum());
@@ -117,7 +117,7 @@
     boolean mayTake = membership.status().mayAct(clock.nowMs());
     CompletableFuture<Slot> slot = slots.acquire(workspace, weight, avoid, deadlineMs, mayTake);
     if (!slot.isDone()) {
-      borrowing.borrow(service, slots);
+      borrowedPermits.borrow(service, slots);
     }
     return slot;
   }
@@ -133,25 +133,25 @@
             if (mayTake) {
               slots.dispatch();
             }
-            borrowing.borrow(service, slots);
+            borrowedPermits.borrow(service, slots);
           }
         });
-    lending.tick();
+    permits.tick();
   }
 
   /** Answers another entry host that asks for a slot. */
   public CompletableFuture<Envelope.Builder> onSlotAsk(SlotAsk ask) {
-    return lending.onAsk(ask);
+    return permits.onAsk(ask);
   }
 
   /** Takes back a slot that another entry host has used. */
   public CompletableFuture<Envelope.Builder> onSlotReturn(SlotReturn returned) {
-    return lending.onReturn(returned);
+    return permits.onReturn(returned);
   }
 
   /** Lends nothing more; completes when every slot that was lent is back. */
-  public CompletableFuture<Void> endLending() {
-    return lending.end();
+  public CompletableFuture<Void> endPermits() {
+    return permits.end();
   }
 
   /** Fills in what other members need to know; called on the state thread. */
@@ -170,7 +170,7 @@
 
   /** Assigns the zone's runners anew; called on the state thread. */
   public void assignRunners() {
-    MandateStatus status = membership.status();
+    ViewLeaseStatus status = membership.status();
     Map<String, List<Runner>> owned = new HashMap<>();
     Map<String, List<Member>> otherOwners = new HashMap<>();
     Set<String> listed = new HashSet<>();
@@ -192,7 +192,7 @@
       ownedEpoch = status.epoch();
       noteTakenOver(status, listed);
     }
-    borrowing.setOwners(otherOwners);
+    borrowedPermits.setOwners(otherOwners);
     ownedByService.clear();
     owned.forEach((service, runners) -> ownedByService.put(service, names(runners)));
     owned.keySet().forEach(this::slots);
@@ -205,13 +205,13 @@
   }
 
   @Override
-  public void epochChanged(MandateStatus status) {
+  public void epochChanged(ViewLeaseStatus status) {
     assignRunners();
   }
 
   @Override
   public void memberReplied(String memberId, HeartbeatReply reply) {
-    borrowing.setFree(memberId, reply.getFreeSlotsMap());
+    borrowedPermits.setFree(memberId, reply.getFreeSlotsMap());
     if (reply.getEpoch() == ownedEpoch) {
       Set<String> busy = Set.copyOf(reply.getBusyRunnersList());
       endRest(memberId, busy);
@@ -220,12 +220,12 @@
 
   @Override
   public void memberRetired(String memberId) {
-    borrowing.forget(memberId);
+    borrowedPermits.forget(memberId);
     retired.add(memberId);
     endRest(memberId, Set.of());
   }
 
-  private void noteTakenOver(MandateStatus status, Set<String> mine) {
+  private void noteTakenOver(ViewLeaseStatus status, Set<String> mine) {
     restingFor.keySet().retainAll(mine);
     ZoneView view = status.view().orElseThrow();
     if (view.previous().isEmpty()) {
@@ -233,7 +233,7 @@
     }
     ZoneView before = new ZoneView(view.labels(), view.previous(), List.of(), false);
     for (String runner : mine) {
-      Member owner = MandateStatus.dutyHolder(duty(runner), before).orElseThrow();
+      Member owner = ViewLeaseStatus.dutyHolder(duty(runner), before).orElseThrow();
       boolean other = !owner.equals(membership.self()) && !retired.contains(owner.id());
       if (other) {
         restingFor.put(runner, owner.id());
--- a/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepCoordinator.java
@@ -19,9 +19,9 @@
 import org.wheatwall.core.request.model.StepRecord;
 import org.wheatwall.core.request.model.StepState;
 import org.wheatwall.entry.common.Clock;
-import org.wheatwall.entry.membership.MandateStatus;
 import org.wheatwall.entry.membership.MembershipListener;
 import org.wheatwall.entry.membership.MembershipService;
+import org.wheatwall.entry.membership.ViewLeaseStatus;
 import org.wheatwall.wire.message.Envelope;
 import org.wheatwall.wire.message.HeartbeatReply;
 import org.wheatwall.wire.message.LedgerPage;
@@ -134,7 +134,7 @@
 
   /** Records leave that another member is giving. */
   public CompletableFuture<Envelope.Builder> onRecord(StepRecordRequest request) {
-    MandateStatus status = membership.status();
+    ViewLeaseStatus status = membership.status();
     StepRecordReply.Builder reply = StepRecordReply.newBuilder().setEpoch(status.epoch());
     if (request.getEpoch() == status.epoch()) {
       synchronized (ledger) {
@@ -191,7 +191,7 @@
   }
 
   @Override
-  public void epochChanged(MandateStatus status) {
+  public void epochChanged(ViewLeaseStatus status) {
     sync.epochChanged(status);
   }
 
@@ -234,7 +234,7 @@
 
   private CompletableFuture<StepReply> decide(
       String key, long epoch, GrantId grant, Optional<Long> issuedMs) {
-    MandateStatus status = membership.status();
+    ViewLeaseStatus status = membership.status();
     boolean keeper =
         status.view().stream()
             .flatMap(view -> RendezvousHash.choose("key/" + key, view.memberIds()).stream())
@@ -256,7 +256,7 @@
   }
 
   private CompletableFuture<StepReply> recordEverywhere(
-      String key, GrantId grant, Optional<Long> issuedMs, MandateStatus status) {
+      String key, GrantId grant, Optional<Long> issuedMs, ViewLeaseStatus status) {
     StepRecordRequest request =
         StepRecordRequest.newBuilder()
             .setKey(key)
@@ -284,7 +284,7 @@
       String key,
       GrantId grant,
       Optional<Long> issuedMs,
-      MandateStatus status,
+      ViewLeaseStatus status,
       List<CompletableFuture<StepRecordReply>> replies) {
     long coverage;
     synchronized (ledger) {
@@ -390,7 +390,7 @@
         });
   }
 
-  private List<Member> otherMembers(MandateStatus status) {
+  private List<Member> otherMembers(ViewLeaseStatus status) {
     List<Member> others = new ArrayList<>();
     status.view().ifPresent(view -> others.addAll(view.members()));
     others.remove(membership.self());
--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultTest.java
@@ -16,7 +16,9 @@
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.standin.permit.PermitModel;
 import org.wheatwall.standin.task.TaskPlan;
 import org.wheatwall.wire.http.Problems;
 
@@ -33,6 +35,9 @@
   private static final int FAULTY_MS = 30_000;
   private static final int CALM_MS = 60_000;
   private static final int JOBS = 30;
+  private static final int PERMITTED_PERCENT = 90;
+  private static final int PERMIT_VALID_MS = 1000;
+  private static final String QUEUE = "queue";
 
   @Test
   void promisesHoldUnderRandomFaults() {
@@ -40,7 +45,20 @@
     long firstSeed = Long.getLong("wheatwall.seed", 1);
     int accepted = 0;
     for (long seed = firstSeed; seed < firstSeed + schedules; seed++) {
-      accepted += new Schedule(seed).run();
+      accepted += new Schedule(seed, Optional.empty()).run();
+    }
+    assertThat(accepted).isGreaterThan(schedules);
+  }
+
+  /** The same where a step may run on some workers only, by texts that lapse after a second. */
+  @Test
+  void promisesHoldWhereStepsNeedPermits() {
+    int schedules = Integer.getInteger("wheatwall.schedules", 20);
+    long firstSeed = Long.getLong("wheatwall.seed", 1);
+    int accepted = 0;
+    for (long seed = firstSeed; seed < firstSeed + schedules; seed++) {
+      PermitModel permits = new PermitModel(PERMITTED_PERCENT, PERMIT_VALID_MS);
+      accepted += new Schedule(seed, Optional.of(permits)).run();
     }
     assertThat(accepted).isGreaterThan(schedules);
   }
@@ -54,13 +72,14 @@
     private final Map<String, String> outcomes = new TreeMap<>();
     private final Set<String> cancelled = new HashSet<>();
 
-    Schedule(long seed) {
+    Schedule(long seed, Optional<PermitModel> permits) {
       this.seed = seed;
       time = new VirtualTime(seed);
       store = new SimulatedStore(time);
-      workers = new SimulatedWorkers(time, WORKERS, ACCELERATORS);
+      workers = new SimulatedWorkers(time, WORKERS, ACCELERATORS, permits);
+      Set<String> permitQueues = permits.isPresent() ? Set.of(QUEUE) : Set.of();
       for (int i = 0; i < HOSTS; i++) {
-        hosts.add(new SimulatedHost(time, "host-" + i, store, workers, LEASE_MS));
+        hosts.add(new SimulatedHost(time, "host-" + i, store, workers, LEASE_MS, permitQueues));
       }
     }
 
@@ -143,11 +162,12 @@
               Optional.empty(),
               Optional.empty(),
               0,
-              false);
+              false,
+              HostSharing.ORDINARY);
       int priority = time.random().nextInt(3);
       return new BatchJob(
           id,
-          "queue",
+          QUEUE,
           "service",
           "workspace",
           plan.text(),
@@ -186,8 +206,9 @@
         }
         case 6 -> store.dropHistory();
         case 7 -> {
+          // Longer than the leases, so that ends are heard of after the work was started again.
           workers.setCut(worker, true);
-          time.after(lasts, () -> workers.setCut(worker, false));
+          time.after(2 * lasts, () -> workers.setCut(worker, false));
         }
         case 8 -> {
           workers.setLostShare(0.2);
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/JobIntakeTest.java
@@ -0,0 +1,120 @@
+package org.wheatwall.entry.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.entry.batch.log.KeyedLog;
+import org.wheatwall.entry.batch.log.LogFailure;
+import org.wheatwall.entry.common.Clock;
+
+/** A record that the log does not take is given up soon, and what is said of it is true. */
+final class JobIntakeTest {
+  private static final long FAR_DEADLINE_MS = 20_000;
+  private static final int MARGIN_MS = 50;
+
+  private final VirtualTime time = new VirtualTime(1);
+  private final HeldLog log = new HeldLog();
+  private final JobIntake intake =
+      new JobIntake(
+          "test",
+          log,
+          new BatchTools(
+              Runnable::run, time::after, clock(), new DecisionLog(clock()), new MetricRegistry()));
+
+  /** Keeps each call until the test answers it, or refuses all. */
+  private static final class HeldLog implements KeyedLog {
+    private final List<CompletableFuture<Appended>> calls = new ArrayList<>();
+    private boolean busy;
+
+    @Override
+    public CompletableFuture<Appended> append(AppendCall call) {
+      CompletableFuture<Appended> answer = new CompletableFuture<>();
+      calls.add(answer);
+      if (busy) {
+        answer.completeExceptionally(new LogFailure(LogFailure.Kind.NOT_DONE, "busy"));
+      }
+      return answer;
+    }
+
+    @Override
+    public CompletableFuture<LogPage> read(long from, int waitMs) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Optional<String> afterKey) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  private Clock clock() {
+    return new Clock() {
+      @Override
+      public long nowMs() {
+        return time.nowMs();
+      }
+
+      @Override
+      public long wallMs() {
+        return time.nowMs();
+      }
+    };
+  }
+
+  private CompletableFuture<Void> cancel() {
+    return intake.cancel("00000000000000a1", time.nowMs() + FAR_DEADLINE_MS);
+  }
+
+  private static RefusalKind kind(CompletableFuture<Void> result) {
+    try {
+      result.join();
+      throw new AssertionError("it was taken");
+    } catch (CompletionException failure) {
+      return ((Refusal) failure.getCause()).kind();
+    }
+  }
+
+  @Test
+  void whatIsNotAnsweredIsGivenUpLongBeforeTheDeadline() {
+    CompletableFuture<Void> sent = cancel();
+    time.runFor(JobIntake.GIVE_UP_MS - MARGIN_MS);
+    assertThat(sent.isDone()).isFalse();
+    time.runFor(2 * MARGIN_MS);
+    assertThat(sent.isDone()).isTrue();
+    assertThat(kind(sent)).isEqualTo(RefusalKind.UNKNOWN);
+  }
+
+  @Test
+  void whatWasNeverSentIsSaidToBeNotTaken() {
+    CompletableFuture<Void> sent = cancel();
+    CompletableFuture<Void> queued = cancel();
+    time.runFor(JobIntake.GIVE_UP_MS + MARGIN_MS);
+    assertThat(log.calls).hasSize(1);
+    assertThat(kind(sent)).isEqualTo(RefusalKind.UNKNOWN);
+    assertThat(kind(queued)).isEqualTo(RefusalKind.UNAVAILABLE);
+  }
+
+  @Test
+  void whatTheLogRefusedForSureIsSaidToBeNotTaken() {
+    log.busy = true;
+    CompletableFuture<Void> sent = cancel();
+    time.runFor(JobIntake.GIVE_UP_MS + MARGIN_MS);
+    assertThat(log.calls.size()).isAtLeast(2);
+    assertThat(kind(sent)).isEqualTo(RefusalKind.UNAVAILABLE);
+  }
+
+  @Test
+  void whatIsAnsweredInTimeIsTaken() {
+    CompletableFuture<Void> sent = cancel();
+    log.calls.get(0).complete(new KeyedLog.Appended(0));
+    sent.join();
+  }
+}
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -1,6 +1,7 @@
 package org.wheatwall.entry.batch;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.entry.common.Clock;
@@ -12,17 +13,24 @@
   private final SimulatedStore store;
   private final SimulatedWorkers workers;
   private final int leaseMs;
+  private final Set<String> permitQueues;
   private BatchHost batch;
   private int life;
   private long frozenUntilMs;
 
   SimulatedHost(
-      VirtualTime time, String name, SimulatedStore store, SimulatedWorkers workers, int leaseMs) {
+      VirtualTime time,
+      String name,
+      SimulatedStore store,
+      SimulatedWorkers workers,
+      int leaseMs,
+      Set<String> permitQueues) {
     this.time = time;
     this.name = name;
     this.store = store;
     this.workers = workers;
     this.leaseMs = leaseMs;
+    this.permitQueues = permitQueues;
   }
 
   String name() {
@@ -43,21 +51,31 @@
     Executor loop = task -> post(own, task);
     LoopTimer timer = (delayMs, task) -> time.after(delayMs, () -> loop.execute(task));
     BatchSettings settings =
-        new BatchSettings(name, "address-" + name, leaseMs, 600_000, TermSettings.DEFAULT);
+        new BatchSettings(
+            name,
+            "address-" + name,
+            "zone",
+            "peer-" + name,
+            leaseMs,
+            600_000,
+            TermSettings.DEFAULT);
     batch =
         new BatchHost(
             settings,
             name + "-" + own,
             1 + time.random().nextLong(1L << 40),
-            store.viewOf(this),
-            workers.portOf(this),
-            workers.directoryOf(this),
+            new BatchPorts(
+                store.viewOf(this),
+                workers.portOf(this),
+                workers.directoryOf(this),
+                workers.permitsOf(this)),
             loop,
             timer,
             clock,
             new DecisionLog(clock),
             new MetricRegistry());
     batch.start();
+    batch.setPermitQueues(permitQueues);
   }
 
   void kill() {
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -11,14 +11,18 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.wheatwall.core.batch.model.OrderAnswer;
+import org.wheatwall.core.batch.model.PermitAnswer;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.entry.batch.permit.PermitFailure;
+import org.wheatwall.entry.batch.permit.PermitPort;
 import org.wheatwall.entry.batch.worker.WorkerDirectory;
 import org.wheatwall.entry.batch.worker.WorkerFailure;
 import org.wheatwall.entry.batch.worker.WorkerPort;
+import org.wheatwall.standin.permit.PermitModel;
 import org.wheatwall.standin.task.TaskLedger;
 import org.wheatwall.standin.task.TaskWorkerModel;
 
@@ -29,6 +33,8 @@
   private static final int REPORT_SLACK_MS = 600;
   private static final int GANG_WAIT_MS = 3000;
   private static final int HOSTS_A_RACK = 4;
+  private static final int LONGEST_HOLD_UP_MS = 4000;
+  private static final int MOST_DECIDE_MS = 60;
 
   private final VirtualTime time;
   private final TaskLedger ledger = new TaskLedger();
@@ -37,11 +43,18 @@
   private final List<WorkerInfo> infos = new ArrayList<>();
   private final Set<Integer> cut = new HashSet<>();
   private final Map<SimulatedHost, WorkerDirectory.Listener> listeners = new HashMap<>();
+  private final Optional<PermitModel> permits;
   private double lostShare;
   private int lives;
 
-  SimulatedWorkers(VirtualTime time, int count, int accelerators) {
+  /**
+   * Creates workers.
+   *
+   * @param permits gives permits, without which no worker takes a start; empty if none are needed
+   */
+  SimulatedWorkers(VirtualTime time, int count, int accelerators, Optional<PermitModel> permits) {
     this.time = time;
+    this.permits = permits;
     this.accelerators = accelerators;
     for (int i = 0; i < count; i++) {
       workers.add(null);
@@ -75,21 +88,34 @@
     workers.get(index).setStuck(next);
   }
 
-  /** Crashes a worker; another life of it comes at the same address. */
+  /**
+   * Crashes a worker; another life of it comes at the same address. Now and then an entry that the
+   * life before had written comes after that of the new one, as writes may be held up.
+   */
   void restart(int index) {
     workers.get(index).crash(time.nowMs());
-    String before = infos.get(index).id();
+    WorkerInfo before = infos.get(index);
     bear(index);
+    listInPlaceOf(before.id(), infos.get(index));
+    if (time.random().nextBoolean()) {
+      WorkerInfo now = infos.get(index);
+      time.after(time.random().nextInt(LONGEST_HOLD_UP_MS), () -> listInPlaceOf(now.id(), before));
+    }
+  }
+
+  private void listInPlaceOf(String other, WorkerInfo worker) {
     for (WorkerDirectory.Listener listener : List.copyOf(listeners.values())) {
-      listener.replaced(before);
-      listener.listed(infos.get(index));
+      listener.listed(worker);
+      listener.contested(other);
     }
   }
 
   private void bear(int index) {
     String id = "i-" + lives++;
     long offset = time.random().nextInt(1_000_000);
-    workers.set(index, new TaskWorkerModel(id, accelerators, ledger, offset, GANG_WAIT_MS));
+    TaskWorkerModel model = new TaskWorkerModel(id, accelerators, ledger, offset, GANG_WAIT_MS);
+    permits.ifPresent(model::requirePermits);
+    workers.set(index, model);
     infos.set(
         index,
         new WorkerInfo(
@@ -150,6 +176,21 @@
     };
   }
 
+  PermitPort permitsOf(SimulatedHost host) {
+    return question -> {
+      CompletableFuture<PermitAnswer> answer = new CompletableFuture<>();
+      boolean lost = time.random().nextDouble() < lostShare;
+      if (lost || permits.isEmpty()) {
+        time.after(
+            ORDER_TIMEOUT_MS, () -> answer.completeExceptionally(new PermitFailure("no answer")));
+      } else {
+        PermitAnswer given = permits.get().answer(question, time.nowMs());
+        time.after(1L + time.random().nextInt(MOST_DECIDE_MS), () -> answer.complete(given));
+      }
+      return answer;
+    };
+  }
+
   private int indexOf(WorkerInfo worker) {
     for (int i = 0; i < infos.size(); i++) {
       if (infos.get(i).address().equals(worker.address())) {
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
@@ -0,0 +1,124 @@
+package org.wheatwall.entry.batch.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.entry.common.Clock;
+
+/**
+ * What is appended in quick succession is read in few calls, and an empty answer costs no pause.
+ */
+final class LogFollowerTest {
+  private static final int PAUSE_MS = 150;
+  private static final String UNBEARABLE = "unbearable";
+
+  private final HeldLog log = new HeldLog();
+  private final Deque<Long> pauses = new ArrayDeque<>();
+  private final Deque<Runnable> paused = new ArrayDeque<>();
+  private final List<String> seen = new ArrayList<>();
+
+  private final LogFollower follower =
+      new LogFollower(
+          "test",
+          log,
+          Runnable::run,
+          (ms, task) -> {
+            pauses.add(ms);
+            paused.add(task);
+          },
+          new StillClock(),
+          () -> PAUSE_MS,
+          new Listener());
+
+  private static final class StillClock implements Clock {
+    @Override
+    public long nowMs() {
+      return 1000;
+    }
+
+    @Override
+    public long wallMs() {
+      return 1000;
+    }
+  }
+
+  private final class Listener implements LogFollower.Listener {
+    @Override
+    public void restart(List<KeyedLog.NewestRecord> newest) {}
+
+    @Override
+    public void next(KeyedRecord record, long offset) {
+      if (record.key().equals(UNBEARABLE)) {
+        throw new IllegalStateException("a fault of the listener");
+      }
+      seen.add(record.key());
+    }
+  }
+
+  /** Keeps each reading until the test answers it. */
+  private static final class HeldLog implements KeyedLog {
+    private final List<Long> from = new ArrayList<>();
+    private CompletableFuture<LogPage> answer = new CompletableFuture<>();
+
+    @Override
+    public CompletableFuture<Appended> append(AppendCall call) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<LogPage> read(long offset, int waitMs) {
+      from.add(offset);
+      answer = new CompletableFuture<>();
+      return answer;
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Optional<String> afterKey) {
+      return CompletableFuture.completedFuture(new NewestPage(List.of(), false, 0));
+    }
+
+    private void answer(long first, String... keys) {
+      List<KeyedRecord> records = new ArrayList<>();
+      for (String key : keys) {
+        records.add(new KeyedRecord(key, new byte[] {1}));
+      }
+      answer.complete(new LogPage(first, first + keys.length, records));
+    }
+  }
+
+  @Test
+  void recordsAreFollowedByOnePause() {
+    follower.start();
+    log.answer(0, "a");
+    assertThat(log.from).containsExactly(0L);
+    assertThat(pauses).containsExactly((long) PAUSE_MS);
+    paused.remove().run();
+    assertThat(log.from).containsExactly(0L, 1L).inOrder();
+    log.answer(1, "b", "c");
+    assertThat(seen).containsExactly("a", "b", "c").inOrder();
+  }
+
+  @Test
+  void anEmptyAnswerIsFollowedAtOnce() {
+    follower.start();
+    log.answer(0);
+    assertThat(log.from).containsExactly(0L, 0L);
+    assertThat(pauses).isEmpty();
+  }
+
+  // One record that cannot be taken in would otherwise end the reading of the log for good.
+  @Test
+  void readingGoesOnBehindARecordThatCannotBeTakenIn() {
+    follower.start();
+    log.answer(0, "a", UNBEARABLE, "b");
+    paused.remove().run();
+    log.answer(3, "c");
+    assertThat(seen).containsExactly("a", "b", "c").inOrder();
+  }
+}
--- a/entry/src/test/java/org/wheatwall/entry/job/DeciderFaultTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/job/DeciderFaultTest.java
@@ -12,7 +12,7 @@
  * No part of a gang runs alone beyond the bound, and no job runs as two attempts at once, under
  * thousands of random fault schedules. Catches a decider that forgets to wait for leases on workers
  * it cannot reach, that trusts a command to have failed because its answer was lost, or whose late
- * messages take effect after its mandate.
+ * messages take effect after its lease.
  */
 final class DeciderFaultTest {
   private static final int SCHEDULES = Integer.getInteger("wheatwall.schedules", 400);
--- a/entry/src/test/java/org/wheatwall/entry/job/FaultSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/job/FaultSchedule.java
@@ -33,7 +33,7 @@
  * The real decider against worker models under random faults: lost, delayed and repeated messages,
  * workers that crash or stop answering, deciders that die or are paused, cancellations, and a log
  * that is out for a while. Deciders follow each other as the zone's views allow: the next one acts
- * only after the mandate of the one before has ended, but messages of the old one may still arrive.
+ * only after the lease of the one before has ended, but messages of the old one may still arrive.
  */
 final class FaultSchedule {
   private static final String ZONE = "zone-1";
@@ -224,7 +224,7 @@
     private final long actsFromMs;
     private final boolean first;
     private final Decider decider;
-    private long mandateUntilMs;
+    private long leaseUntilMs;
     private long pausedUntilMs;
     private boolean extending = true;
 
@@ -232,7 +232,7 @@
       this.ownEpoch = ownEpoch;
       this.actsFromMs = actsFromMs;
       this.first = first;
-      this.mandateUntilMs = actsFromMs;
+      this.leaseUntilMs = actsFromMs;
       this.decider =
           new Decider(
               time,
@@ -245,7 +245,7 @@
 
     private long stopExtending() {
       extending = false;
-      return Math.max(mandateUntilMs, time.nowMs());
+      return Math.max(leaseUntilMs, time.nowMs());
     }
 
     private void learn(StoredResource stored) {
@@ -254,13 +254,13 @@
 
     private void tick() {
       long nowMs = time.nowMs();
-      boolean finished = !extending && nowMs > mandateUntilMs + 20_000;
+      boolean finished = !extending && nowMs > leaseUntilMs + 20_000;
       if (finished) {
         return;
       }
       if (nowMs >= pausedUntilMs) {
         if (extending && nowMs >= actsFromMs) {
-          mandateUntilMs = nowMs + PROMISE_MS;
+          leaseUntilMs = nowMs + PROMISE_MS;
         }
         decider.tick();
       }
@@ -268,11 +268,11 @@
     }
 
     @Override
-    public Optional<Decider.Mandate> mandate() {
+    public Optional<Decider.DeciderLease> lease() {
       long nowMs = time.nowMs();
-      boolean may = nowMs >= actsFromMs && nowMs < mandateUntilMs;
+      boolean may = nowMs >= actsFromMs && nowMs < leaseUntilMs;
       return may
-          ? Optional.of(new Decider.Mandate(ownEpoch, mandateUntilMs, false, first))
+          ? Optional.of(new Decider.DeciderLease(ownEpoch, leaseUntilMs, false, first))
           : Optional.empty();
     }
 
@@ -284,7 +284,7 @@
       if (random.nextInt(100) < 4) {
         return future;
       }
-      // One message in thirty is held up for longer than any mandate.
+      // One message in thirty is held up for longer than any lease.
       long delayMs = random.nextInt(30) == 0 ? random.nextLong(6_000) : 1 + random.nextLong(30);
       time.after(delayMs, () -> arrive(address, exchange, future));
       return future;
--- a/standin/src/main/java/org/wheatwall/standin/store/RehearsalCluster.java
+++ b/standin/src/main/java/org/wheatwall/standin/store/RehearsalCluster.java
@@ -4,9 +4,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.wheatwall.standin.permit.PermitModel;
 import org.wheatwall.standin.task.TaskLedger;
 import org.wheatwall.standin.task.TaskPlan;
 import org.wheatwall.standin.task.TaskWorkerModel;
@@ -25,36 +27,48 @@
   private static final int GANG_WAIT_MS = 3000;
   private static final int REPEAT_MS = 50;
   private static final int MAX_BODY = 64 * 1024;
+  private static final int DEADLINE_MS = 1000;
   private static final String WORKER = "i-rehearsal";
+  private static final PlatformDocuments.Queue QUEUE =
+      new PlatformDocuments.Queue("queue", "/queue/", 1, 2, false);
+  private static final PlatformDocuments.Queue PERMIT_QUEUE =
+      new PlatformDocuments.Queue("permit-queue", "/permit-queue/", 1, 2, true);
 
+  private final PlatformDocuments.Queue queue;
   private final StoreStandIn store;
   private final TaskWorkerStandIn worker;
   private final TaskLedger ledger = new TaskLedger();
 
-  private RehearsalCluster(EventLoopGroup group) {
+  private RehearsalCluster(
+      EventLoopGroup group, PlatformDocuments.Queue queue, Optional<PermitModel> permits) {
     store = StoreStandIn.start(group, anyPort());
     TaskWorkerModel model = new TaskWorkerModel(WORKER, ACCELERATORS, ledger, 0, GANG_WAIT_MS);
+    permits.ifPresent(model::requirePermits);
     worker = TaskWorkerStandIn.start(group, anyPort(), model);
-    store.put("keyed.op", "config", bytes(CONFIGURATION));
-    store.put("keyed.servers", WORKER, bytes(workerEntry(worker.port())));
-  }
-
-  private static final String CONFIGURATION =
-      "{\"version\":1,\"routes\":[{\"name\":\"queue\",\"host\":\"127.0.0.1\","
-          + "\"path_prefix\":\"/queue/\",\"service\":\"service\",\"priority\":1,"
-          + "\"max_attempts\":2}],\"tenants\":[{\"name\":\"workspace\","
-          + "\"api_keys\":[\"rehearsal-key\"]}]}";
-
-  private static String workerEntry(int port) {
-    return "{\"service\":\"service\",\"address\":\"127.0.0.1:"
-        + port
-        + "\",\"zone\":\"zone\",\"state\":\"ready\",\"labels\":[\"a\",\"r1\"],"
-        + "\"capacity\":{\"cpu\":32000,\"mem_mb\":65536,\"gpu\":8}}";
+    this.queue = queue;
+    publish(1, List.of(KEY));
+    store.put(
+        PlatformDocuments.WORKERS_TOPIC,
+        WORKER,
+        PlatformDocuments.workerEntry(worker.port(), "r1", ACCELERATORS));
   }
 
   /** Starts the cluster. */
   public static RehearsalCluster start(EventLoopGroup group) {
-    return new RehearsalCluster(group);
+    return new RehearsalCluster(group, QUEUE, Optional.empty());
+  }
+
+  /** Starts a cluster whose worker takes only starts that carry a permit of {@code model}. */
+  public static RehearsalCluster startWithPermits(EventLoopGroup group, PermitModel model) {
+    return new RehearsalCluster(group, PERMIT_QUEUE, Optional.of(model));
+  }
+
+  /** Publishes a configuration with the keys of the one workspace. */
+  public void publish(long version, List<String> keys) {
+    store.put(
+        PlatformDocuments.OPERATOR_TOPIC,
+        PlatformDocuments.CONFIGURATION_KEY,
+        PlatformDocuments.configuration(version, List.of("127.0.0.1"), List.of(queue), keys));
   }
 
   /** Returns the address of the store. */
@@ -77,11 +91,7 @@
     HttpClient client = new HttpClient(group, MAX_BODY, 1, AnswerMatching.BY_ORDER);
     InetSocketAddress host = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     String plan = new TaskPlan(100, 2, 1, 0).text();
-    String body =
-        "{\"spec\":\""
-            + plan
-            + "\",\"steps\":[{\"count\":2,\"cpu\":100,\"mem_mb\":10,"
-            + "\"gpu\":1,\"gang\":true,\"estimate_ms\":100}]}";
+    String body = new String(PlatformDocuments.job(plan, 2, 1, true), StandardCharsets.UTF_8);
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
     boolean accepted = false;
     while (System.nanoTime() < end) {
@@ -101,9 +111,9 @@
 
   private static Optional<HttpReply> send(
       HttpClient client, InetSocketAddress host, HttpCall call) {
-    call.with("Authorization", "Token " + KEY);
+    PlatformDocuments.sign(call, KEY, DEADLINE_MS);
     return client
-        .send(host, call, "", 1000)
+        .send(host, call, "", DEADLINE_MS)
         .<Optional<HttpReply>>thenApply(Optional::of)
         .exceptionally(failure -> Optional.empty())
         .join();
@@ -118,8 +128,4 @@
   private static InetSocketAddress anyPort() {
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
   }
-
-  private static byte[] bytes(String text) {
-    return text.getBytes(StandardCharsets.UTF_8);
-  }
 }
--- a/standin/src/main/java/org/wheatwall/standin/store/StoreStandIn.java
+++ b/standin/src/main/java/org/wheatwall/standin/store/StoreStandIn.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -79,10 +80,30 @@
 
   private record Waiter(long from, CompletableFuture<HttpReply> answer) {}
 
+  /** What one producer has appended in its latest epoch. */
   private static final class Producer {
+    private static final int ANSWERS_KEPT = 5;
+
     private long epoch = -1;
     private long last;
-    private final Map<Long, Long> answers = new HashMap<>();
+    private final Map<Long, Long> answers =
+        new LinkedHashMap<>() {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+            return size() > ANSWERS_KEPT;
+          }
+        };
+
+    private void answered(long ofEpoch, long sequence, long offset) {
+      if (ofEpoch > epoch) {
+        answers.clear();
+      }
+      epoch = ofEpoch;
+      last = sequence;
+      answers.put(sequence, offset);
+    }
   }
 
   private static final class Topic {
@@ -209,10 +230,8 @@
     if (at.isPresent() && Long.parseLong(at.get()) != topic.records.size()) {
       return json(412, "{\"end\":" + topic.records.size() + "}");
     }
-    producer.epoch = epoch;
-    producer.last = sequence;
     long offset = topic.append(records(call.body()));
-    producer.answers.put(sequence, offset);
+    producer.answered(epoch, sequence, offset);
     return json(200, "{\"offset\":" + offset + ",\"end\":" + topic.records.size() + "}");
   }
 
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
@@ -14,19 +14,30 @@
  * are together. Shared by all workers; checks that no task runs twice at once.
  */
 public final class TaskLedger {
+  private static final String BEGAN = "began";
+
   private final List<Event> events = new ArrayList<>();
   private final Map<TaskName, Holder> running = new HashMap<>();
   private final Map<String, Set<TaskName>> gangs = new HashMap<>();
   private final Set<TaskName> done = new HashSet<>();
+  // For each run that ended as done: the run of the same task that began after that, 0 if none.
+  private final Map<Run, Integer> startAfterDone = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
 
   /** A run that began or ended. */
-  public record Event(long atMs, String worker, TaskName task, int run, String what) {}
+  public record Event(long atMs, String worker, TaskName task, int run, String what) {
+    /** Returns whether the run began. */
+    public boolean isStart() {
+      return what.equals(BEGAN);
+    }
+  }
 
   private record Holder(String worker, int run) {}
 
+  private record Run(TaskName task, int run) {}
+
   synchronized void began(long atMs, String worker, TaskName task, int run) {
-    events.add(new Event(atMs, worker, task, run, "began"));
+    events.add(new Event(atMs, worker, task, run, BEGAN));
     Holder before = running.put(task, new Holder(worker, run));
     if (before != null) {
       violations.add(atMs + ": " + task + " run " + run + " at " + worker + " beside " + before);
@@ -34,21 +45,33 @@
     if (done.contains(task)) {
       violations.add(atMs + ": " + task + " run " + run + " at " + worker + " after it was done");
     }
+    startAfterDone.replaceAll((ended, again) -> ended.task().equals(task) ? run : again);
     gangs.computeIfAbsent(gangOf(task, run), key -> new HashSet<>()).add(task);
   }
 
   synchronized void ended(long atMs, String worker, TaskName task, int run, EndKind kind) {
     events.add(new Event(atMs, worker, task, run, kind.toString()));
     running.remove(task, new Holder(worker, run));
+    if (kind == EndKind.DONE) {
+      startAfterDone.put(new Run(task, run), 0);
+    }
     Set<TaskName> members = gangs.get(gangOf(task, run));
     if (members != null) {
       members.remove(task);
     }
   }
 
-  /** Notes that an end was reported as done and acknowledged, so that it must be final. */
-  synchronized void noted(TaskName task) {
+  /**
+   * Notes that an end was reported as done and acknowledged, so that it must be final: nothing may
+   * have started since that end either.
+   */
+  synchronized void noted(TaskName task, int run) {
     done.add(task);
+    int again = startAfterDone.getOrDefault(new Run(task, run), 0);
+    if (again != 0) {
+      String text = task + " run " + again + " began after the end of run " + run;
+      violations.add(text + ", which was acknowledged later");
+    }
   }
 
   synchronized int together(TaskName task, int run) {
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
@@ -15,6 +15,7 @@
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.standin.permit.PermitModel;
 
 /**
  * A worker by the platform's rules: leases on its own clock, fencing tokens, numbered ends that are
@@ -35,6 +36,7 @@
   private long leaseUntilMs;
   private long lastEnd;
   private boolean stuck;
+  private Optional<PermitModel> permits = Optional.empty();
 
   private static final class Held {
     private final int run;
@@ -84,6 +86,11 @@
     stuck = next;
   }
 
+  /** Takes only starts that carry a text of {@code model} from now on. */
+  public void requirePermits(PermitModel model) {
+    permits = Optional.of(model);
+  }
+
   /** Starts a run. */
   public OrderAnswer start(StartOrder order, long token, long untilMs, long nowMs) {
     if (token < highestToken) {
@@ -101,6 +108,10 @@
     if (known != null || order.run() <= barred.getOrDefault(order.task(), 0)) {
       return OrderAnswer.OLD_RUN;
     }
+    String text = order.permit().orElse("");
+    if (permits.filter(model -> !model.holds(order.task(), id, text, nowMs)).isPresent()) {
+      return OrderAnswer.NO_PERMIT;
+    }
     TaskPlan plan = TaskPlan.parse(order.specification());
     if (used() + plan.accelerators() > accelerators) {
       return OrderAnswer.NO_ROOM;
@@ -135,7 +146,7 @@
     while (!ends.isEmpty() && ends.peek().number() <= acknowledged) {
       WorkerInventory.EndedTask end = ends.poll();
       if (end.kind() == EndKind.DONE) {
-        ledger.noted(end.task());
+        ledger.noted(end.task(), end.run());
       }
     }
     List<WorkerInventory.RunningTask> running = new ArrayList<>();
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
@@ -91,7 +91,8 @@
               task(body),
               body.path("run_id").asInt(),
               body.path("spec").asText(),
-              body.path("checkpoint").asText());
+              body.path("checkpoint").asText(),
+              Optional.of(body.path("ticket").asText()).filter(text -> !text.isEmpty()));
       return answer(
           model.start(
               order,
@@ -116,6 +117,7 @@
           case OLD_RUN -> "old";
           case TOO_LATE -> "late";
           case NO_ROOM -> "room";
+          case NO_PERMIT -> "ticket";
           default -> "";
         };
     if (answer == OrderAnswer.DONE) {
--- a/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -13,6 +13,7 @@
 import org.wheatwall.core.batch.model.Recurrence;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.wire.message.BatchJobRecord;
 import org.wheatwall.wire.message.BatchStepRecord;
@@ -20,8 +21,10 @@
 import org.wheatwall.wire.message.GroupMemberRecord;
 import org.wheatwall.wire.message.GroupRecord;
 import org.wheatwall.wire.message.GroupRunPhase;
+import org.wheatwall.wire.message.HostRecord;
 import org.wheatwall.wire.message.JobEndRecord;
 import org.wheatwall.wire.message.JobEndState;
+import org.wheatwall.wire.message.SharingKind;
 import org.wheatwall.wire.message.TermRecord;
 
 /** Writes and reads the records of the job log. */
@@ -74,6 +77,13 @@
     if (content instanceof LogContent.Group group) {
       return group(group.state()).toByteArray();
     }
+    if (content instanceof LogContent.Host host) {
+      return HostRecord.newBuilder()
+          .setAddress(host.address())
+          .setZone(host.zone())
+          .build()
+          .toByteArray();
+    }
     return term((LogContent.Term) content).toByteArray();
   }
 
@@ -85,9 +95,14 @@
       case END -> end(JobEndRecord.parseFrom(value));
       case GROUP -> new LogContent.Group(group(GroupRecord.parseFrom(value)));
       case TERM -> term(TermRecord.parseFrom(value));
+      case HOST -> host(HostRecord.parseFrom(value));
     };
   }
 
+  private static LogContent.Host host(HostRecord record) {
+    return new LogContent.Host(record.getAddress(), record.getZone());
+  }
+
   private static BatchJobRecord job(BatchJob job) {
     BatchJobRecord.Builder record =
         BatchJobRecord.newBuilder()
@@ -143,9 +158,27 @@
         .setDataRack(step.dataRack().orElse(""))
         .setSpreadLimit(step.spreadLimit())
         .setLongRunning(step.longRunning())
+        .setSharing(sharing(step.sharing()))
         .build();
   }
 
+  private static SharingKind sharing(HostSharing sharing) {
+    return switch (sharing) {
+      case ORDINARY -> SharingKind.SHARING_ORDINARY;
+      case SERVING -> SharingKind.SHARING_SERVING;
+      case FILLING -> SharingKind.SHARING_FILLING;
+    };
+  }
+
+  private static HostSharing sharing(BatchStepRecord record) {
+    return switch (record.getSharing()) {
+      case SHARING_ORDINARY -> HostSharing.ORDINARY;
+      case SHARING_SERVING -> HostSharing.SERVING;
+      case SHARING_FILLING -> HostSharing.FILLING;
+      case UNRECOGNIZED -> throw unknown("way of sharing a worker");
+    };
+  }
+
   private static StepSpec step(BatchStepRecord record) {
     return new StepSpec(
         record.getTasks(),
@@ -158,7 +191,8 @@
         text(record.getHostLabel()),
         text(record.getDataRack()),
         record.getSpreadLimit(),
-        record.getLongRunning());
+        record.getLongRunning(),
+        sharing(record));
   }
 
   private static Optional<String> text(String value) {
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -1,7 +1,6 @@
 package org.wheatwall.wire.http;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -38,7 +37,9 @@
   private final int maxBody;
   private volatile int maxIdle;
   private final AnswerMatching matching;
-  private final Map<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
+  private final int connectTimeoutMs;
+  private final Map<InetSocketAddress, Deque<HttpClientConnection>> idle =
+      new ConcurrentHashMap<>();
 
   /** Creates a client that accepts response bodies of up to {@code maxBody} bytes. */
   public HttpClient(EventLoopGroup group, int maxBody) {
@@ -47,10 +48,25 @@
 
   /** Creates a client that keeps up to {@code maxIdle} idle connections to each address. */
   public HttpClient(EventLoopGroup group, int maxBody, int maxIdle, AnswerMatching matching) {
+    this(group, maxBody, maxIdle, matching, CONNECT_TIMEOUT_MS);
+  }
+
+  /**
+   * Creates a client that gives up a connection that is not open in time.
+   *
+   * @param connectTimeoutMs milliseconds
+   */
+  public HttpClient(
+      EventLoopGroup group,
+      int maxBody,
+      int maxIdle,
+      AnswerMatching matching,
+      int connectTimeoutMs) {
     this.group = group;
     this.maxBody = maxBody;
     this.maxIdle = maxIdle;
     this.matching = matching;
+    this.connectTimeoutMs = connectTimeoutMs;
   }
 
   /**
@@ -65,14 +81,14 @@
     if (matching == AnswerMatching.BY_IDENTIFIER) {
       call.headers().set(REQUEST_HEADER, requestId);
     }
-    Channel pooled = takeIdle(address);
+    HttpClientConnection pooled = takeIdle(address);
     if (pooled != null) {
       exchange(pooled, address, call, requestId, timeoutMs, result);
       return result;
     }
     connect(address)
         .whenComplete(
-            (channel, failure) -> {
+            (connection, failure) -> {
               if (failure != null) {
                 result.completeExceptionally(
                     new HttpFailure(
@@ -80,7 +96,7 @@
                         "cannot connect to " + address + ": " + failure));
                 return;
               }
-              exchange(channel, address, call, requestId, timeoutMs, result);
+              exchange(connection, address, call, requestId, timeoutMs, result);
             });
     return result;
   }
@@ -92,22 +108,21 @@
 
   /** Closes idle connections to an address, for example because it is leaving. */
   public void closeIdle(InetSocketAddress address) {
-    Deque<Channel> channels = idle.remove(address);
-    if (channels != null) {
-      synchronized (channels) {
-        channels.forEach(Channel::close);
+    Deque<HttpClientConnection> connections = idle.remove(address);
+    if (connections != null) {
+      synchronized (connections) {
+        connections.forEach(connection -> connection.channel().close());
       }
     }
   }
 
   private void exchange(
-      Channel channel,
+      HttpClientConnection connection,
       InetSocketAddress address,
       HttpCall call,
       String requestId,
       long timeoutMs,
       CompletableFuture<HttpReply> result) {
-    HttpClientConnection connection = channel.pipeline().get(HttpClientConnection.class);
     connection
         .exchange(address, call, requestId, timeoutMs)
         .whenComplete(
@@ -117,9 +132,9 @@
                 return;
               }
               if (connection.reusable() && !asksToClose(call)) {
-                putIdle(address, channel);
+                putIdle(address, connection);
               } else {
-                channel.close();
+                connection.channel().close();
               }
               result.complete(reply);
             });
@@ -129,12 +144,14 @@
     return call.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
   }
 
-  private CompletableFuture<Channel> connect(InetSocketAddress address) {
-    CompletableFuture<Channel> connected = new CompletableFuture<>();
+  private CompletableFuture<HttpClientConnection> connect(InetSocketAddress address) {
+    CompletableFuture<HttpClientConnection> connected = new CompletableFuture<>();
+    // Kept here and not looked up in the pipeline, which is empty once the peer has closed.
+    HttpClientConnection connection = new HttpClientConnection(matching);
     new Bootstrap()
         .group(ownLoop())
         .channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
         .option(ChannelOption.TCP_NODELAY, true)
         .handler(
             new ChannelInitializer<SocketChannel>() {
@@ -144,14 +161,14 @@
                     .pipeline()
                     .addLast(new HttpClientCodec())
                     .addLast(new HttpObjectAggregator(maxBody, true))
-                    .addLast(new HttpClientConnection(matching));
+                    .addLast(connection);
               }
             })
         .connect(address)
         .addListener(
             (io.netty.channel.ChannelFuture future) -> {
               if (future.isSuccess()) {
-                connected.complete(future.channel());
+                connected.complete(connection);
               } else {
                 connected.completeExceptionally(future.cause());
               }
@@ -159,22 +176,22 @@
     return connected;
   }
 
-  private Channel takeIdle(InetSocketAddress address) {
-    Deque<Channel> channels = idle.get(address);
-    if (channels == null) {
+  private HttpClientConnection takeIdle(InetSocketAddress address) {
+    Deque<HttpClientConnection> connections = idle.get(address);
+    if (connections == null) {
       return null;
     }
-    synchronized (channels) {
-      channels.removeIf(channel -> !channel.isActive());
-      Iterator<Channel> newestFirst = channels.descendingIterator();
+    synchronized (connections) {
+      connections.removeIf(connection -> !connection.channel().isActive());
+      Iterator<HttpClientConnection> newestFirst = connections.descendingIterator();
       while (newestFirst.hasNext()) {
-        Channel channel = newestFirst.next();
-        if (channel.eventLoop().inEventLoop()) {
+        HttpClientConnection connection = newestFirst.next();
+        if (connection.channel().eventLoop().inEventLoop()) {
           newestFirst.remove();
-          return channel;
+          return connection;
         }
       }
-      return channels.pollLast();
+      return connections.pollLast();
     }
   }
 
@@ -188,13 +205,14 @@
     return group;
   }
 
-  private void putIdle(InetSocketAddress address, Channel channel) {
-    Deque<Channel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
-    synchronized (channels) {
-      if (channels.size() >= maxIdle) {
-        channel.close();
+  private void putIdle(InetSocketAddress address, HttpClientConnection connection) {
+    Deque<HttpClientConnection> connections =
+        idle.computeIfAbsent(address, key -> new ArrayDeque<>());
+    synchronized (connections) {
+      if (connections.size() >= maxIdle) {
+        connection.channel().close();
       } else {
-        channels.addLast(channel);
+        connections.addLast(connection);
       }
     }
   }
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -47,6 +48,10 @@
     return result;
   }
 
+  Channel channel() {
+    return context.channel();
+  }
+
   boolean reusable() {
     return reusable;
   }
--- a/wire/src/main/java/org/wheatwall/wire/message/BatchStepRecord.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/BatchStepRecord.java
@@ -448,6 +448,49 @@
     longRunning_ = false;
   }
 
+  public static final int SHARING_FIELD_NUMBER = 14;
+  private int sharing_;
+  /**
+   * <code>.wheatwall.SharingKind sharing = 14;</code>
+   * @return The enum numeric value on the wire for sharing.
+   */
+  @java.lang.Override
+  public int getSharingValue() {
+    return sharing_;
+  }
+  /**
+   * <code>.wheatwall.SharingKind sharing = 14;</code>
+   * @return The sharing.
+   */
+  @java.lang.Override
+  public org.wheatwall.wire.message.SharingKind getSharing() {
+    org.wheatwall.wire.message.SharingKind result = org.wheatwall.wire.message.SharingKind.forNumber(sharing_);
+    return result == null ? org.wheatwall.wire.message.SharingKind.UNRECOGNIZED : result;
+  }
+  /**
+   * <code>.wheatwall.SharingKind sharing = 14;</code>
+   * @param value The enum numeric value on the wire for sharing to set.
+   */
+  private void setSharingValue(int value) {
+      sharing_ = value;
+  }
+  /**
+   * <code>.wheatwall.SharingKind sharing = 14;</code>
+   * @param value The sharing to set.
+   * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+   */
+  private void setSharing(org.wheatwall.wire.message.SharingKind value) {
+    sharing_ = value.getNumber();
+
+  }
+  /**
+   * <code>.wheatwall.SharingKind sharing = 14;</code>
+   */
+  private void clearSharing() {
+
+    sharing_ = 0;
+  }
+
   public static org.wheatwall.wire.message.BatchStepRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -996,6 +1039,53 @@
       return this;
     }
 
+    /**
+     * <code>.wheatwall.SharingKind sharing = 14;</code>
+     * @return The enum numeric value on the wire for sharing.
+     */
+    @java.lang.Override
+    public int getSharingValue() {
+      return instance.getSharingValue();
+    }
+    /**
+     * <code>.wheatwall.SharingKind sharing = 14;</code>
+     * @param value The sharing to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setSharingValue(int value) {
+      copyOnWrite();
+      instance.setSharingValue(value);
+      return this;
+    }
+    /**
+     * <code>.wheatwall.SharingKind sharing = 14;</code>
+     * @return The sharing.
+     */
+    @java.lang.Override
+    public org.wheatwall.wire.message.SharingKind getSharing() {
+      return instance.getSharing();
+    }
+    /**
+     * <code>.wheatwall.SharingKind sharing = 14;</code>
+     * @param value The enum numeric value on the wire for sharing to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSharing(org.wheatwall.wire.message.SharingKind value) {
+      copyOnWrite();
+      instance.setSharing(value);
+      return this;
+    }
+    /**
+     * <code>.wheatwall.SharingKind sharing = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSharing() {
+      copyOnWrite();
+      instance.clearSharing();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.BatchStepRecord)
   }
   @java.lang.Override
@@ -1025,11 +1115,12 @@
             "dataRack_",
             "spreadLimit_",
             "longRunning_",
+            "sharing_",
           };
           java.lang.String info =
-              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0001\u0000\u0001\u000b\u0002\u000b\u0003\u000b" +
-              "\u0004\u000b\u0005\u000b\u0006+\u0007\u0007\b\u0007\t\u0007\n\u0208\u000b\u0208\f" +
-              "\u000b\r\u0007";
+              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0001\u0000\u0001\u000b\u0002\u000b" +
+              "\u0003\u000b\u0004\u000b\u0005\u000b\u0006+\u0007\u0007\b\u0007\t\u0007\n\u0208\u000b" +
+              "\u0208\f\u000b\r\u0007\u000e\f";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/BatchStepRecordOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/BatchStepRecordOrBuilder.java
@@ -110,4 +110,15 @@
    * @return The longRunning.
    */
   boolean getLongRunning();
+
+  /**
+   * <code>.wheatwall.SharingKind sharing = 14;</code>
+   * @return The enum numeric value on the wire for sharing.
+   */
+  int getSharingValue();
+  /**
+   * <code>.wheatwall.SharingKind sharing = 14;</code>
+   * @return The sharing.
+   */
+  org.wheatwall.wire.message.SharingKind getSharing();
 }
--- a/wire/src/main/java/org/wheatwall/wire/peer/PeerClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/peer/PeerClient.java
@@ -92,6 +92,7 @@
 
   private CompletableFuture<Connection> connect(InetSocketAddress address) {
     CompletableFuture<Connection> opened = new CompletableFuture<>();
+    Connection connection = new Connection();
     new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
@@ -102,7 +103,7 @@
               @Override
               protected void initChannel(SocketChannel channel) {
                 PeerCodec.addTo(channel.pipeline());
-                channel.pipeline().addLast(new Connection(channel));
+                channel.pipeline().addLast(connection);
               }
             })
         .connect(address)
@@ -113,7 +114,8 @@
                 return;
               }
               future.channel().writeAndFlush(hello());
-              opened.complete(future.channel().pipeline().get(Connection.class));
+              // Not looked up in the pipeline, which is empty if the peer has closed already.
+              opened.complete(connection);
             });
     return opened;
   }
@@ -136,13 +138,15 @@
   }
 
   private static final class Connection extends SimpleChannelInboundHandler<Envelope> {
-    private final Channel channel;
     private final Map<Long, CompletableFuture<Envelope>> pending = new ConcurrentHashMap<>();
     // Why the other side will not talk to this host; confined to the event loop.
     private String refusal = "connection closed";
+    // Set before the connection is handed out.
+    private volatile Channel channel;
 
-    private Connection(Channel channel) {
-      this.channel = channel;
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+      channel = context.channel();
     }
 
     private Channel channel() {
--- /dev/null
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -0,0 +1,54 @@
+package org.wheatwall.wire.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.Recurrence;
+import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.job.model.HostSharing;
+import org.wheatwall.core.job.model.ResourceAmount;
+
+/** What is written to the job log is read back whole. */
+final class JobLogCodecTest {
+  private static final String ID = "00000000000000aa";
+
+  @ParameterizedTest
+  @EnumSource(HostSharing.class)
+  void aJobIsReadAsItWasWritten(HostSharing sharing) {
+    StepSpec step =
+        new StepSpec(
+            3,
+            new ResourceAmount(1500, 64, 2),
+            900,
+            List.of(),
+            true,
+            true,
+            true,
+            Optional.of("label"),
+            Optional.of("rack"),
+            2,
+            true,
+            sharing);
+    BatchJob job =
+        new BatchJob(
+            ID,
+            "queue",
+            "service",
+            "workspace",
+            "text",
+            List.of(step),
+            Optional.of(new Recurrence(10, 5, 2)),
+            1,
+            3,
+            7);
+    LogEntry entry = LogEntry.of(LogKey.job(ID), new LogContent.Definition(job));
+    assertThat(JobLogCodec.entry(entry.key().text(), JobLogCodec.value(entry))).hasValue(entry);
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/wheatwall/wire/http/HttpClientTest.java
@@ -0,0 +1,89 @@
+package org.wheatwall.wire.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+
+/** Whatever becomes of a connection, a call ends as an answer or as a failure that says more. */
+final class HttpClientTest {
+  private static final EventLoopGroup GROUP =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private static final byte[] ANSWER =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+  private static final int CALLS = 8000;
+  private static final int TIMEOUT_MS = 2000;
+  private static final int LATEST_RESET_NANOS = 100_000;
+
+  @AfterAll
+  static void stop() {
+    GROUP.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  // Answers one call on each connection as one that stays open, and resets it.
+  private static void answerAndReset(ServerSocket server) {
+    Thread thread =
+        new Thread(
+            () -> {
+              while (!server.isClosed()) {
+                try (Socket socket = server.accept()) {
+                  socket.setSoLinger(true, 0);
+                  readRequest(socket.getInputStream());
+                  socket.getOutputStream().write(ANSWER);
+                  // The reset shall come while the next call picks this connection.
+                  LockSupport.parkNanos(ThreadLocalRandom.current().nextInt(LATEST_RESET_NANOS));
+                } catch (IOException closed) {
+                  // The client may have closed first; the next connection is another one.
+                }
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void readRequest(InputStream input) throws IOException {
+    int endOfHead = 0;
+    while (endOfHead < 4) {
+      int next = input.read();
+      if (next < 0) {
+        return;
+      }
+      boolean expected = next == (endOfHead % 2 == 0 ? '\r' : '\n');
+      endOfHead = expected ? endOfHead + 1 : 0;
+    }
+  }
+
+  @Test
+  void aServerThatClosesKeptConnectionsCausesFailuresThatAreTyped() throws Exception {
+    HttpClient client = new HttpClient(GROUP, 1024, 4, AnswerMatching.BY_ORDER);
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      answerAndReset(server);
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+      for (int i = 0; i < CALLS; i++) {
+        CompletableFuture<HttpReply> call =
+            client.send(address, HttpCall.of("GET", "/"), "call-" + i, TIMEOUT_MS);
+        try {
+          call.get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException failure) {
+          assertThat(failure.getCause()).isInstanceOf(HttpFailure.class);
+        }
+      }
+    }
+  }
+}
