Soak: recovery is judged by one small job that is followed to its success

A gang that needs 20 of the 32 accelerators waits for longer behind smaller ones. Ruled out: no recovery of the program (workers went on in each trial). Changed: the job has one task on one accelerator and is followed until it has succeeded; before, any end of any of three jobs passed. As strict: a new fault put in on purpose (DEAF_WORKERS) is found by it, "workers began 0 tasks"; large jobs keep the bound of all accepted jobs. That large gangs wait so long is a fault of the program and is looked at next.

--- a/app/src/main/java/org/wheatwall/app/soak/Promise.java
+++ b/app/src/main/java/org/wheatwall/app/soak/Promise.java
@@ -18,6 +18,6 @@
   PLANNED_STOP_CUTS_NOTHING,
   /** A caller with a known key and an existing queue is never told otherwise. */
   CALLER_IS_KNOWN,
-  /** Some time after the last disturbance jobs run again. */
+  /** Some time after the last disturbance a small job succeeds again. */
   RECOVERS
 }
--- a/app/src/main/java/org/wheatwall/app/soak/RecoveryCheck.java
+++ b/app/src/main/java/org/wheatwall/app/soak/RecoveryCheck.java
@@ -1,20 +1,21 @@
 package org.wheatwall.app.soak;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import org.wheatwall.standin.task.TaskLedger;
+import org.wheatwall.standin.task.TaskPlan;
 
 /**
- * Hands in one job after the other until one ends. If none does in time, it tells what became of
- * each and what workers did meanwhile, so that a queue that is long can be told from one that
- * stands still.
+ * Hands in one small job and follows it to its end. It needs one accelerator, so that a long queue
+ * of large jobs is not taken for one that stands still; those have their own bound, see {@link
+ * Promise#ACCEPTED_IS_KEPT}.
  */
 final class RecoveryCheck {
   private static final int ASK_EACH_MS = 100;
-  private static final int FIRST_CALLER = 0xfffff;
+  private static final int FIRST_JOB = 0xfffff;
+  private static final int WORK_MS = 100;
+  private static final TaskPlan SMALLEST = new TaskPlan(WORK_MS, 1, 1, 0);
 
   private final SoakCluster cluster;
   private final SoakSettings settings;
@@ -26,50 +27,40 @@
     this.clock = clock;
   }
 
-  /** Returns nothing once a job has ended, otherwise what was seen within {@code limitMs}. */
+  /** Returns nothing once the job has succeeded, otherwise what was seen within {@code limitMs}. */
   Optional<String> failure(int limitMs) {
     long fromMs = clock.nowMs();
-    SoakClient client = new SoakClient(cluster, clock);
-    List<JobFacts> jobs = new ArrayList<>();
+    int number = FIRST_JOB + (int) fromMs;
+    SoakCaller caller =
+        new SoakCaller(number, new SoakClient(cluster, clock), settings, () -> false);
+    JobFacts job = new JobFacts(String.format("%016x", number), SMALLEST, 1);
     while (clock.nowMs() < fromMs + limitMs) {
-      List<JobFacts> handedIn = handInOne(client);
-      if (handedIn.stream().anyMatch(JobFacts::ended)) {
+      if (job.accepted()) {
+        caller.ask(job);
+      } else {
+        caller.submit(job);
+      }
+      if (job.succeeded()) {
         return Optional.empty();
       }
-      jobs.addAll(handedIn);
       Pause.ms(ASK_EACH_MS);
     }
-    return Optional.of(seen(fromMs, jobs));
-  }
-
-  private List<JobFacts> handInOne(SoakClient client) {
-    AtomicBoolean first = new AtomicBoolean(true);
-    int number = FIRST_CALLER + (int) clock.nowMs();
-    SoakCaller caller = new SoakCaller(number, client, settings, () -> first.getAndSet(false));
-    caller.run();
-    return caller.jobs();
+    return Optional.of(seen(fromMs, job));
   }
 
-  private String seen(long fromMs, List<JobFacts> jobs) {
-    String fates = jobs.stream().map(RecoveryCheck::fate).collect(Collectors.joining("; "));
+  private String seen(long fromMs, JobFacts job) {
+    String attempts =
+        job.attempts().stream()
+            .map(answer -> answer.status() + " of host " + answer.host())
+            .collect(Collectors.joining(", "));
     List<TaskLedger.Event> events =
         cluster.ledger().events().stream()
             .filter(event -> clock.sinceStart(event.atMs()) >= fromMs)
             .toList();
     long starts = events.stream().filter(TaskLedger.Event::isStart).count();
-    long ends = events.size() - starts;
-    return String.format(
-        "from %d to %d ms workers began %d tasks and ended %d; jobs: %s",
-        fromMs, clock.nowMs(), starts, ends, fates);
-  }
-
-  private static String fate(JobFacts job) {
-    String attempts =
-        job.attempts().stream()
-            .map(answer -> answer.status() + " of host " + answer.host())
-            .collect(Collectors.joining(", "));
     return String.format(
-        "%s with %d tasks, %s, told %s, last shown as %s",
-        job.id(), job.tasks(), job.plan().text(), attempts, job.lastState());
+        "job %s of one small task, told %s, is last shown as %s; from %d to %d ms workers began %d"
+            + " tasks and ended %d",
+        job.id(), attempts, job.lastState(), fromMs, clock.nowMs(), starts, events.size() - starts);
   }
 }
--- a/app/src/main/java/org/wheatwall/app/soak/Sabotage.java
+++ b/app/src/main/java/org/wheatwall/app/soak/Sabotage.java
@@ -13,7 +13,9 @@
   /** A host is put back to an older configuration. */
   OLDER_CONFIGURATION(Promise.CONFIGURATION_NEVER_BACK),
   /** A process that stops as planned is killed while it answers. */
-  CUT_PLANNED_STOP(Promise.PLANNED_STOP_CUTS_NOTHING);
+  CUT_PLANNED_STOP(Promise.PLANNED_STOP_CUTS_NOTHING),
+  /** No worker answers any more. */
+  DEAF_WORKERS(Promise.RECOVERS);
 
   private final Promise broken;
 
--- a/app/src/main/java/org/wheatwall/app/soak/SabotageAct.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SabotageAct.java
@@ -6,6 +6,7 @@
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.platform.store.StoreTopic;
+import org.wheatwall.standin.proxy.FaultProxy;
 import org.wheatwall.standin.store.StoreFaults;
 import org.wheatwall.standin.task.TaskPlan;
 
@@ -70,6 +71,7 @@
       case START_CANCELLED -> startCancelled();
       case OLDER_CONFIGURATION -> olderConfiguration();
       case CUT_PLANNED_STOP -> cutPlannedStop();
+      case DEAF_WORKERS -> deafWorkers();
     }
   }
 
@@ -120,6 +122,12 @@
     cluster.store().setFaults(StoreFaults.NONE);
   }
 
+  private void deafWorkers() {
+    for (int i = 0; i < settings.workers(); i++) {
+      cluster.worker(i).link().setMode(FaultProxy.Mode.HALF_OPEN);
+    }
+  }
+
   private void start(TaskName task) {
     TaskPlan plan = new TaskPlan(LONG_WORK_MS, 1, 0, 0);
     cluster.worker(0).forceStart(task, plan);
--- a/app/src/main/java/org/wheatwall/app/soak/SoakCaller.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakCaller.java
@@ -83,7 +83,8 @@
     return new JobFacts(String.format("%08x%08x", number, index), plan, tasks);
   }
 
-  private void submit(JobFacts job) {
+  /** Hands a job in, a few times if it is refused or not answered. */
+  void submit(JobFacts job) {
     for (int i = 0; i < MOST_ATTEMPTS && !job.accepted(); i++) {
       if (i > 0) {
         Pause.ms(RETRY_MS);
