A new decider waits for first reports until no more come

Cause: in its first second a new decider looks at no queue until two thirds of the workers were heard. Behind a cut of one zone of three that never comes, so all work waited a second more. Changed: with half of them heard it goes on once all but a third were met (heard, or could not be reached), or none was heard for 200 ms; a second is still the most (FirstReports). Tests: two of TermTakeOverTest fail with the old rule put back.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -38,16 +38,12 @@
 public final class RunSupervisor {
   private static final int DECIDE_AT_LEAST_EVERY_MS = 250;
   private static final int RETENTION_SWEEP_MS = 5000;
-  // How long a new decider waits at most until all but a third of the workers were heard. They
-  // answer within a few milliseconds, those behind a cut not at all.
-  private static final int FIRST_REPORTS_MS = 1000;
-  private static final int SILENT_SHARE = 3;
   private static final int FORGOTTEN_AT_ONCE = 50;
 
   private final TermState term;
   private final RunLifecycle lifecycle;
   private final WorkerReports reports;
-  private final long startMs;
+  private final FirstReports firstReports;
   private long decidedAtMs;
   private long sweptAtMs;
 
@@ -67,7 +63,7 @@
     this.term = new TermState(settings, effects, scheduler, startMs);
     this.lifecycle = new RunLifecycle(term);
     this.reports = new WorkerReports(term, lifecycle);
-    this.startMs = startMs;
+    this.firstReports = new FirstReports(term.workers, startMs);
     this.sweptAtMs = startMs;
   }
 
@@ -284,7 +280,7 @@
   /** Returns whether the queue is to be looked at: something changed, or it is time to. */
   public boolean wantsDecision(long steadyMs) {
     boolean due = term.dirty || steadyMs - decidedAtMs >= DECIDE_AT_LEAST_EVERY_MS;
-    return due && !awaitsFirstReports(steadyMs);
+    return due && !firstReports.awaited(steadyMs);
   }
 
   /** Looks at the queue once, and starts and stops what comes of it. */
@@ -294,12 +290,6 @@
     term.flush();
   }
 
-  // With few of the workers heard, work would be stopped or scattered that has room elsewhere.
-  private boolean awaitsFirstReports(long steadyMs) {
-    return steadyMs - startMs < FIRST_REPORTS_MS
-        && silentWorkers().size() * SILENT_SHARE > term.workers.all().size();
-  }
-
   /** Drops the records of jobs that ended long ago. */
   public void forgetEnded(JobTable table, long steadyMs, long dayMs) {
     term.at(steadyMs, dayMs);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
@@ -20,6 +20,7 @@
   private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
   private final long termStartMs;
   private int version;
+  private long newsAtMs;
 
   /**
    * Creates an empty book.
@@ -29,6 +30,7 @@
   WorkerBook(Scheduler scheduler, long termStartMs) {
     this.scheduler = scheduler;
     this.termStartMs = termStartMs;
+    this.newsAtMs = termStartMs;
   }
 
   WorkerRecord record(String id) {
@@ -77,9 +79,15 @@
     if (!before) {
       refresh(record);
     }
+    newsAtMs = wasSilent ? nowMs : newsAtMs;
     return wasSilent;
   }
 
+  /** Returns when a worker that had been silent was last heard. */
+  long newsAtMs() {
+    return newsAtMs;
+  }
+
   /** Notes that a worker does not answer; returns whether that is new. */
   boolean suspect(String id) {
     WorkerRecord record = record(id);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -53,10 +53,16 @@
     return listed && heard && !suspected && !info.map(WorkerInfo::draining).orElse(true);
   }
 
+  /** Returns whether it is listed and was not heard, or does not answer any more. */
   boolean silent() {
     return listed && (!heard || suspected);
   }
 
+  /** Returns whether it is listed and the first call to it was neither answered nor has failed. */
+  boolean unmet() {
+    return listed && !heard && !suspected;
+  }
+
   void heard(long nowMs) {
     heard = true;
     suspected = false;
--- a/core/src/test/java/org/wheatwall/core/batch/decision/TermTakeOverTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/TermTakeOverTest.java
@@ -65,6 +65,43 @@
     assertThat(effects.starts).hasSize(1);
   }
 
+  // The workers of a zone that is cut off do not answer; waiting a second for them held all urgent
+  // work up.
+  @Test
+  void onceNoMoreAnswersComeANewDeciderDoesNotWaitForTheRest() {
+    listSilentWorker("c");
+    listSilentWorker("d");
+    listWorker("a");
+    listWorker("b");
+    supervisor.accept(job(1, false, 2), nowMs, WALL_MS);
+    assertThat(supervisor.wantsDecision(nowMs)).isFalse();
+    nowMs += FirstReports.QUIET_MS;
+    assertThat(supervisor.wantsDecision(nowMs)).isTrue();
+  }
+
+  @Test
+  void workersThatCannotBeReachedAreNotWaitedFor() {
+    listSilentWorker("c");
+    listSilentWorker("d");
+    listWorker("a");
+    listWorker("b");
+    supervisor.accept(job(1, false, 2), nowMs, WALL_MS);
+    supervisor.unreachable("c", "the connection is refused", nowMs);
+    assertThat(supervisor.wantsDecision(nowMs)).isTrue();
+  }
+
+  // With few heard, silence may as well mean that this host is cut off or slow.
+  @Test
+  void withFewWorkersHeardSilenceDoesNotEndTheWait() {
+    for (String id : List.of("b", "c", "d")) {
+      listSilentWorker(id);
+    }
+    listWorker("a");
+    supervisor.accept(job(1, false, 2), nowMs, WALL_MS);
+    nowMs += 2 * FirstReports.QUIET_MS;
+    assertThat(supervisor.wantsDecision(nowMs)).isFalse();
+  }
+
   @Test
   void workersBehindACutHoldANewDeciderUpForASecondAtMost() {
     listSilentWorker("b");
