--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -15,24 +15,16 @@
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.LogEntry;
-import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.PermitAnswer;
 import org.wheatwall.core.batch.model.PermitQuestion;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
-import org.wheatwall.core.common.Labels;
-import org.wheatwall.core.job.decision.HostHealthSettings;
-import org.wheatwall.core.job.decision.SchedulerSettings;
-import org.wheatwall.core.job.model.PolicyAlgorithm;
-import org.wheatwall.core.job.model.PolicySpec;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogWriter;
 import org.wheatwall.entry.batch.permit.PermitDesk;
 import org.wheatwall.entry.batch.worker.WorkerDirectory;
-import org.wheatwall.entry.batch.worker.WorkerPort;
 import org.wheatwall.entry.batch.worker.WorkerWatch;
-import org.wheatwall.entry.common.LoopCallbacks;
 import org.wheatwall.wire.batch.JobLogCodec;
 
 /**
@@ -42,17 +34,21 @@
  * <p>Not thread-safe; the decision loop owns it.
  */
 final class BatchDecider
-    implements RunEffects, WorkerDirectory.Listener, WorkerWatch.Listener, PermitDesk.Listener {
+    implements RunEffects,
+        WorkerDirectory.Listener,
+        WorkerWatch.Listener,
+        WorkerOrders.Term,
+        PermitDesk.Listener {
   /** Name under which deciders append; the store refuses all but the latest term's. */
   static final String PRODUCER = "decider";
 
   private final BatchTools tools;
   private final TermRule rule;
-  private final WorkerPort port;
   private final long term;
   private final LogWriter writer;
   private final RunSupervisor supervisor;
   private final WorkerWatch watch;
+  private final WorkerOrders orders;
   private final PermitDesk permits;
   private final Runnable onLost;
   private final DecisionPace pace = new DecisionPace();
@@ -74,7 +70,6 @@
       Runnable onLost) {
     this.tools = tools;
     this.rule = rule;
-    this.port = ports.workers();
     this.term = rule.term();
     this.onLost = onLost;
     this.writer =
@@ -90,14 +85,14 @@
     this.supervisor =
         new RunSupervisor(
             SupervisorSettings.of(settings.leaseMs(), settings.retentionMs()),
-            SCHEDULING,
+            BatchScheduling.SETTINGS,
             this,
             term,
             tools.clock().nowMs());
-    this.supervisor.scheduler().setPolicies(Map.of("batch", PRIORITY_FIRST));
+    this.supervisor.scheduler().setPolicies(Map.of("batch", BatchScheduling.POLICY));
     this.watch =
         new WorkerWatch(
-            port,
+            ports.workers(),
             supervisor,
             term,
             settings.leaseMs(),
@@ -105,26 +100,11 @@
             tools.timer(),
             tools.clock(),
             this);
+    this.orders = new WorkerOrders(tools, ports.workers(), watch, supervisor, this);
     this.permits =
         new PermitDesk(ports.permits(), tools.loop(), tools.timer(), tools.clock(), this);
   }
 
-  // A job that waits this long may stop younger ones; the other bounds are the usual ones.
-  private static final int STARVATION_MS = 600_000;
-  private static final int SCAN_LIMIT = 500;
-  private static final int START_LIMIT = 64;
-  private static final int URGENT_HEADROOM_PERCENT = 30;
-  private static final SchedulerSettings SCHEDULING =
-      new SchedulerSettings(
-          STARVATION_MS,
-          SCAN_LIMIT,
-          START_LIMIT,
-          HostHealthSettings.SHORT_JOBS,
-          URGENT_HEADROOM_PERCENT);
-
-  private static final PolicySpec PRIORITY_FIRST =
-      new PolicySpec(Labels.NONE, PolicyAlgorithm.PRIORITY_FIRST, "", 0, 0, 0, false);
-
   /** Takes over what the log says. */
   void begin(JobTable table) {
     supervisor.adopt(table, tools.clock().nowMs(), tools.clock().wallMs());
@@ -224,68 +204,12 @@
 
   @Override
   public void start(StartOrder order) {
-    Optional<WorkerInfo> worker = supervisor.workerInfo(order.worker());
-    Optional<WorkerPort.Lease> lease = watch.lease(order.worker());
-    if (worker.isEmpty() || lease.isEmpty() || !mayAct()) {
-      tools.loop().execute(() -> startAnswered(order, OrderAnswer.NOT_DONE));
-      return;
-    }
-    supervisor.leased(order.worker(), tools.clock().nowMs());
-    LoopCallbacks.whenDone(
-        port.start(worker.get(), order, lease.get()),
-        tools.loop(),
-        (answer, failure) -> startAnswered(order, failure == null ? answer : OrderAnswer.UNKNOWN));
-  }
-
-  private void startAnswered(StartOrder order, OrderAnswer answer) {
-    if (ended) {
-      return;
-    }
-    if (answer != OrderAnswer.DONE) {
-      noteOrder("start-not-done", order.task().jobId(), order.worker(), order.run(), answer);
-    }
-    if (answer == OrderAnswer.FENCED) {
-      fenced(order.worker());
-      return;
-    }
-    supervisor.onStartAnswer(order, answer, tools.clock().nowMs(), tools.clock().wallMs());
-    watch.look(order.worker());
-    decideSoon();
+    orders.start(order);
   }
 
   @Override
   public void stop(StopOrder order) {
-    Optional<WorkerInfo> worker = supervisor.workerInfo(order.worker());
-    if (worker.isEmpty() || !mayAct()) {
-      return;
-    }
-    LoopCallbacks.whenDone(
-        port.stop(worker.get(), order, term),
-        tools.loop(),
-        (answer, failure) -> stopAnswered(order, failure == null ? answer : OrderAnswer.UNKNOWN));
-  }
-
-  private void stopAnswered(StopOrder order, OrderAnswer answer) {
-    if (ended) {
-      return;
-    }
-    if (answer == OrderAnswer.FENCED) {
-      fenced(order.worker());
-      return;
-    }
-    supervisor.onStopAnswer(order, answer, tools.clock().nowMs(), tools.clock().wallMs());
-    decideSoon();
-  }
-
-  private void noteOrder(String event, String jobId, String worker, int run, OrderAnswer answer) {
-    tools
-        .decisions()
-        .note(
-            event,
-            field("job", jobId),
-            field("worker", worker),
-            field("run", run),
-            field("answer", answer));
+    orders.stop(order);
   }
 
   @Override
@@ -355,6 +279,21 @@
     decideSoon();
   }
 
+  @Override
+  public long number() {
+    return term;
+  }
+
+  @Override
+  public boolean ended() {
+    return ended;
+  }
+
+  @Override
+  public void answered() {
+    decideSoon();
+  }
+
   private void decideSoon() {
     long nowMs = tools.clock().nowMs();
     if (!mayAct() || !supervisor.wantsDecision(nowMs)) {
