The course of a gang leaves Decider for a class of its own

No behaviour changed: the tests of core to entry pass, the 400 schedules of DeciderFaultTest among them.

--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -1,6 +1,5 @@
 package org.wheatwall.entry.job;
 
-import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import java.util.ArrayList;
@@ -18,12 +17,9 @@
 import org.wheatwall.core.configuration.model.StoredResource;
 import org.wheatwall.core.configuration.model.Verdict;
 import org.wheatwall.core.gang.decision.GangAttempt;
-import org.wheatwall.core.gang.decision.GangPhase;
 import org.wheatwall.core.gang.model.TaskReport;
 import org.wheatwall.core.gang.model.WorkerReport;
 import org.wheatwall.core.job.decision.Decision;
-import org.wheatwall.core.job.decision.EndReason;
-import org.wheatwall.core.job.decision.RunningAttempt;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.Job;
@@ -73,8 +69,6 @@
   }
 
   private static final Logger LOG = LoggerFactory.getLogger(Decider.class);
-  private static final long RETRY_MS = 100;
-  private static final long SWEEP_MS = 250;
   private static final long DECIDE_MS = 200;
   private static final long FIRST_INVENTORY_MS = 1000;
 
@@ -87,14 +81,12 @@
   private final AttemptEnds ends;
   private final WorkerExchanges exchanges;
   private final Timer decideTimer;
-  private final Meter starts;
-  private final Meter stops;
+  private final AttemptCourses courses;
   private final Shadows shadows;
   private Scheduler scheduler;
   private Stage stage = Stage.PASSIVE;
   private DeciderLease lease = new DeciderLease(0, Long.MIN_VALUE, false, false);
   private Inventory inventory;
-  private long nextSweepMs;
   private long nextDecideMs;
   private boolean dirty;
 
@@ -123,8 +115,9 @@
     this.scheduler = new Scheduler(schedulerSettings);
     this.shadows = new Shadows(schedulerSettings);
     this.decideTimer = metrics.timer("jobs.decide-time");
-    this.starts = metrics.meter("jobs.attempts-started");
-    this.stops = metrics.meter("jobs.attempts-stopped");
+    this.courses =
+        new AttemptCourses(
+            links, gangs, ends, shadows, () -> scheduler, () -> dirty = true, metrics);
     metrics.gauge("jobs.waiting", () -> () -> scheduler.waiting().size());
     metrics.gauge("jobs.attempts", () -> () -> scheduler.running().size());
   }
@@ -189,7 +182,7 @@
     }
     if (stage == Stage.DECIDING) {
       decide(nowMs);
-      sweep(nowMs);
+      courses.sweep(nowMs);
     }
     exchanges.exchangeWhatIsDue(nowMs);
   }
@@ -352,86 +345,13 @@
     shadows.forEach(run -> run.decide(scheduler.cluster().fragmentation(), nowMs));
     for (Decision decision : decisions) {
       if (decision instanceof Decision.Start start) {
-        begin(start, nowMs);
+        courses.begin(start, nowMs);
       } else if (decision instanceof Decision.Stop stop) {
-        gangs.get(stop.attemptId()).ifPresent(attempt -> stop(attempt, nowMs));
+        gangs.get(stop.attemptId()).ifPresent(attempt -> courses.stop(attempt, nowMs));
       }
     }
   }
 
-  private void begin(Decision.Start start, long nowMs) {
-    starts.mark();
-    GangAttempt attempt =
-        GangAttempt.begin(
-            start.attemptId(),
-            start.jobName(),
-            start.job(),
-            start.placement(),
-            links.times(),
-            new HashSet<>(start.victims()),
-            nowMs);
-    start.victims().stream()
-        .filter(victim -> gangs.get(victim).isEmpty())
-        .forEach(attempt::onAttemptEnded);
-    gangs.add(attempt);
-    advance(attempt, nowMs);
-  }
-
-  private void stop(GangAttempt attempt, long nowMs) {
-    stops.mark();
-    attempt.requestStop(nowMs);
-    links.want(attempt.hosts());
-  }
-
-  private void sweep(long nowMs) {
-    boolean all = nowMs >= nextSweepMs;
-    if (all) {
-      nextSweepMs = nowMs + SWEEP_MS;
-    }
-    for (GangAttempt attempt : new ArrayList<>(gangs.all())) {
-      if (all || attempt.phase() != GangPhase.RUNNING) {
-        advance(attempt, nowMs);
-      }
-    }
-  }
-
-  private void advance(GangAttempt attempt, long nowMs) {
-    GangPhase before = attempt.phase();
-    attempt.advance(nowMs);
-    if (attempt.phase() != before) {
-      links.want(attempt.hosts());
-    } else if (isUnsettled(attempt)) {
-      for (String host : attempt.hosts()) {
-        links.get(host).filter(link -> link.quietFor(RETRY_MS, nowMs)).ifPresent(WorkerLink::want);
-      }
-    }
-    if (attempt.phase() == GangPhase.ENDED && before != GangPhase.ENDED) {
-      noteInShadows(attempt, nowMs);
-      ends.ended(attempt, scheduler, nowMs);
-      dirty = true;
-    }
-  }
-
-  private void noteInShadows(GangAttempt attempt, long nowMs) {
-    if (attempt.endReason() != EndReason.SUCCEEDED) {
-      return;
-    }
-    for (RunningAttempt running : scheduler.running()) {
-      if (running.attemptId().equals(attempt.attemptId())) {
-        long tookMs = nowMs - running.startedAtMs();
-        shadows.forEach(run -> run.succeeded(attempt.jobName(), tookMs, nowMs));
-        return;
-      }
-    }
-  }
-
-  private static boolean isUnsettled(GangAttempt attempt) {
-    return switch (attempt.phase()) {
-      case RESERVING, STARTING, CHECKPOINTING, STOPPING -> true;
-      case WAITING_FOR_ROOM, RUNNING, ENDED -> false;
-    };
-  }
-
   /** Returns why a job waits or how it runs, in words. */
   String explain(String jobName) {
     JobEntry entry = configuration.jobs().get(jobName);
@@ -473,7 +393,7 @@
 
     @Override
     public void reported(GangAttempt attempt, long nowMs) {
-      advance(attempt, nowMs);
+      courses.advance(attempt, nowMs);
     }
 
     @Override
