A log that stays silent is probed, and what is under way is sent again once it answers

Cause: while the job log said nothing, each host had one reading under way at a time, held for up to 1.7 s, and an append without an answer was repeated after up to 1 s. Callers try for 3 s in all, so each tenth of a second costs jobs. Changed: while a log fails a probe goes out every 200 ms without waiting for those before it, and the first answer ends the probing; then appends under way are sent at once, under the same number. Such an append counts as one that may have arrived, and a term is confirmed from its first sending.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -127,6 +127,11 @@
     return append(List.of(entry));
   }
 
+  /** Writes at once what the log has not acknowledged, now that it answers again. */
+  void logRegained() {
+    writer.resend();
+  }
+
   void accept(BatchJob job) {
     supervisor.accept(job, tools.clock().nowMs(), tools.clock().wallMs());
     decideSoon();
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -86,6 +86,7 @@
     this.reading = new SharedReading(follower, tools);
     this.logAnsweredAtMs = follower.answeredAtMs();
     this.intake = new JobIntake("entry-" + settings.address() + "-" + life, ports.log(), tools);
+    this.replica.whenRegained(this::logRegained);
     metrics.gauge("batch.jobs.kept", () -> () -> replica.table().jobs().size());
     metrics.gauge("batch.term.held", () -> rule::term);
     metrics.gauge("batch.peers.known", () -> () -> roster.peers().size());
@@ -224,6 +225,11 @@
     return intake.accept(job, deadlineMs);
   }
 
+  private void logRegained() {
+    holder.decider().ifPresent(BatchDecider::logRegained);
+    intake.logRegained();
+  }
+
   private boolean fresh() {
     long age = tools.clock().nowMs() - follower.confirmedAtMs();
     return follower.started() && age < STALE_AFTER_MS;
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
@@ -80,6 +80,11 @@
     return keep(LogEntry.of(LogKey.host(host), content), Long.MAX_VALUE);
   }
 
+  /** Writes at once what the log has not acknowledged, now that it answers again. */
+  void logRegained() {
+    writer.resend();
+  }
+
   /** Gives up what is due. */
   void expire() {
     writer.expire();
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -31,6 +31,7 @@
   private final DecisionLog decisions;
   private JobTable table = new JobTable();
   private Listener listener;
+  private Runnable whenRegained = () -> {};
 
   /** Told what the log brings. */
   interface Listener {
@@ -59,6 +60,11 @@
     listener = next;
   }
 
+  /** Sets what is run once the log can be read again after it could not. */
+  void whenRegained(Runnable task) {
+    whenRegained = task;
+  }
+
   /** Returns the jobs; another table takes its place when the log is read anew. */
   JobTable table() {
     return table;
@@ -112,6 +118,7 @@
   @Override
   public void regained() {
     rule.sawOutageEnd(clock.nowMs());
+    whenRegained.run();
   }
 
   private Optional<LogEntry> decode(KeyedRecord record) {
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
@@ -22,8 +22,9 @@
 public final class LogFollower {
   private static final Logger LOG = LoggerFactory.getLogger(LogFollower.class);
   private static final int WAIT_MS = 1000;
-  private static final int FIRST_BACKOFF_MS = 50;
-  private static final int LONGEST_BACKOFF_MS = 300;
+  // A log that says nothing holds each call until its time limit, so while it fails one call
+  // follows another without waiting for answers. Callers have 3 s, and come back until then.
+  private static final int PROBE_EACH_MS = 200;
 
   private final String name;
   private final KeyedLog log;
@@ -36,7 +37,8 @@
   private long confirmedAtMs;
   private long answeredAtMs;
   private boolean failing;
-  private int backoffMs = FIRST_BACKOFF_MS;
+  private boolean probing;
+  private int probeSeries;
   private boolean stopped;
 
   /** Takes in what the log says. */
@@ -148,7 +150,7 @@
           if (failure == null) {
             takeNewest(page, read, end, askedMs);
           } else {
-            failed(LogFailure.of(failure), this::start);
+            failed(LogFailure.of(failure));
           }
         });
   }
@@ -201,7 +203,7 @@
       LOG.info("event=log-history-gone log={} position={}", name, position);
       start();
     } else {
-      failed(failure, this::follow);
+      failed(failure);
     }
   }
 
@@ -228,7 +230,6 @@
   }
 
   private void succeeded(long askedMs, boolean atEnd) {
-    backoffMs = FIRST_BACKOFF_MS;
     answeredAtMs = clock.nowMs();
     if (failing) {
       failing = false;
@@ -241,13 +242,44 @@
     }
   }
 
-  private void failed(LogFailure failure, Runnable again) {
+  private void failed(LogFailure failure) {
     if (!failing) {
       failing = true;
       LOG.warn("event=log-lost log={} position={} cause={}", name, position, failure.toString());
     }
-    long wait = backoffMs;
-    backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
-    timer.after(wait, again);
+    probing = true;
+    int series = ++probeSeries;
+    timer.after(PROBE_EACH_MS, () -> probe(series));
+  }
+
+  private void probe(int series) {
+    if (stopped || !probing || series != probeSeries) {
+      return;
+    }
+    long askedMs = clock.nowMs();
+    LoopCallbacks.whenDone(
+        log.read(Math.max(0, position), 0),
+        loop,
+        (page, failure) -> probed(series, page, askedMs, Optional.ofNullable(failure)));
+    timer.after(PROBE_EACH_MS, () -> probe(series));
+  }
+
+  // The first answer ends the probing; one that history is gone shows as well that the log answers.
+  private void probed(
+      int series, KeyedLog.LogPage page, long askedMs, Optional<Throwable> failure) {
+    boolean answered =
+        failure
+            .map(cause -> LogFailure.of(cause).kind() == LogFailure.Kind.HISTORY_GONE)
+            .orElse(true);
+    if (stopped || !probing || series != probeSeries || !answered) {
+      return;
+    }
+    probing = false;
+    if (failure.isPresent() || !started()) {
+      start();
+    } else {
+      take(page, askedMs);
+      follow();
+    }
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -38,6 +38,8 @@
   private long sequence;
   private boolean sending;
   private boolean mayHaveArrived;
+  // When what is under way was first sent in a call that may have had an effect.
+  private long firstSentMs;
   private boolean closed;
   private int backoffMs = FIRST_BACKOFF_MS;
 
@@ -136,6 +138,18 @@
     }
   }
 
+  /**
+   * Sends what is under way once more, since the log answers again: the call before may be lost,
+   * and its time limit is long. The log carries out only one of them, but it is no longer certain
+   * that the first had no effect.
+   */
+  public void resend() {
+    if (!closed && !inFlight.isEmpty()) {
+      mayHaveArrived = true;
+      send();
+    }
+  }
+
   /** Stops repeating and fails what is queued or under way. */
   public void close(String reason) {
     closed = true;
@@ -168,7 +182,8 @@
     }
     mayHaveArrived = false;
     backoffMs = FIRST_BACKOFF_MS;
-    send(clock.nowMs());
+    firstSentMs = clock.nowMs();
+    send();
   }
 
   private static int size(Item item) {
@@ -179,7 +194,7 @@
     return bytes;
   }
 
-  private void send(long firstSentMs) {
+  private void send() {
     List<KeyedRecord> records = new ArrayList<>();
     inFlight.forEach(item -> records.addAll(item.records));
     long number = sequence;
@@ -193,14 +208,14 @@
           }
           sending = false;
           if (failure == null) {
-            done(firstSentMs);
+            done();
           } else {
-            failed(LogFailure.of(failure), firstSentMs);
+            failed(LogFailure.of(failure));
           }
         });
   }
 
-  private void done(long firstSentMs) {
+  private void done() {
     sequence++;
     confirmed.accept(firstSentMs);
     finish();
@@ -213,7 +228,7 @@
     next();
   }
 
-  private void failed(LogFailure failure, long firstSentMs) {
+  private void failed(LogFailure failure) {
     switch (failure.kind()) {
       case FENCED, OUT_OF_SEQUENCE -> {
         closed = true;
@@ -221,11 +236,11 @@
       }
       case NOT_DONE -> {
         dropExpiredUnsent();
-        repeat(firstSentMs);
+        repeat();
       }
       default -> {
         mayHaveArrived = true;
-        repeat(firstSentMs);
+        repeat();
       }
     }
   }
@@ -247,7 +262,7 @@
     inFlight = kept;
   }
 
-  private void repeat(long firstSentMs) {
+  private void repeat() {
     if (inFlight.isEmpty()) {
       next();
       return;
@@ -259,7 +274,8 @@
         wait,
         () -> {
           if (!closed && number == sequence && !inFlight.isEmpty()) {
-            send(mayHaveArrived ? firstSentMs : clock.nowMs());
+            firstSentMs = mayHaveArrived ? firstSentMs : clock.nowMs();
+            send();
           }
         });
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
@@ -83,6 +83,10 @@
       return CompletableFuture.completedFuture(new NewestPage(List.of(), false, 0));
     }
 
+    private void fail() {
+      answer.completeExceptionally(new LogFailure(LogFailure.Kind.UNKNOWN, "no answer"));
+    }
+
     private void answer(long first, String... keys) {
       List<KeyedRecord> records = new ArrayList<>();
       for (String key : keys) {
@@ -112,6 +116,39 @@
     assertThat(pauses).isEmpty();
   }
 
+  // A silent log holds each call until its time limit; one call after the other would notice only
+  // some time later that it answers again.
+  @Test
+  void whileTheLogIsSilentCallsFollowEachOtherWithoutWaitingForAnswers() {
+    follower.start();
+    log.fail();
+    assertThat(follower.failing()).isTrue();
+    paused.remove().run();
+    paused.remove().run();
+    paused.remove().run();
+    assertThat(log.from).containsExactly(0L, 0L, 0L, 0L);
+    log.answer(0, "a");
+    assertThat(follower.failing()).isFalse();
+    assertThat(seen).containsExactly("a");
+  }
+
+  @Test
+  void whatFollowsTheFirstAnswerIsReadOnce() {
+    follower.start();
+    log.fail();
+    paused.remove().run();
+    CompletableFuture<KeyedLog.LogPage> firstProbe = log.answer;
+    paused.remove().run();
+    log.answer(0, "a");
+    firstProbe.complete(new KeyedLog.LogPage(0, 0, List.of()));
+    int readings = log.from.size();
+    while (!paused.isEmpty()) {
+      paused.remove().run();
+    }
+    assertThat(log.from).hasSize(readings);
+    assertThat(seen).containsExactly("a");
+  }
+
   // One record that cannot be taken in would otherwise end the reading of the log for good.
   @Test
   void readingGoesOnBehindARecordThatCannotBeTakenIn() {
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -168,4 +168,39 @@
     log.accept();
     assertThat(confirmed).containsExactly(1000L);
   }
+
+  // A call that the log has lost is repeated without waiting for its time limit.
+  @Test
+  void whatIsUnderWayIsSentAgainOnceTheLogAnswers() {
+    CompletableFuture<Void> kept = append("a", Long.MAX_VALUE);
+    nowMs += 500;
+    writer.resend();
+    assertThat(log.calls).hasSize(2);
+    assertThat(log.calls.get(1).sequence()).isEqualTo(log.calls.get(0).sequence());
+    log.accept();
+    assertThat(kept.isDone()).isTrue();
+    assertThat(confirmed).containsExactly(1000L);
+  }
+
+  // The call before the repeat may still be carried out, so "not done" would be untrue.
+  @Test
+  void whatWasSentTwiceIsNeverSaidToBeNotDone() {
+    CompletableFuture<Void> kept = append("a", nowMs + 200);
+    writer.resend();
+    log.fail(LogFailure.Kind.NOT_DONE);
+    nowMs += 300;
+    writer.expire();
+    assertThat(kindOf(kept)).isEqualTo(LogFailure.Kind.UNKNOWN);
+  }
+
+  @Test
+  void anAnswerThatComesTwiceCountsOnce() {
+    append("a", Long.MAX_VALUE);
+    writer.resend();
+    log.accept();
+    CompletableFuture<Void> next = append("b", Long.MAX_VALUE);
+    log.answers.get(0).complete(new KeyedLog.Appended(0));
+    assertThat(next.isDone()).isFalse();
+    assertThat(log.calls).hasSize(3);
+  }
 }
