wheatwall account: what the time of jobs went into, from the hosts' logs

It reads the JSON lines of all hosts of a run and splits each job's time, along the groups of tasks that held its end up, into: until kept, no decider, first reports, waited for room, runs that did not get done, stops, the last run and how much longer than expected it was. A table by queue, why runs were stopped, a line a job as CSV, a chart of workers by time as SVG (written as text: the runtime without a display has no fonts for a plotting library). Lines that cannot be read are counted and named.

--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/account/Spans.java
@@ -0,0 +1,38 @@
+package org.wheatwall.app.account;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Spans of time that do not overlap, such as those without a decider. */
+final class Spans {
+  private final List<Span> spans = new ArrayList<>();
+
+  /** A span from one time to another, milliseconds since 1970. */
+  record Span(long fromMs, long toMs) {
+    long lengthMs() {
+      return Math.max(0, toMs - fromMs);
+    }
+
+    Span within(long from, long to) {
+      return new Span(Math.max(fromMs, from), Math.min(toMs, to));
+    }
+  }
+
+  void add(long fromMs, long toMs) {
+    spans.add(new Span(fromMs, toMs));
+  }
+
+  List<Span> all() {
+    return List.copyOf(spans);
+  }
+
+  /** Returns how much of the time between two moments lies in these spans, milliseconds. */
+  long lengthWithin(long fromMs, long toMs) {
+    return spans.stream().mapToLong(span -> span.within(fromMs, toMs).lengthMs()).sum();
+  }
+
+  /** Returns whether one of them ended shortly before {@code atMs}. */
+  boolean endedShortlyBefore(long atMs, long withinMs) {
+    return spans.stream().anyMatch(span -> atMs >= span.toMs() && atMs - span.toMs() <= withinMs);
+  }
+}
--- a/app/src/main/java/org/wheatwall/app/command/Verbs.java
+++ b/app/src/main/java/org/wheatwall/app/command/Verbs.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.wheatwall.app.account.AccountVerb;
 import org.wheatwall.app.bench.BenchVerb;
 import org.wheatwall.app.compare.CompareVerb;
 import org.wheatwall.app.demo.DemoVerb;
@@ -38,6 +39,7 @@
           new LoadVerb(),
           new CompareVerb(),
           new BenchVerb(),
+          new AccountVerb(),
           new SoakVerb());
 
   private Verbs() {}
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -56,7 +56,14 @@
         RunEvent.Kind.GROUP_STARTED,
         run.group().jobId(),
         run.group().text(),
-        "run " + run.state().run() + " on " + String.join(",", run.workers()));
+        "run "
+            + run.state().run()
+            + " on "
+            + String.join(",", run.workers())
+            + term.scheduler.expectedMs(run.attemptId()).stream()
+                .mapToObj(ms -> ", expected " + ms + " ms")
+                .findFirst()
+                .orElse(""));
     for (MemberRun member : run.members()) {
       sendStart(run, member);
     }
--- a/core/src/main/java/org/wheatwall/core/batch/model/BatchJob.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/BatchJob.java
@@ -72,6 +72,21 @@
     return priority == URGENT;
   }
 
+  /** Returns the longest chain of steps by their submitter's guesses, milliseconds. */
+  public long declaredChainMs() {
+    long[] untilEndMs = new long[steps.size()];
+    long longest = 0;
+    for (int i = 0; i < steps.size(); i++) {
+      long before = 0;
+      for (int earlier : steps.get(i).after()) {
+        before = Math.max(before, untilEndMs[earlier]);
+      }
+      untilEndMs[i] = before + steps.get(i).estimateMs();
+      longest = Math.max(longest, untilEndMs[i]);
+    }
+    return longest;
+  }
+
   /** Returns how often its steps run. */
   public int occurrences() {
     return recurrence.map(Recurrence::times).orElse(1);
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.wheatwall.core.job.model.GuaranteedShape;
@@ -218,6 +219,14 @@
     return Collections.unmodifiableCollection(tables.running.values());
   }
 
+  /** Returns how long an attempt is expected to run, milliseconds; empty if it is not known. */
+  public OptionalLong expectedMs(String attemptId) {
+    RunningAttempt attempt = tables.running.get(attemptId);
+    return attempt == null
+        ? OptionalLong.empty()
+        : OptionalLong.of((long) attempt.expectedEndMs() - attempt.startedAtMs());
+  }
+
   /** Returns the jobs that wait. */
   public Collection<QueuedJob> waiting() {
     return Collections.unmodifiableCollection(tables.waiting.values());
