45% of the accelerators are kept for urgent work, but not from work that has to begin now

Other work of these queues has three times its run time.

Change: UrgentRoom, a rule of its own; the objective of each queue, decoded since wheatwall account, tells when work has to begin to be done within it, and such work takes the room.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -23,6 +23,7 @@
 import org.wheatwall.core.job.decision.Decision;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.core.job.policy.QueuedJob;
 
 /**
@@ -83,6 +84,14 @@
     term.dirty = true;
   }
 
+  /** Sets how soon jobs are to be done, by queue. */
+  public void setObjectives(Map<String, Objective> byQueue) {
+    Map<String, Objective> byClass = new HashMap<>();
+    byQueue.forEach((queue, objective) -> byClass.put(Names.labelTextOf(queue), objective));
+    term.scheduler.setObjectives(byClass);
+    term.dirty = true;
+  }
+
   /** Sets the queues whose steps may run only where a permit for them was given. */
   public void setPermitQueues(Set<String> queues, long steadyMs) {
     term.nowMs = steadyMs;
--- a/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
@@ -26,9 +26,6 @@
   // What is missing is worked out when somebody asks, not at each look at the queue.
   static final WaitReason NEVER_FITS = new WaitReason(WaitReason.Kind.NEVER_FITS, "");
 
-  // Urgent work is expected while some came within this time.
-  private static final int URGENT_MEMORY_MS = 10_000;
-
   private final SchedulerTables tables;
   private final SchedulerSettings settings;
   private final long nowMs;
@@ -163,7 +160,7 @@
       return false;
     }
     BackfillWindow window = windows.get(policy.name());
-    if (takesHeadroom(job.job())) {
+    if (tables.urgentRoom.isTakenBy(job, tables.cluster, nowMs)) {
       return false;
     }
     if (window != null
@@ -178,18 +175,6 @@
     return began;
   }
 
-  // With less than half in use nothing has to wait: urgent work finds room beside it.
-  private boolean takesHeadroom(Job job) {
-    boolean urgentComes = nowMs - tables.lastUrgentMs < URGENT_MEMORY_MS;
-    boolean halfEmpty = tables.cluster.freeAccelerators() * 2 > tables.cluster.totalAccelerators();
-    boolean exempt = job.urgent() || job.shape().isPresent() || job.totalAccelerators() == 0;
-    if (exempt || halfEmpty || !urgentComes) {
-      return false;
-    }
-    int left = tables.cluster.freeAccelerators() - job.totalAccelerators();
-    return left * 100 < tables.cluster.totalAccelerators() * settings.urgentHeadroomPercent();
-  }
-
   // A policy that fails or proposes what cannot be counts as one that found no place.
   private Optional<Placement> propose(Job job, PolicyTable.Entry policy) {
     Optional<Placement> place;
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.wheatwall.core.job.model.GuaranteedShape;
 import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.PolicySpec;
 import org.wheatwall.core.job.model.WaitReason;
@@ -26,7 +27,7 @@
  */
 public final class Scheduler {
   private final SchedulerSettings settings;
-  private final SchedulerTables tables = new SchedulerTables();
+  private final SchedulerTables tables;
   private final HostHealth health;
   private final Set<String> cordoned = new HashSet<>();
   private final Set<String> unavailable = new HashSet<>();
@@ -34,6 +35,7 @@
   /** Creates a scheduler without hosts or jobs. */
   public Scheduler(SchedulerSettings settings) {
     this.settings = settings;
+    this.tables = new SchedulerTables(settings);
     this.health = new HostHealth(settings.health());
   }
 
@@ -63,6 +65,14 @@
     tables.guarantees.set(acceleratorsByWorkspace);
   }
 
+  /**
+   * Sets how soon jobs are to be done, by the value of the label {@value
+   * RunTimeEstimator#CLASS_LABEL}.
+   */
+  public void setObjectives(Map<String, Objective> byClass) {
+    tables.urgentRoom.setObjectives(byClass);
+  }
+
   /** Returns the workspaces by name. */
   public Map<String, Workspace> workspaces() {
     return tables.workspaces;
@@ -115,7 +125,7 @@
         name, new QueuedJob(name, job, submittedAtMs, tables.estimator.expectedSeconds(job)));
     tables.guarantees.add(job);
     if (job.urgent()) {
-      tables.lastUrgentMs = Math.max(tables.lastUrgentMs, submittedAtMs);
+      tables.urgentRoom.urgentCame(submittedAtMs);
     }
     tables.reasons.put(name, new WaitReason(WaitReason.Kind.QUEUED, "not looked at yet"));
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerTables.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerTables.java
@@ -19,13 +19,17 @@
   final Map<String, String> attemptOfJob = new HashMap<>();
   final Map<String, WaitReason> reasons = new HashMap<>();
   final Map<String, Integer> usedByWorkspace = new HashMap<>();
+  final UrgentRoom urgentRoom;
   final Reclaimer reclaimer = new Reclaimer(cluster, plan, guarantees, running);
   Map<String, Workspace> workspaces = Map.of();
   PolicyTable policies = PolicyTable.ofActive(Map.of());
   String attemptPrefix = "0";
   long attemptCounter;
   long invalidProposals;
-  long lastUrgentMs = Long.MIN_VALUE / 2;
+
+  SchedulerTables(SchedulerSettings settings) {
+    urgentRoom = new UrgentRoom(settings.urgentHeadroomPercent());
+  }
 
   /** Counts a job that was waiting, or found running, as running from now on. */
   void track(String attemptId, QueuedJob start, Placement placement, long nowMs) {
--- a/core/src/main/java/org/wheatwall/core/batch/model/Objective.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/Objective.java
@@ -1,4 +1,4 @@
-package org.wheatwall.core.batch.model;
+package org.wheatwall.core.job.model;
 
 /**
  * How soon jobs of a queue are to be done, from when they are handed in.
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/job/decision/LiveLoad.java
@@ -0,0 +1,245 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.Objective;
+import org.wheatwall.core.job.model.PolicyAlgorithm;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+
+/**
+ * Plays two minutes of load on 33 hosts: live gangs in bursts, long gangs and wide jobs of single
+ * tasks beside them, and stops that take a part of a second. Counts what callers get.
+ */
+final class LiveLoad {
+  private static final int HOSTS = 33;
+  private static final int HOSTS_A_RACK = 8;
+  private static final long LENGTH_MS = 120_000;
+  private static final int AT_ONCE_MS = 250;
+  private static final int[] ACCELERATORS = {1, 2, 4, 8, 8};
+  private static final Objective LIVE = new Objective(1.5, 250);
+  private static final Objective OTHER = new Objective(3, 1000);
+
+  private final Scheduler scheduler;
+  private final Random random;
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Map<String, Work> works = new HashMap<>();
+  private final Map<String, Decision.Start> planned = new HashMap<>();
+  private final Map<String, Set<String>> victims = new HashMap<>();
+  private final Set<String> stopped = new HashSet<>();
+  private long nowMs;
+  private long number;
+
+  /** What came of the load. */
+  static final class Result {
+    int live;
+    int liveAtOnce;
+    int liveInTime;
+    int others;
+    int othersInTime;
+    int stops;
+    double secondsThrownAway;
+
+    @Override
+    public String toString() {
+      return String.format(
+          "live %d at once, %d of %d in time, others %d of %d, %d stops, %.0f s thrown away",
+          liveAtOnce, liveInTime, live, othersInTime, others, stops, secondsThrownAway);
+    }
+  }
+
+  private final Result result = new Result();
+
+  private record Event(long atMs, long number, Runnable task) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      return atMs != other.atMs
+          ? Long.compare(atMs, other.atMs)
+          : Long.compare(number, other.number);
+    }
+  }
+
+  private record Work(String name, Job job, long arrivedMs, long tookMs) {}
+
+  LiveLoad(SchedulerSettings settings, long seed) {
+    scheduler = new Scheduler(settings);
+    random = new Random(seed);
+    for (int i = 0; i < HOSTS; i++) {
+      ResourceAmount capacity = new ResourceAmount(32, 1000, 8);
+      scheduler
+          .cluster()
+          .add(new WorkerHost("host-" + i, "zone", "rack-" + i / HOSTS_A_RACK, capacity));
+    }
+    scheduler.hostsChanged();
+    scheduler.setObjectives(Map.of("long", OTHER, "wide", OTHER));
+    scheduler.setPolicies(
+        Map.of(
+            "policy",
+            new PolicySpec(Labels.NONE, PolicyAlgorithm.PRIORITY_FIRST, "", 0, 0, 0, false)));
+  }
+
+  Result run() {
+    for (long at = 0; at < LENGTH_MS; at += 10_000) {
+      arrivals("live", at, 5000, 0.9);
+      arrivals("live", at + 5000, 5000, 2.4);
+      arrivals("long", at, 10_000, 0.42);
+      arrivals("wide", at, 10_000, 0.4);
+    }
+    while (!events.isEmpty()) {
+      Event event = events.poll();
+      nowMs = event.atMs();
+      event.task().run();
+      decide();
+    }
+    return result;
+  }
+
+  private void at(long atMs, Runnable task) {
+    events.add(new Event(atMs, number++, task));
+  }
+
+  private void arrivals(String kind, long fromMs, long lengthMs, double perSecond) {
+    double at = fromMs;
+    while (true) {
+      at += -Math.log(1 - random.nextDouble()) / perSecond * 1000;
+      if (at >= fromMs + lengthMs) {
+        return;
+      }
+      at((long) at, () -> arrive(kind));
+    }
+  }
+
+  private void arrive(String kind) {
+    if (kind.equals("wide")) {
+      int tasks = 4 + random.nextInt(24);
+      for (int i = 0; i < tasks; i++) {
+        submit(kind, 1, 1, 7600);
+      }
+      return;
+    }
+    int accelerators = ACCELERATORS[random.nextInt(ACCELERATORS.length)];
+    boolean live = kind.equals("live");
+    submit(kind, 1 + random.nextInt(live ? 5 : 9), accelerators, live ? 2500 : 8500);
+  }
+
+  private void submit(String kind, int tasks, int accelerators, long meanMs) {
+    long tookMs = (long) (meanMs * Math.exp(random.nextGaussian() * 0.35));
+    boolean live = kind.equals("live");
+    Job job =
+        new Job(
+            new Labels(Map.of(RunTimeEstimator.CLASS_LABEL, kind)),
+            "workspace",
+            "zone",
+            Optional.empty(),
+            tasks,
+            new ResourceAmount(1, 10, accelerators),
+            tasks > 1 ? Adjacency.SAME_RACK : Adjacency.ANY,
+            (int) Math.max(1, meanMs / 1000),
+            true,
+            live,
+            JobPhase.SUBMITTED);
+    Work work = new Work(kind + "-" + works.size(), job, nowMs, tookMs);
+    works.put(work.name(), work);
+    scheduler.submit(work.name(), job, nowMs);
+  }
+
+  private void decide() {
+    for (Decision decision : scheduler.decide(nowMs)) {
+      if (decision instanceof Decision.Stop stop) {
+        stop(stop.attemptId());
+      } else if (decision instanceof Decision.Start start) {
+        planned.put(start.attemptId(), start);
+        victims.put(start.attemptId(), new HashSet<>(start.victims()));
+        beginIfFree(start.attemptId());
+      }
+    }
+  }
+
+  private void beginIfFree(String attemptId) {
+    if (planned.containsKey(attemptId) && victims.get(attemptId).isEmpty()) {
+      Decision.Start start = planned.remove(attemptId);
+      Work work = works.get(start.jobName());
+      boolean atOnce = nowMs - work.arrivedMs() <= AT_ONCE_MS;
+      result.liveAtOnce += work.job().urgent() && atOnce ? 1 : 0;
+      at(nowMs + work.tookMs(), () -> done(attemptId, work));
+    }
+  }
+
+  private void done(String attemptId, Work work) {
+    if (stopped.contains(attemptId)) {
+      return;
+    }
+    scheduler.attemptEnded(attemptId, EndReason.SUCCEEDED, nowMs);
+    boolean live = work.job().urgent();
+    Objective objective = live ? LIVE : OTHER;
+    boolean inTime = nowMs - work.arrivedMs() <= objective.ms(work.tookMs());
+    result.live += live ? 1 : 0;
+    result.liveInTime += live && inTime ? 1 : 0;
+    result.others += live ? 0 : 1;
+    result.othersInTime += !live && inTime ? 1 : 0;
+    ended(attemptId);
+  }
+
+  private void stop(String attemptId) {
+    if (!stopped.add(attemptId)) {
+      return;
+    }
+    result.stops++;
+    long began =
+        scheduler.running().stream()
+            .filter(attempt -> attempt.attemptId().equals(attemptId))
+            .mapToLong(RunningAttempt::startedAtMs)
+            .findFirst()
+            .orElse(nowMs);
+    result.secondsThrownAway += (nowMs - began) / 1000.0;
+    at(nowMs + 300 + random.nextInt(600), () -> stopEnded(attemptId));
+  }
+
+  private void stopEnded(String attemptId) {
+    String name = attemptId.substring(0, attemptId.indexOf('.'));
+    scheduler.attemptEnded(attemptId, EndReason.INTERRUPTED, nowMs);
+    Work work = works.get(name);
+    scheduler.submit(name, work.job(), work.arrivedMs());
+    planned.remove(attemptId);
+    ended(attemptId);
+  }
+
+  private void ended(String attemptId) {
+    for (String waiting : new ArrayList<>(planned.keySet())) {
+      if (victims.get(waiting).remove(attemptId)) {
+        beginIfFree(waiting);
+      }
+    }
+  }
+
+  /** Returns what came of several seeds. */
+  static Result sum(SchedulerSettings settings, int seeds) {
+    Result sum = new Result();
+    List<Result> results = new ArrayList<>();
+    for (int seed = 1; seed <= seeds; seed++) {
+      results.add(new LiveLoad(settings, seed).run());
+    }
+    for (Result each : results) {
+      sum.live += each.live;
+      sum.liveAtOnce += each.liveAtOnce;
+      sum.liveInTime += each.liveInTime;
+      sum.others += each.others;
+      sum.othersInTime += each.othersInTime;
+      sum.stops += each.stops;
+      sum.secondsThrownAway += each.secondsThrownAway;
+    }
+    return sum;
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -20,6 +20,7 @@
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
+import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogWriter;
 import org.wheatwall.entry.batch.permit.PermitDesk;
@@ -121,6 +122,10 @@
     supervisor.setPermitQueues(queues, tools.clock().nowMs());
   }
 
+  void setObjectives(Map<String, Objective> byQueue) {
+    supervisor.setObjectives(byQueue);
+  }
+
   boolean writerIdle() {
     return writer.idle();
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -18,6 +18,7 @@
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.entry.batch.log.LogFollower;
 import org.wheatwall.entry.batch.peer.HostRoster;
 import org.wheatwall.entry.common.Clock;
@@ -197,6 +198,11 @@
     tools.loop().execute(() -> holder.setPermitQueues(queues));
   }
 
+  /** Sets how soon jobs are to be done, by queue. */
+  public void setObjectives(Map<String, Objective> byQueue) {
+    tools.loop().execute(() -> holder.setObjectives(byQueue));
+  }
+
   /** Returns the seconds after which a caller that was turned away should come back. */
   public int returnAfterSeconds() {
     return ReturnTime.afterSeconds(tools.clock().nowMs() - logAnsweredAtMs);
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchScheduling.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchScheduling.java
@@ -12,8 +12,8 @@
   private static final int STARVATION_MS = 600_000;
   private static final int SCAN_LIMIT = 500;
   private static final int START_LIMIT = 64;
-  // Weighed by the worth of six days of two sites: docs/design/platform.md.
-  private static final int URGENT_HEADROOM_PERCENT = 30;
+  // Weighed by pairs of plays on three sites: docs/deciding.md.
+  private static final int URGENT_HEADROOM_PERCENT = 45;
 
   /** Bounds on one look at the queue, and the room that is left for urgent work. */
   static final SchedulerSettings SETTINGS =
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -14,6 +14,7 @@
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.entry.batch.log.KeyedLog;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogFailure;
@@ -43,6 +44,7 @@
   private LogFollower follower;
   private Map<String, Integer> urgentGuarantees = Map.of();
   private Set<String> permitQueues = Set.of();
+  private Map<String, Objective> objectives = Map.of();
   private Optional<BatchDecider> decider = Optional.empty();
   private boolean claiming;
   private int claimRepeats;
@@ -142,6 +144,11 @@
     decider.ifPresent(current -> current.setPermitQueues(permitQueues));
   }
 
+  void setObjectives(Map<String, Objective> byQueue) {
+    objectives = Map.copyOf(byQueue);
+    decider.ifPresent(current -> current.setObjectives(objectives));
+  }
+
   /** Claims no more and hands the term over, if it is held; the future never fails. */
   CompletableFuture<Void> release() {
     stopping = true;
@@ -292,6 +299,7 @@
     decider = Optional.of(next);
     passGuarantees(next);
     next.setPermitQueues(permitQueues);
+    next.setObjectives(objectives);
     next.begin(table);
     ports.directory().open(next);
   }
