Workers whose tasks turn slow or stand still are left aside

Cause: the progress of running tasks was decoded and never read, so that a worker seven times slower than before drew work like any other.

Change: WorkerSpeeds compares each task with its own best speed, by the worker's clock; a worker most of whose tasks move at less than a third of theirs gets no new work until they move again, or for 3 s after the last measure. At most a quarter of the workers are left aside. WORKER_SLOW and WORKER_AT_SPEED tell the figure.

Ruled out: comparing with declared or learned run times (off by a factor of two for live requests, whatever the worker).

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -24,6 +24,8 @@
     WORKER_UNLISTED,
     WORKER_UNREACHABLE,
     WORKER_GONE,
+    WORKER_SLOW,
+    WORKER_AT_SPEED,
     STRAY_RUN
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -293,6 +293,7 @@
       term.submitReady(progress);
     }
     lifecycle.endLapsed();
+    reports.tick();
     lifecycle.repeatOrders();
     term.permits.tick();
     term.flush();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
@@ -16,6 +16,9 @@
 
 /** The workers of a service as the decider knows them, and the scheduler's view of them. */
 final class WorkerBook {
+  // With more slow ones than this share something else is wrong, and work needs room.
+  private static final int MOST_ASIDE_SHARE = 4;
+
   private final Scheduler scheduler;
   private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
   private final long earlierOrdersUntilMs;
@@ -97,6 +100,26 @@
     return fresh;
   }
 
+  /**
+   * Leaves a slow worker aside, or takes it back; returns whether that changed anything. Most
+   * workers stay in use whatever is measured.
+   */
+  boolean setAside(String id, boolean slow) {
+    WorkerRecord record = record(id);
+    boolean allowed = !slow || record.aside() || aside().size() < workers.size() / MOST_ASIDE_SHARE;
+    if (record.aside() == slow || !allowed) {
+      return false;
+    }
+    record.setAside(slow);
+    refresh(record);
+    return true;
+  }
+
+  /** Returns the workers that are left aside. */
+  List<String> aside() {
+    return workers.values().stream().filter(WorkerRecord::aside).map(WorkerRecord::id).toList();
+  }
+
   /** Forgets a worker of which nothing can run any more. */
   void remove(String id) {
     workers.remove(id);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -13,6 +13,7 @@
   private boolean listed;
   private boolean heard;
   private boolean suspected;
+  private boolean aside;
   private long leasedAtMs;
   private long answeredAtMs = Long.MIN_VALUE;
   private long acknowledged;
@@ -50,7 +51,7 @@
 
   /** Returns whether new work may go there. */
   boolean usable() {
-    return listed && heard && !suspected && !info.map(WorkerInfo::draining).orElse(true);
+    return listed && heard && !suspected && !aside && !info.map(WorkerInfo::draining).orElse(true);
   }
 
   /** Returns whether it is listed and was not heard, or does not answer any more. */
@@ -63,6 +64,15 @@
     return listed && !heard && !suspected;
   }
 
+  /** Returns whether it is left aside because it is slow. */
+  boolean aside() {
+    return aside;
+  }
+
+  void setAside(boolean next) {
+    aside = next;
+  }
+
   void heard(long nowMs) {
     heard = true;
     suspected = false;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -18,12 +18,14 @@
 
 /** Takes in what workers report: ends, what still runs, and what is missing. */
 final class WorkerReports {
+  private static final int PERCENT = 100;
   private static final int STRAY_GRACE_MS = 1500;
   // A worker lists at most so many ends at once; with as many, others may be left out.
   private static final int MOST_ENDS_LISTED = 500;
 
   private final TermState term;
   private final RunLifecycle lifecycle;
+  private final WorkerSpeeds speeds = new WorkerSpeeds();
   // When each unknown run was first reported, by worker.
   private final Map<String, Map<String, Long>> strays = new HashMap<>();
   private final Map<String, Long> handledEnds = new HashMap<>();
@@ -54,6 +56,7 @@
    */
   void onReport(String worker, WorkerInventory report, long askedMs) {
     term.heard(worker);
+    noteSpeed(worker, report);
     Set<GroupRun> touched = new LinkedHashSet<>();
     long handled = handledEnds.getOrDefault(worker, 0L);
     long last = handled;
@@ -75,6 +78,28 @@
     term.forgetIfIdle(worker);
   }
 
+  private void noteSpeed(String worker, WorkerInventory report) {
+    speeds.observe(worker, report, term.nowMs);
+    setAsideIfSlow(worker);
+  }
+
+  /** Takes back the workers of which nothing was measured for a while. */
+  void tick() {
+    term.workers.aside().forEach(this::setAsideIfSlow);
+  }
+
+  private void setAsideIfSlow(String worker) {
+    Optional<Double> share = speeds.slowShare(worker, term.nowMs);
+    if (term.workers.setAside(worker, share.isPresent())) {
+      term.dirty = true;
+      RunEvent.Kind kind =
+          share.isPresent() ? RunEvent.Kind.WORKER_SLOW : RunEvent.Kind.WORKER_AT_SPEED;
+      Optional<String> reason =
+          share.map(known -> "its tasks move at " + Math.round(known * PERCENT) + "% of before");
+      term.note(kind, "", worker, reason.orElse("its tasks move as before, or it is tried again"));
+    }
+  }
+
   private void onEnd(String worker, WorkerInventory.EndedTask end, Set<GroupRun> touched) {
     JobRuns progress = term.jobs.get(end.task().jobId());
     if (progress == null || end.task().step() >= progress.job().steps().size()) {
