What the configuration says about scheduling travels as one record

Three setters stood one below the other in four classes (BatchHost, TermHolder, BatchDecider, RunSupervisor); SchedulingRules replaces them. No behaviour changed.

--- a/app/src/main/java/org/wheatwall/app/account/GroupStory.java
+++ b/app/src/main/java/org/wheatwall/app/account/GroupStory.java
@@ -12,6 +12,9 @@
   private static final Pattern EXPECTED = Pattern.compile("expected (\\d+) ms");
   private static final Pattern WORKERS = Pattern.compile(" on ([^ ,]+(?:,[^ ,]+)*)");
 
+  // An end that is heard so soon after a change of decider was not heard when it happened.
+  private static final long HEARD_LATE_MS = 300;
+
   private final int step;
   private final List<Run> runs = new ArrayList<>();
   private OptionalLong doneMs = OptionalLong.empty();
@@ -144,7 +147,6 @@
     add(uses, TimeUse.ROOM, toMs - fromMs - without - reports);
   }
 
-  // An end that was heard right after a change of decider happened some time before it.
   private static void addLastRun(Run run, DeciderGaps gaps, Map<TimeUse, Long> uses) {
     long tookMs = run.endMs() - run.startMs();
     boolean heardLate = gaps.withoutDecider().endedShortlyBefore(run.endMs(), HEARD_LATE_MS);
@@ -155,8 +157,6 @@
     add(uses, TimeUse.RUNNING_LONGER, tookMs - unheard - expected);
   }
 
-  private static final long HEARD_LATE_MS = 300;
-
   private static void add(Map<TimeUse, Long> uses, TimeUse use, long ms) {
     uses.merge(use, Math.max(0, ms), Long::sum);
   }
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunExplainer.java
@@ -0,0 +1,41 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.job.policy.QueuedJob;
+
+/** Tells operators what the groups of a job wait for or where they run. */
+final class RunExplainer {
+  private final TermState term;
+
+  RunExplainer(TermState term) {
+    this.term = term;
+  }
+
+  /** Returns a line for each group of a job that waits or runs. */
+  List<String> explain(String jobId) {
+    List<String> lines = new ArrayList<>();
+    String prefix = jobId + ".";
+    for (QueuedJob queued : term.scheduler.waiting()) {
+      if (queued.name().startsWith(prefix)) {
+        lines.add(queued.name() + " waits: " + term.scheduler.reason(queued.name()).orElseThrow());
+        permits(queued.name()).ifPresent(lines::add);
+      }
+    }
+    for (GroupRun run : term.runs.ofJob(jobId)) {
+      lines.add(run.group().text() + " runs: " + run);
+    }
+    return lines;
+  }
+
+  private Optional<String> permits(String queuedName) {
+    return GroupKey.parse(queuedName)
+        .flatMap(
+            group ->
+                Optional.ofNullable(term.jobs.get(group.jobId()))
+                    .flatMap(progress -> term.permits.explain(progress.job(), group)))
+        .map(text -> queuedName + " has " + text);
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -1,6 +1,5 @@
 package org.wheatwall.core.batch.decision;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,6 +14,7 @@
 import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.PermitAnswer;
 import org.wheatwall.core.batch.model.PermitQuestion;
+import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
@@ -24,7 +24,6 @@
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.Objective;
-import org.wheatwall.core.job.policy.QueuedJob;
 
 /**
  * Decides for one term which groups of tasks start where, and follows every run to its end.
@@ -76,26 +75,20 @@
     return term.scheduler;
   }
 
-  /** Sets how many accelerators each workspace can always have for its urgent jobs. */
-  public void setUrgentGuarantees(Map<String, Integer> acceleratorsByWorkspace) {
-    Map<String, Integer> byName = new HashMap<>();
-    acceleratorsByWorkspace.forEach((name, count) -> byName.put(Names.nameOf(name), count));
-    term.scheduler.setUrgentGuarantees(byName);
-    term.dirty = true;
-  }
-
-  /** Sets how soon jobs are to be done, by queue. */
-  public void setObjectives(Map<String, Objective> byQueue) {
-    Map<String, Objective> byClass = new HashMap<>();
-    byQueue.forEach((queue, objective) -> byClass.put(Names.labelTextOf(queue), objective));
-    term.scheduler.setObjectives(byClass);
-    term.dirty = true;
-  }
-
-  /** Sets the queues whose steps may run only where a permit for them was given. */
-  public void setPermitQueues(Set<String> queues, long steadyMs) {
+  /** Takes in what the operator's configuration says. */
+  public void setRules(SchedulingRules rules, long steadyMs) {
     term.nowMs = steadyMs;
-    term.permits.setQueues(queues);
+    Map<String, Integer> guarantees = new HashMap<>();
+    rules
+        .urgentGuarantees()
+        .forEach((workspace, count) -> guarantees.put(Names.nameOf(workspace), count));
+    term.scheduler.setUrgentGuarantees(guarantees);
+    Map<String, Objective> objectives = new HashMap<>();
+    rules
+        .objectives()
+        .forEach((queue, objective) -> objectives.put(Names.labelTextOf(queue), objective));
+    term.scheduler.setObjectives(objectives);
+    term.permits.setQueues(rules.permitQueues());
     term.dirty = true;
   }
 
@@ -229,27 +222,7 @@
 
   /** Returns, for each group of a job that waits or runs, what it waits for or where it runs. */
   public List<String> explain(String jobId) {
-    List<String> lines = new ArrayList<>();
-    String prefix = jobId + ".";
-    for (QueuedJob queued : term.scheduler.waiting()) {
-      if (queued.name().startsWith(prefix)) {
-        lines.add(queued.name() + " waits: " + term.scheduler.reason(queued.name()).orElseThrow());
-        explainPermits(queued.name()).ifPresent(lines::add);
-      }
-    }
-    for (GroupRun run : term.runs.ofJob(jobId)) {
-      lines.add(run.group().text() + " runs: " + run);
-    }
-    return lines;
-  }
-
-  private Optional<String> explainPermits(String queuedName) {
-    return GroupKey.parse(queuedName)
-        .flatMap(
-            group ->
-                Optional.ofNullable(term.jobs.get(group.jobId()))
-                    .flatMap(progress -> term.permits.explain(progress.job(), group)))
-        .map(text -> queuedName + " has " + text);
+    return new RunExplainer(term).explain(jobId);
   }
 
   /** Takes in the answer to a start. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/BackfillWindow.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/BackfillWindow.java
@@ -16,6 +16,11 @@
 record BackfillWindow(Set<String> hosts, double startMs, int spare) {
   private static final int MS_PER_SECOND = 1000;
 
+  /** Copies the hosts. */
+  BackfillWindow {
+    hosts = Set.copyOf(hosts);
+  }
+
   /** Returns whether starting {@code job} at {@code place} now is expected to delay the first. */
   boolean isDelayedBy(Job job, Placement place, double expectedSeconds, long nowMs) {
     return reachesIn(expectedSeconds, nowMs) && taken(job, place) > spare;
--- a/core/src/test/java/org/wheatwall/core/batch/decision/PermitRoundsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/PermitRoundsTest.java
@@ -13,6 +13,7 @@
 import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.PermitAnswer;
 import org.wheatwall.core.batch.model.PermitQuestion;
+import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StepKey;
 
@@ -25,7 +26,8 @@
 
   @BeforeEach
   void listWorkers() {
-    fixture.supervisor.setPermitQueues(Set.of(SupervisorFixture.QUEUE), fixture.nowMs);
+    fixture.supervisor.setRules(
+        SchedulingRules.ofPermitQueues(Set.of(SupervisorFixture.QUEUE)), fixture.nowMs);
     fixture.listWorker("a", "r1");
     fixture.listWorker("b", "r1");
     fixture.listWorker("c", "r2");
@@ -72,7 +74,7 @@
 
   @Test
   void queuesThatNeedNoPermitsAreNotHeldUp() {
-    fixture.supervisor.setPermitQueues(Set.of("other"), fixture.nowMs);
+    fixture.supervisor.setRules(SchedulingRules.ofPermitQueues(Set.of("other")), fixture.nowMs);
     fixture.accept(oneTask());
     assertThat(fixture.effects.questions).isEmpty();
     assertThat(fixture.startedOn()).hasSize(1);
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.RunEffects;
@@ -17,10 +16,10 @@
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.PermitAnswer;
 import org.wheatwall.core.batch.model.PermitQuestion;
+import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
-import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogWriter;
 import org.wheatwall.entry.batch.permit.PermitDesk;
@@ -118,12 +117,8 @@
     return supervisor;
   }
 
-  void setPermitQueues(Set<String> queues) {
-    supervisor.setPermitQueues(queues, tools.clock().nowMs());
-  }
-
-  void setObjectives(Map<String, Objective> byQueue) {
-    supervisor.setObjectives(byQueue);
+  void setRules(SchedulingRules rules) {
+    supervisor.setRules(rules, tools.clock().nowMs());
   }
 
   boolean writerIdle() {
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -17,8 +16,8 @@
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.common.Refusal;
-import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.entry.batch.log.LogFollower;
 import org.wheatwall.entry.batch.peer.HostRoster;
 import org.wheatwall.entry.common.Clock;
@@ -188,19 +187,9 @@
                     .orElse(List.of())));
   }
 
-  /** Sets how many accelerators each workspace can always have for its urgent jobs. */
-  public void setUrgentGuarantees(Map<String, Integer> acceleratorsByWorkspace) {
-    tools.loop().execute(() -> holder.setUrgentGuarantees(acceleratorsByWorkspace));
-  }
-
-  /** Sets the queues whose steps may run only where a permit for them was given. */
-  public void setPermitQueues(Set<String> queues) {
-    tools.loop().execute(() -> holder.setPermitQueues(queues));
-  }
-
-  /** Sets how soon jobs are to be done, by queue. */
-  public void setObjectives(Map<String, Objective> byQueue) {
-    tools.loop().execute(() -> holder.setObjectives(byQueue));
+  /** Takes in what the operator's configuration says about scheduling. */
+  public void setRules(SchedulingRules rules) {
+    tools.loop().execute(() -> holder.setRules(rules));
   }
 
   /** Returns the seconds after which a caller that was turned away should come back. */
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -3,10 +3,8 @@
 import static org.wheatwall.entry.batch.DecisionLog.field;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.TermRule;
@@ -14,7 +12,7 @@
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
-import org.wheatwall.core.job.model.Objective;
+import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.entry.batch.log.KeyedLog;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogFailure;
@@ -42,9 +40,7 @@
   private final HostRoster roster;
   private final HolderWatch watch;
   private LogFollower follower;
-  private Map<String, Integer> urgentGuarantees = Map.of();
-  private Set<String> permitQueues = Set.of();
-  private Map<String, Objective> objectives = Map.of();
+  private SchedulingRules rules = SchedulingRules.NONE;
   private Optional<BatchDecider> decider = Optional.empty();
   private boolean claiming;
   private int claimRepeats;
@@ -134,19 +130,9 @@
     }
   }
 
-  void setUrgentGuarantees(Map<String, Integer> acceleratorsByWorkspace) {
-    urgentGuarantees = Map.copyOf(acceleratorsByWorkspace);
-    decider.ifPresent(this::passGuarantees);
-  }
-
-  void setPermitQueues(Set<String> queues) {
-    permitQueues = Set.copyOf(queues);
-    decider.ifPresent(current -> current.setPermitQueues(permitQueues));
-  }
-
-  void setObjectives(Map<String, Objective> byQueue) {
-    objectives = Map.copyOf(byQueue);
-    decider.ifPresent(current -> current.setObjectives(objectives));
+  void setRules(SchedulingRules next) {
+    rules = next;
+    decider.ifPresent(current -> current.setRules(rules));
   }
 
   /** Claims no more and hands the term over, if it is held; the future never fails. */
@@ -297,17 +283,11 @@
             rule.overlapMs(),
             () -> lose("the term was refused"));
     decider = Optional.of(next);
-    passGuarantees(next);
-    next.setPermitQueues(permitQueues);
-    next.setObjectives(objectives);
+    next.setRules(rules);
     next.begin(table);
     ports.directory().open(next);
   }
 
-  private void passGuarantees(BatchDecider current) {
-    current.supervisor().setUrgentGuarantees(urgentGuarantees);
-  }
-
   private void lose(String reason) {
     if (decider.isEmpty()) {
       return;
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.wheatwall.core.batch.decision.TermSettings;
+import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.entry.common.Clock;
 
 /** An entry host in simulated time: it may be killed, frozen and started again. */
@@ -78,7 +79,7 @@
             new DecisionLog(clock),
             new MetricRegistry());
     batch.start();
-    batch.setPermitQueues(permitQueues);
+    batch.setRules(SchedulingRules.ofPermitQueues(permitQueues));
   }
 
   void kill() {
