--- a/core/src/main/java/org/wheatwall/core/batch/decision/LateAnswers.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/LateAnswers.java
@@ -37,13 +37,13 @@
     due.put(worker, new Due(zone, dueMs));
   }
 
-  /** Notes an answer, or that none is waited for any more. */
+  /** Notes an answer. */
   public void answered(String worker, String zone, long nowMs) {
     due.remove(worker);
     heardInZoneMs.put(zone, nowMs);
   }
 
-  /** Notes that a call ended without an answer; the worker stays late until it is asked again. */
+  /** Notes that a call has ended without an answer, so that none is due until the next call. */
   public void forget(String worker) {
     due.remove(worker);
   }
