A question about any term changes nothing but an own claim of which the answer is out

Cause, found on reading: a host that is asked about a term that it does not hold must not win that term later, when it finds that a claim of its own was taken. It remembered the highest term it was asked about, so that a question with a large number kept it from winning any.

Change: only the term that its last claim would give is given up; a claim is won only if it is the last one and was not given up. TermQuestionTest (one of three fails before).

--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -45,8 +45,9 @@
   private boolean claiming;
   private int claimRepeats;
   private boolean stopping;
-  // Terms up to this one were said not to be acted on; a claim that is found late stays unused.
-  private long disclaimed;
+  // The term that the last claim would give; none once it was said not to be acted on, so that a
+  // claim of which the answer was lost stays unused.
+  private OptionalLong claimedTerm = OptionalLong.empty();
 
   /**
    * What tells this process from all others.
@@ -111,17 +112,23 @@
    */
   boolean actsOn(long term) {
     if (!rule.holds() || rule.term() != term) {
-      disclaimed = Math.max(disclaimed, term);
+      disown(term);
       return false;
     }
     if (!stopping && rule.unconfirmed(tools.clock().nowMs())) {
       lose("nothing was confirmed, and another host can read the log");
-      disclaimed = Math.max(disclaimed, term);
+      disown(term);
       return false;
     }
     return true;
   }
 
+  private void disown(long term) {
+    if (claimedTerm.equals(OptionalLong.of(term))) {
+      claimedTerm = OptionalLong.empty();
+    }
+  }
+
   private void dropHostsThatAreGone(BatchDecider current) {
     for (String gone : roster.gone(tools.clock().nowMs())) {
       roster.seen(gone, tools.clock().nowMs());
@@ -226,6 +233,7 @@
   // repeat.
   private void claim(long position) {
     rule.claimSent(tools.clock().nowMs());
+    claimedTerm = OptionalLong.of(JobTable.termOfClaim(position));
     LogEntry entry = termEntry(0, false);
     KeyedRecord record = new KeyedRecord(entry.key().text(), JobLogCodec.value(entry));
     KeyedLog.AppendCall call =
@@ -262,7 +270,8 @@
 
   private void won(long term) {
     JobTable table = replica.table();
-    if (rule.holds() || stopping || table.termNumber() > term || term <= disclaimed) {
+    boolean claimed = claimedTerm.equals(OptionalLong.of(term));
+    if (rule.holds() || stopping || table.termNumber() > term || !claimed) {
       return;
     }
     rule.won(term);
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/TermQuestionTest.java
@@ -0,0 +1,64 @@
+package org.wheatwall.entry.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** What a host says about its term when another asks, and what that does to it. */
+final class TermQuestionTest {
+  private static final long FIRST_TERM = 1;
+
+  private final VirtualTime time = new VirtualTime(11);
+  private final SimulatedStore store = new SimulatedStore(time);
+  private final SimulatedWorkers workers = new SimulatedWorkers(time, 4, 8, Optional.empty());
+  private final SimulatedPeers peers = new SimulatedPeers(time);
+  private final List<SimulatedHost> hosts = new ArrayList<>();
+
+  private SimulatedHost addHost() {
+    SimulatedHost host =
+        new SimulatedHost(time, "host-" + hosts.size(), store, workers, peers, 6000, Set.of());
+    hosts.add(host);
+    host.start();
+    return host;
+  }
+
+  private boolean actsOn(SimulatedHost host, long term) {
+    CompletableFuture<Boolean> answer = host.batch().actsOn(term);
+    time.runFor(1);
+    return answer.join();
+  }
+
+  @Test
+  void aHostThatIsWellSaysThatItActs() {
+    SimulatedHost host = addHost();
+    time.runFor(1000);
+    assertThat(actsOn(host, FIRST_TERM)).isTrue();
+    assertThat(actsOn(host, FIRST_TERM + 1)).isFalse();
+  }
+
+  @Test
+  void aHostThatIsCutFromTheStoreGivesUpWhenItIsAsked() {
+    SimulatedHost host = addHost();
+    time.runFor(1000);
+    store.setCut(host, true);
+    time.runFor(500);
+    assertThat(actsOn(host, FIRST_TERM)).isTrue();
+    time.runFor(1000);
+    assertThat(actsOn(host, FIRST_TERM)).isFalse();
+  }
+
+  // A question with any number must not keep a host from winning terms.
+  @Test
+  void aQuestionAboutATermThatNobodyClaimedChangesNothing() {
+    SimulatedHost host = addHost();
+    assertThat(actsOn(host, Long.MAX_VALUE)).isFalse();
+    assertThat(actsOn(host, 100)).isFalse();
+    time.runFor(1000);
+    assertThat(actsOn(host, FIRST_TERM)).isTrue();
+  }
+}
