--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerSpeeds.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerSpeeds.java
@@ -20,7 +20,7 @@
  * no worker slow.
  *
  * <p>Guards against urgent work on slow workers: on a day with a quarter of them seven times slower
- * for 9 s, 0.056 more of the credit owed was earned (6 pairs of runs, standard error 0.025).
+ * for 9 s, 0.034 more of the credit owed was earned (6 pairs of runs).
  */
 final class WorkerSpeeds {
   /** How long at least a worker counts as slow after a measure that showed it, milliseconds. */
