A slot whose answer was lost rests until its runner has most likely ended

Cause, shown by a trace of a saturated runner: a second copy of an earlier answer (or a cut, or a deadline) makes the entry host drop the connection in the middle of the next request, and its slot was given out again at once, with the runner still at work on it.

The rest lasts until most requests have ended and at least as long again as the request has been out, 1 s at most; a borrower says so in its SlotReturn. A planned stop waits for resting slots, since the next owner counts from zero. How long a lost request would have taken is no longer taken for a service time, which would shrink the rest.

--- a/entry/src/main/java/org/wheatwall/entry/request/BorrowedPermits.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/BorrowedPermits.java
@@ -124,7 +124,7 @@
               slots.borrowing(-1);
               if (failure != null) {
                 // The slot may have been granted and the reply lost.
-                giveBack(lender, service, permit, true);
+                giveBack(lender, service, permit, SlotEnd.DONE);
               } else if (reply.getSlotReply().getGranted()) {
                 borrowed.mark();
                 slots.offerBorrowed(slot(lender, service, permit, ofOwnZone, reply.getSlotReply()));
@@ -147,12 +147,16 @@
         reply.getRunner(),
         Addresses.parse(reply.getAddress()),
         ofOwnZone,
-        success -> giveBack(lender, service, permit, success));
+        end -> giveBack(lender, service, permit, end));
   }
 
-  private void giveBack(String lender, String service, String permit, boolean success) {
+  private void giveBack(String lender, String service, String permit, SlotEnd end) {
     SlotReturn.Builder returned =
-        SlotReturn.newBuilder().setPermit(permit).setService(service).setSuccess(success);
+        SlotReturn.newBuilder()
+            .setPermit(permit)
+            .setService(service)
+            .setSuccess(end == SlotEnd.DONE)
+            .setLost(end == SlotEnd.LOST);
     peers.send(lender, Envelope.newBuilder().setSlotReturn(returned), TIMEOUT_MS);
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/request/CallAttempts.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/CallAttempts.java
@@ -111,7 +111,7 @@
     if (decided.leave() == Leave.RUN) {
       return held.map(this::send).orElseGet(this::slotWithLeave);
     }
-    held.ifPresent(slot -> slot.giveBack(true));
+    held.ifPresent(slot -> slot.giveBack(SlotEnd.DONE));
     return switch (decided.leave()) {
       case KEPT ->
           CompletableFuture.completedFuture(
@@ -168,7 +168,7 @@
   private CompletableFuture<CallResult> send(Slot slot) {
     long remainingMs = deadlineMs - means.clock().nowMs();
     if (remainingMs <= 0) {
-      slot.giveBack(true);
+      slot.giveBack(SlotEnd.DONE);
       endStep(StepState.RELEASED, Optional.empty());
       return CompletableFuture.failedFuture(
           new Refusal(
@@ -191,17 +191,17 @@
 
   private CompletableFuture<CallResult> conclude(Slot slot, HttpReply reply, Throwable failure) {
     if (failure != null) {
-      slot.giveBack(false);
       boolean notSent =
           Problems.unwrap(failure) instanceof HttpFailure lost
               && lost.kind() == HttpFailure.Kind.NOT_SENT;
+      slot.giveBack(notSent ? SlotEnd.FAILED : SlotEnd.LOST);
       return notSent ? notRun(slot) : lost(slot, failure);
     }
     if (reply.header(NOT_RUN_HEADER).isPresent()) {
-      slot.giveBack(true);
+      slot.giveBack(SlotEnd.DONE);
       return notRun(slot);
     }
-    slot.giveBack(reply.status() < SERVER_ERROR);
+    slot.giveBack(reply.status() < SERVER_ERROR ? SlotEnd.DONE : SlotEnd.FAILED);
     if (reply.status() >= SERVER_ERROR && request.repeatable() && mayTryAgain(slot)) {
       lifecycle.repeat();
       return attempt();
--- a/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/ServiceSlots.java
@@ -13,6 +13,7 @@
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.request.decision.FairQueue;
+import org.wheatwall.core.request.decision.RestingSlots;
 import org.wheatwall.core.request.decision.RetryBudget;
 import org.wheatwall.core.request.decision.RunnerPool;
 import org.wheatwall.core.request.decision.ServiceTime;
@@ -33,6 +34,7 @@
   private FairQueue<SlotWaiter> queue;
   private RetryBudget retries;
   private final ServiceTime holdTime = new ServiceTime();
+  private final RestingSlots resting = new RestingSlots();
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private int localQueued;
   private int borrowed;
@@ -157,7 +159,7 @@
   // A waiter may have given up in between; its slot must not be lost.
   private static void hand(Slot slot, SlotWaiter waiter) {
     if (!waiter.slot().complete(slot)) {
-      slot.giveBack(true);
+      slot.giveBack(SlotEnd.DONE);
     }
   }
 
@@ -185,14 +187,15 @@
     if (waiter.isPresent()) {
       hand(slot, waiter.get());
     } else {
-      slot.giveBack(true);
+      slot.giveBack(SlotEnd.DONE);
     }
   }
 
-  /** Fails those that would get an answer only after their deadline. */
+  /** Frees the slots that have rested, and fails those whose answer would come too late. */
   void expire() {
     List<SlotWaiter> late;
     synchronized (this) {
+      resting.takeRested(clock.nowMs()).forEach(pool::giveBack);
       late = queue.expire(clock.nowMs());
       late.forEach(this::noteGone);
     }
@@ -258,18 +261,27 @@
         runner.name(),
         addresses.computeIfAbsent(runner.address(), Addresses::parse),
         true,
-        success -> {
-          synchronized (this) {
-            long nowMs = clock.nowMs();
-            pool.giveBack(runner.name());
-            double tookMs = (double) (nowMs - takenMs);
-            pool.onResult(runner.name(), success, tookMs, nowMs);
-            holdTime.note(tookMs);
-          }
+        end -> {
+          takeBack(runner.name(), end, takenMs);
           dispatch();
         });
   }
 
+  private synchronized void takeBack(String runner, SlotEnd end, long takenMs) {
+    long nowMs = clock.nowMs();
+    double tookMs = nowMs - takenMs;
+    pool.onResult(runner, end == SlotEnd.DONE, tookMs, nowMs);
+    if (end == SlotEnd.LOST) {
+      resting.rest(runner, tookMs, holdTime.neededMs(), nowMs);
+    } else {
+      pool.giveBack(runner);
+    }
+    // How long a lost request would have taken is not known; that it took longer than most is.
+    if (end != SlotEnd.LOST || tookMs > holdTime.meanMs()) {
+      holdTime.note(tookMs);
+    }
+  }
+
   private Refusal overloaded(String detail) {
     return new Refusal(
         RefusalKind.UNAVAILABLE,
--- a/entry/src/main/java/org/wheatwall/entry/request/Slot.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/Slot.java
@@ -9,16 +9,16 @@
   private final String runner;
   private final InetSocketAddress address;
   private final boolean ofOwnZone;
-  private final Consumer<Boolean> giveBack;
+  private final Consumer<SlotEnd> giveBack;
   private final AtomicBoolean given = new AtomicBoolean();
 
   /**
    * Creates a slot.
    *
    * @param ofOwnZone whether the runner is in this host's zone
-   * @param giveBack told whether the request went well, once
+   * @param giveBack told how the request ended, once
    */
-  Slot(String runner, InetSocketAddress address, boolean ofOwnZone, Consumer<Boolean> giveBack) {
+  Slot(String runner, InetSocketAddress address, boolean ofOwnZone, Consumer<SlotEnd> giveBack) {
     this.ofOwnZone = ofOwnZone;
     this.runner = runner;
     this.address = address;
@@ -38,9 +38,9 @@
     return ofOwnZone;
   }
 
-  void giveBack(boolean success) {
+  void giveBack(SlotEnd end) {
     if (given.compareAndSet(false, true)) {
-      giveBack.accept(success);
+      giveBack.accept(end);
     }
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotPermits.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotPermits.java
@@ -85,7 +85,7 @@
       lent.put(ask.getPermit(), new Lent(taken, clock.nowMs() + holdMs + LENT_MARGIN_MS));
       reply.setGranted(true).setRunner(taken.runner()).setAddress(Addresses.text(taken.address()));
     } else if (taken != null) {
-      taken.giveBack(true);
+      taken.giveBack(SlotEnd.DONE);
     }
     grantsUnderWay.decrementAndGet();
     return reply(reply);
@@ -99,14 +99,21 @@
     }
     Lent entry = lent.remove(returned.getPermit());
     if (entry != null) {
-      entry.slot().giveBack(returned.getSuccess());
+      entry.slot().giveBack(end(returned));
     }
     return CompletableFuture.completedFuture(Envelope.newBuilder().setSlotReturn(returned));
   }
 
+  private static SlotEnd end(SlotReturn returned) {
+    if (returned.getLost()) {
+      return SlotEnd.LOST;
+    }
+    return returned.getSuccess() ? SlotEnd.DONE : SlotEnd.FAILED;
+  }
+
   /**
-   * Lends nothing more; completes when every slot that was lent is back. The next owner of a runner
-   * counts from zero once this host has retired, so nothing of it may then be in use.
+   * Lends nothing more; completes when every slot that was lent is back and none is in use here.
+   * The next owner of a runner counts from zero once this host has retired.
    */
   CompletableFuture<Void> end() {
     CompletableFuture<Void> whenBack = new CompletableFuture<>();
@@ -114,17 +121,21 @@
     return whenBack;
   }
 
-  /** Takes back what was not returned in time; called every few milliseconds. */
-  void tick() {
+  /**
+   * Takes back what was not returned in time; called every few milliseconds.
+   *
+   * @param takenSlots slots of the own runners that are in use or rest
+   */
+  void tick(int takenSlots) {
     long nowMs = clock.nowMs();
     lent.forEach(
         (permit, entry) -> {
           if (entry.untilMs() <= nowMs && lent.remove(permit) != null) {
-            entry.slot().giveBack(false);
+            entry.slot().giveBack(SlotEnd.FAILED);
           }
         });
     CompletableFuture<Void> ending = ended;
-    if (ending != null && grantsUnderWay.get() == 0 && lent.isEmpty()) {
+    if (ending != null && grantsUnderWay.get() == 0 && lent.isEmpty() && takenSlots == 0) {
       ending.complete(null);
     }
   }
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
@@ -136,7 +136,7 @@
             borrowedPermits.borrow(service, slots);
           }
         });
-    permits.tick();
+    permits.tick(services.values().stream().mapToInt(ServiceSlots::takenSlots).sum());
   }
 
   /** Answers another entry host that asks for a slot. */
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotReturn.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotReturn.java
@@ -142,6 +142,44 @@
     success_ = false;
   }
 
+  public static final int LOST_FIELD_NUMBER = 5;
+  private boolean lost_;
+  /**
+   * <pre>
+   * The request left and no whole answer came.
+   * </pre>
+   *
+   * <code>bool lost = 5;</code>
+   * @return The lost.
+   */
+  @java.lang.Override
+  public boolean getLost() {
+    return lost_;
+  }
+  /**
+   * <pre>
+   * The request left and no whole answer came.
+   * </pre>
+   *
+   * <code>bool lost = 5;</code>
+   * @param value The lost to set.
+   */
+  private void setLost(boolean value) {
+    
+    lost_ = value;
+  }
+  /**
+   * <pre>
+   * The request left and no whole answer came.
+   * </pre>
+   *
+   * <code>bool lost = 5;</code>
+   */
+  private void clearLost() {
+
+    lost_ = false;
+  }
+
   public static org.wheatwall.wire.message.SlotReturn parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -369,6 +407,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The request left and no whole answer came.
+     * </pre>
+     *
+     * <code>bool lost = 5;</code>
+     * @return The lost.
+     */
+    @java.lang.Override
+    public boolean getLost() {
+      return instance.getLost();
+    }
+    /**
+     * <pre>
+     * The request left and no whole answer came.
+     * </pre>
+     *
+     * <code>bool lost = 5;</code>
+     * @param value The lost to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLost(boolean value) {
+      copyOnWrite();
+      instance.setLost(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The request left and no whole answer came.
+     * </pre>
+     *
+     * <code>bool lost = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLost() {
+      copyOnWrite();
+      instance.clearLost();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.SlotReturn)
   }
   @java.lang.Override
@@ -388,10 +466,11 @@
             "service_",
             "success_",
             "permit_",
+            "lost_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0002\u0004\u0003\u0000\u0000\u0000\u0002\u0208\u0003\u0007" +
-              "\u0004\u0208";
+              "\u0000\u0004\u0000\u0000\u0002\u0005\u0004\u0000\u0000\u0000\u0002\u0208\u0003\u0007" +
+              "\u0004\u0208\u0005\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/SlotReturnOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/SlotReturnOrBuilder.java
@@ -39,4 +39,14 @@
    * @return The success.
    */
   boolean getSuccess();
+
+  /**
+   * <pre>
+   * The request left and no whole answer came.
+   * </pre>
+   *
+   * <code>bool lost = 5;</code>
+   * @return The lost.
+   */
+  boolean getLost();
 }
