Each mechanism of scheduling has a switch in the settings

"switchedOff" in the settings of a host names the mechanisms that do not work there (urgent-room, rack-packing, first-job-room, learned-run-times, quarantine, cheapest-stops, end-wait, holder-questions, late-workers, slow-workers, passed-on-calls); an unknown name is a fault that tells the known ones, and the line process-started shows what is off. Nothing changes while none is named. SupervisorBench measures with the room that is in force, 45%.

--- a/app/src/main/java/org/wheatwall/app/bench/SupervisorBench.java
+++ b/app/src/main/java/org/wheatwall/app/bench/SupervisorBench.java
@@ -24,6 +24,7 @@
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.job.decision.HostHealthSettings;
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.HostSharing;
@@ -45,7 +46,7 @@
   private static final ResourceAmount WORKER = new ResourceAmount(32_000, 131_072, 8);
   private static final ResourceAmount TASK = new ResourceAmount(2800, 1024, 1);
   private static final SchedulerSettings SCHEDULING =
-      new SchedulerSettings(600_000, 500, 64, HostHealthSettings.SHORT_JOBS, 30);
+      new SchedulerSettings(600_000, 500, 64, HostHealthSettings.SHORT_JOBS, 45, Mechanisms.ALL);
 
   private final int workers;
   private final RunSupervisor supervisor;
--- a/app/src/main/java/org/wheatwall/app/process/RehearseVerb.java
+++ b/app/src/main/java/org/wheatwall/app/process/RehearseVerb.java
@@ -13,6 +13,7 @@
 import org.wheatwall.app.command.Console;
 import org.wheatwall.app.command.Verb;
 import org.wheatwall.app.command.VerbOptions;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.platform.PlatformHost;
 import org.wheatwall.platform.PlatformSettings;
 import org.wheatwall.standin.store.RehearsalCluster;
@@ -59,7 +60,8 @@
             LEASE_MS,
             RETENTION_MS,
             GRACE_MS,
-            PROCESSOR_SPEED);
+            PROCESSOR_SPEED,
+            Mechanisms.ALL);
     PlatformHost host = PlatformHost.start(settings, group);
     boolean done = cluster.runJob(group, host.jobPort(), LIMIT_SECONDS * 1000);
     console.out(done ? "rehearsal: a job was run" : "rehearsal: no job was run");
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -65,7 +65,7 @@
     scheduler.setAttemptPrefix("t" + number);
     this.term = new TermState(settings, effects, scheduler, startMs, startMs + overlapMs);
     this.lifecycle = new RunLifecycle(term);
-    this.reports = new WorkerReports(term, lifecycle);
+    this.reports = new WorkerReports(term, lifecycle, scheduling.mechanisms());
     this.firstReports = new FirstReports(term.workers, startMs);
     this.sweptAtMs = startMs;
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -15,6 +15,8 @@
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.core.common.Mechanism;
+import org.wheatwall.core.common.Mechanisms;
 
 /** Takes in what workers report: ends, what still runs, and what is missing. */
 final class WorkerReports {
@@ -25,14 +27,16 @@
 
   private final TermState term;
   private final RunLifecycle lifecycle;
+  private final boolean leavesSlowAside;
   private final WorkerSpeeds speeds = new WorkerSpeeds();
   // When each unknown run was first reported, by worker.
   private final Map<String, Map<String, Long>> strays = new HashMap<>();
   private final Map<String, Long> handledEnds = new HashMap<>();
 
-  WorkerReports(TermState term, RunLifecycle lifecycle) {
+  WorkerReports(TermState term, RunLifecycle lifecycle, Mechanisms mechanisms) {
     this.term = term;
     this.lifecycle = lifecycle;
+    this.leavesSlowAside = mechanisms.on(Mechanism.SLOW_WORKERS);
   }
 
   /** Returns whether ends of a worker were handled that it has not been told to forget. */
@@ -79,8 +83,10 @@
   }
 
   private void noteSpeed(String worker, WorkerInventory report) {
-    speeds.observe(worker, report, term.nowMs);
-    setAsideIfSlow(worker);
+    if (leavesSlowAside) {
+      speeds.observe(worker, report, term.nowMs);
+      setAsideIfSlow(worker);
+    }
   }
 
   /** Takes back the workers of which nothing was measured for a while. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/PolicyTable.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/PolicyTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.common.Selector;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.PolicyAlgorithm;
@@ -25,17 +26,22 @@
   /** A policy with its name and selector. */
   record Entry(String name, PolicySpec spec, Selector selector, SchedulingPolicy policy) {
     static Entry of(String name, PolicySpec spec) {
-      return new Entry(name, spec, Selector.parse(spec.jobSelector()), PolicyCatalog.create(spec));
+      return of(name, spec, Mechanisms.ALL);
+    }
+
+    static Entry of(String name, PolicySpec spec, Mechanisms mechanisms) {
+      SchedulingPolicy policy = PolicyCatalog.create(spec).limitedTo(mechanisms);
+      return new Entry(name, spec, Selector.parse(spec.jobSelector()), policy);
     }
   }
 
   /** Creates a table of the policies that are no shadows. */
-  static PolicyTable ofActive(Map<String, PolicySpec> specs) {
+  static PolicyTable ofActive(Map<String, PolicySpec> specs, Mechanisms mechanisms) {
     List<Entry> active = new ArrayList<>();
     specs.forEach(
         (name, spec) -> {
           if (!spec.shadow()) {
-            active.add(Entry.of(name, spec));
+            active.add(Entry.of(name, spec, mechanisms));
           }
         });
     return new PolicyTable(active);
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -31,12 +31,13 @@
       Cluster cluster,
       GuaranteePlan plan,
       UrgentGuarantees guarantees,
-      Map<String, RunningAttempt> running) {
+      Map<String, RunningAttempt> running,
+      VictimChooser victims) {
     this.cluster = cluster;
     this.plan = plan;
     this.guarantees = guarantees;
     this.running = running;
-    this.victims = new VictimChooser(running);
+    this.victims = victims;
   }
 
   /** Where to run, and which gangs to stop first. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/RunTimeEstimator.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunTimeEstimator.java
@@ -29,10 +29,24 @@
         }
       };
 
+  private final boolean learns;
+
+  /**
+   * Creates an estimator that has seen nothing.
+   *
+   * @param learns whether it learns; otherwise declarations are taken as they are
+   */
+  public RunTimeEstimator(boolean learns) {
+    this.learns = learns;
+  }
+
   private record Learned(double weight, double logRatioSum) {}
 
   /** Notes that a job ran for {@code actualSeconds} until it succeeded. */
   public void observe(Job job, double actualSeconds) {
+    if (!learns) {
+      return;
+    }
     double ratio = Math.max(MIN_RATIO, Math.min(MAX_RATIO, actualSeconds / job.declaredSeconds()));
     Learned old = groups.getOrDefault(group(job), new Learned(0, 0));
     groups.put(
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import org.wheatwall.core.common.Mechanism;
 import org.wheatwall.core.job.model.GuaranteedShape;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Objective;
@@ -90,7 +91,7 @@
 
   /** Sets the policies by name; waiting and running jobs stay as they are. */
   public void setPolicies(Map<String, PolicySpec> next) {
-    setPolicyTable(PolicyTable.ofActive(next));
+    setPolicyTable(PolicyTable.ofActive(next, settings.mechanisms()));
   }
 
   void setPolicyTable(PolicyTable next) {
@@ -199,7 +200,7 @@
 
   /** Notes that a task failed on a host; a host that keeps failing is taken out of use. */
   public void hostFailedTask(String host, long nowMs) {
-    if (health.failed(host, nowMs)) {
+    if (quarantines() && health.failed(host, nowMs)) {
       refreshUsable(host);
       tables.plan.refresh();
     }
@@ -207,7 +208,7 @@
 
   /** Notes that a task of {@code job} failed on a host; repeats by the same job count once. */
   public void hostFailedTask(String host, String job, long nowMs) {
-    if (health.failed(host, job, nowMs)) {
+    if (quarantines() && health.failed(host, job, nowMs)) {
       refreshUsable(host);
       tables.plan.refresh();
     }
@@ -265,6 +266,10 @@
     return new QueuePass(tables, settings, nowMs).run();
   }
 
+  private boolean quarantines() {
+    return settings.mechanisms().on(Mechanism.QUARANTINE);
+  }
+
   private void refreshUsable(String host) {
     boolean allowed = !cordoned.contains(host) && !unavailable.contains(host);
     tables.cluster.setUsable(host, allowed && !health.isQuarantined(host));
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
@@ -1,5 +1,7 @@
 package org.wheatwall.core.job.decision;
 
+import java.util.Objects;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.common.Names;
 
 /**
@@ -12,23 +14,26 @@
  * @param health when a host counts as failing
  * @param urgentHeadroomPercent share of all accelerators that other work leaves free while urgent
  *     work comes, so that urgent work seldom has to stop something
+ * @param mechanisms which mechanisms work
  */
 public record SchedulerSettings(
     int starvationBoundMs,
     int scanLimit,
     int startLimit,
     HostHealthSettings health,
-    int urgentHeadroomPercent) {
+    int urgentHeadroomPercent,
+    Mechanisms mechanisms) {
   /** Settings for ordinary use. */
   public static final SchedulerSettings DEFAULT = new SchedulerSettings(600_000, 500, 64);
 
   /** Creates settings with the usual health of hosts. */
   public SchedulerSettings(int starvationBoundMs, int scanLimit, int startLimit) {
-    this(starvationBoundMs, scanLimit, startLimit, HostHealthSettings.DEFAULT, 0);
+    this(starvationBoundMs, scanLimit, startLimit, HostHealthSettings.DEFAULT, 0, Mechanisms.ALL);
   }
 
   /** Validates. */
   public SchedulerSettings {
+    Objects.requireNonNull(mechanisms);
     Names.requireRange("starvationBoundMs", starvationBoundMs, 1, Integer.MAX_VALUE);
     Names.requireRange("scanLimit", scanLimit, 1, 1_000_000);
     Names.requireRange("startLimit", startLimit, 1, 1_000_000);
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerTables.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerTables.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.wheatwall.core.common.Mechanism;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.WaitReason;
 import org.wheatwall.core.job.model.Workspace;
@@ -12,7 +14,7 @@
 final class SchedulerTables {
   final Cluster cluster = new Cluster();
   final GuaranteePlan plan = new GuaranteePlan(cluster);
-  final RunTimeEstimator estimator = new RunTimeEstimator();
+  final RunTimeEstimator estimator;
   final UrgentGuarantees guarantees = new UrgentGuarantees();
   final Map<String, QueuedJob> waiting = new LinkedHashMap<>();
   final Map<String, RunningAttempt> running = new LinkedHashMap<>();
@@ -20,15 +22,21 @@
   final Map<String, WaitReason> reasons = new HashMap<>();
   final Map<String, Integer> usedByWorkspace = new HashMap<>();
   final UrgentRoom urgentRoom;
-  final Reclaimer reclaimer = new Reclaimer(cluster, plan, guarantees, running);
+  final Reclaimer reclaimer;
   Map<String, Workspace> workspaces = Map.of();
-  PolicyTable policies = PolicyTable.ofActive(Map.of());
+  PolicyTable policies;
   String attemptPrefix = "0";
   long attemptCounter;
   long invalidProposals;
 
   SchedulerTables(SchedulerSettings settings) {
-    urgentRoom = new UrgentRoom(settings.urgentHeadroomPercent());
+    Mechanisms mechanisms = settings.mechanisms();
+    boolean keepsRoom = mechanisms.on(Mechanism.URGENT_ROOM);
+    urgentRoom = new UrgentRoom(keepsRoom ? settings.urgentHeadroomPercent() : 0);
+    estimator = new RunTimeEstimator(mechanisms.on(Mechanism.LEARNED_RUN_TIMES));
+    VictimChooser victims = new VictimChooser(running, mechanisms.on(Mechanism.CHEAPEST_STOPS));
+    reclaimer = new Reclaimer(cluster, plan, guarantees, running, victims);
+    policies = PolicyTable.ofActive(Map.of(), mechanisms);
   }
 
   /** Counts a job that was waiting, or found running, as running from now on. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
@@ -14,9 +14,16 @@
 /** Chooses whole gangs to stop so that a placement has room, at little cost. */
 final class VictimChooser {
   private final Map<String, RunningAttempt> running;
+  private final boolean byCost;
 
-  VictimChooser(Map<String, RunningAttempt> running) {
+  /**
+   * Creates a chooser among gangs.
+   *
+   * @param byCost whether as little as possible is thrown away; otherwise as few as possible stop
+   */
+  VictimChooser(Map<String, RunningAttempt> running, boolean byCost) {
     this.running = running;
+    this.byCost = byCost;
   }
 
   /** The gangs to stop and what that costs, see {@link RunningAttempt#stopCost}. */
@@ -49,8 +56,12 @@
         : Double.POSITIVE_INFINITY;
   }
 
-  private static double cost(Set<RunningAttempt> victims, long nowMs) {
-    return victims.stream().mapToDouble(victim -> victim.stopCost(nowMs)).sum();
+  private double cost(Set<RunningAttempt> victims, long nowMs) {
+    return victims.stream().mapToDouble(victim -> stopCost(victim, nowMs)).sum();
+  }
+
+  private double stopCost(RunningAttempt attempt, long nowMs) {
+    return byCost ? attempt.stopCost(nowMs) : 1;
   }
 
   private boolean makeRoom(
@@ -73,7 +84,7 @@
       }
     }
     candidates.sort(
-        Comparator.comparingDouble((RunningAttempt attempt) -> attempt.stopCost(nowMs))
+        Comparator.comparingDouble((RunningAttempt attempt) -> stopCost(attempt, nowMs))
             .thenComparing(RunningAttempt::attemptId));
     for (RunningAttempt candidate : candidates) {
       if (host.host().capacity().covers(kept.plus(need))) {
--- a/core/src/test/java/org/wheatwall/core/job/decision/JobOptionsTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/JobOptionsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.Job;
@@ -246,7 +247,9 @@
   @Test
   void otherWorkLeavesRoomWhileUrgentWorkComes() {
     Scheduler careful =
-        new Scheduler(new SchedulerSettings(600_000, 500, 64, HostHealthSettings.DEFAULT, 25));
+        new Scheduler(
+            new SchedulerSettings(
+                600_000, 500, 64, HostHealthSettings.DEFAULT, 25, Mechanisms.ALL));
     careful.cluster().add(new WorkerHost("a", "zone", "r1", HOST));
     careful.hostsChanged();
     careful.submit("urgent", urgent("w", 3), 1000);
--- a/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.JobPhase;
@@ -132,7 +133,8 @@
             Map.of(
                 "z-first", policy(PolicyAlgorithm.FIRST_FIT, 5, "tier=clinic"),
                 "a-best", policy(PolicyAlgorithm.BEST_FIT, 5, ""),
-                "low", policy(PolicyAlgorithm.BACKFILL, 1, "")));
+                "low", policy(PolicyAlgorithm.BACKFILL, 1, "")),
+            Mechanisms.ALL);
     assertThat(table.of(job(1, 1, true, false)).name()).isEqualTo("a-best");
   }
 
--- a/core/src/test/java/org/wheatwall/core/job/decision/UrgentRoomTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/UrgentRoomTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.JobPhase;
@@ -26,7 +27,8 @@
   private final Cluster cluster = new Cluster();
 
   private static SchedulerSettings withRoom(int percent) {
-    return new SchedulerSettings(600_000, 500, 64, HostHealthSettings.SHORT_JOBS, percent);
+    return new SchedulerSettings(
+        600_000, 500, 64, HostHealthSettings.SHORT_JOBS, percent, Mechanisms.ALL);
   }
 
   private QueuedJob queued(int accelerators) {
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -20,6 +20,7 @@
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
+import org.wheatwall.core.common.Mechanism;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogWriter;
 import org.wheatwall.entry.batch.permit.PermitDesk;
@@ -87,7 +88,7 @@
     this.supervisor =
         new RunSupervisor(
             SupervisorSettings.of(settings.leaseMs(), settings.retentionMs()),
-            BatchScheduling.SETTINGS,
+            BatchScheduling.settings(settings.mechanisms()),
             this,
             term,
             tools.clock().nowMs(),
@@ -99,6 +100,7 @@
             supervisor,
             term,
             settings.leaseMs(),
+            settings.mechanisms().on(Mechanism.LATE_WORKERS),
             tools.loop(),
             tools.timer(),
             tools.clock(),
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -17,6 +17,8 @@
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.SchedulingRules;
+import org.wheatwall.core.common.Mechanism;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.entry.batch.log.LogFollower;
 import org.wheatwall.entry.batch.peer.HostRoster;
@@ -46,6 +48,7 @@
   private static final int LONGEST_STATE_WAIT_MS = 300;
 
   private final String name;
+  private final Mechanisms mechanisms;
   private final BatchTools tools;
   private final LogFollower follower;
   private final JobReplica replica;
@@ -74,6 +77,7 @@
       DecisionLog decisions,
       MetricRegistry metrics) {
     this.name = settings.host();
+    this.mechanisms = settings.mechanisms();
     this.tools = new BatchTools(loop, timer, clock, decisions, metrics);
     TermRule rule = new TermRule(settings.term(), settings.address(), life, clock.nowMs());
     TermHolder.ProcessLife process = new TermHolder.ProcessLife(life, claimSequence);
@@ -139,8 +143,9 @@
   private CompletableFuture<Optional<JobSummary>> awaitEnd(
       String jobId, Optional<JobSummary> found, long deadlineMs) {
     long waitMs = Math.min(LONGEST_STATE_WAIT_MS, deadlineMs - tools.clock().nowMs());
+    boolean waits = mechanisms.on(Mechanism.END_WAIT) && !follower.failing();
     boolean over = found.map(summary -> summary.state().ended()).orElse(true);
-    if (over || waitMs <= 0 || follower.failing()) {
+    if (over || waitMs <= 0 || !waits) {
       return CompletableFuture.completedFuture(found);
     }
     CompletableFuture<Void> ended = ends.untilEnded(jobId, waitMs);
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchScheduling.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchScheduling.java
@@ -1,6 +1,7 @@
 package org.wheatwall.entry.batch;
 
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.job.decision.HostHealthSettings;
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.PolicyAlgorithm;
@@ -15,14 +16,16 @@
   // Weighed by pairs of plays on three sites: docs/deciding.md.
   private static final int URGENT_HEADROOM_PERCENT = 45;
 
-  /** Bounds on one look at the queue, and the room that is left for urgent work. */
-  static final SchedulerSettings SETTINGS =
-      new SchedulerSettings(
-          STARVATION_MS,
-          SCAN_LIMIT,
-          START_LIMIT,
-          HostHealthSettings.SHORT_JOBS,
-          URGENT_HEADROOM_PERCENT);
+  /** Returns the bounds on one look at the queue, and the room that is left for urgent work. */
+  static SchedulerSettings settings(Mechanisms mechanisms) {
+    return new SchedulerSettings(
+        STARVATION_MS,
+        SCAN_LIMIT,
+        START_LIMIT,
+        HostHealthSettings.SHORT_JOBS,
+        URGENT_HEADROOM_PERCENT,
+        mechanisms);
+  }
 
   /** The policy of all queues: their priority first, then short work and work that waited long. */
   static final PolicySpec POLICY =
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchSettings.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.wheatwall.core.batch.decision.TermSettings;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.common.Names;
 
 /**
@@ -14,6 +15,7 @@
  * @param leaseMs longest lease of what runs on a worker, milliseconds
  * @param retentionMs how long an ended job is kept, milliseconds
  * @param term times of a decider's term
+ * @param mechanisms which mechanisms work
  */
 public record BatchSettings(
     String host,
@@ -22,7 +24,8 @@
     String peerAddress,
     int leaseMs,
     int retentionMs,
-    TermSettings term) {
+    TermSettings term,
+    Mechanisms mechanisms) {
   /** Validates. */
   public BatchSettings {
     Objects.requireNonNull(host);
@@ -30,6 +33,7 @@
     Objects.requireNonNull(zone);
     Objects.requireNonNull(peerAddress);
     Objects.requireNonNull(term);
+    Objects.requireNonNull(mechanisms);
     Names.requireRange("leaseMs", leaseMs, 1000, 600_000);
     Names.requireRange("retentionMs", retentionMs, 1000, Integer.MAX_VALUE);
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -13,6 +13,7 @@
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.SchedulingRules;
+import org.wheatwall.core.common.Mechanism;
 import org.wheatwall.entry.batch.log.KeyedLog;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogFailure;
@@ -94,7 +95,7 @@
     decider.ifPresent(current -> current.tick(replica.table()));
     decider.ifPresent(this::dropHostsThatAreGone);
     renewIfDue();
-    if (mayClaimSoon()) {
+    if (mayClaimSoon() && settings.mechanisms().on(Mechanism.HOLDER_QUESTIONS)) {
       watch.look();
     }
     claimIfFree();
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
@@ -40,6 +40,7 @@
   private final RunSupervisor supervisor;
   private final long term;
   private final int leaseMs;
+  private final boolean doubtsLate;
   private final Executor loop;
   private final LoopTimer timer;
   private final Clock clock;
@@ -79,12 +80,14 @@
    * Creates a watch for a term.
    *
    * @param leaseMs longest lease of what runs on a worker, milliseconds
+   * @param doubtsLate whether workers that are late with an answer get no new work
    */
   public WorkerWatch(
       WorkerPort port,
       RunSupervisor supervisor,
       long term,
       int leaseMs,
+      boolean doubtsLate,
       Executor loop,
       LoopTimer timer,
       Clock clock,
@@ -93,6 +96,7 @@
     this.supervisor = supervisor;
     this.term = term;
     this.leaseMs = leaseMs;
+    this.doubtsLate = doubtsLate;
     this.loop = loop;
     this.timer = timer;
     this.clock = clock;
@@ -120,7 +124,9 @@
 
   /** Asks the workers that have to be asked and are not; those that are late get no new work. */
   public void tick() {
-    doubtLate();
+    if (doubtsLate) {
+      doubtLate();
+    }
     for (String worker : supervisor.workersInUse()) {
       if (!session(worker).asking) {
         ask(worker, WAIT_MS);
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executor;
 import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.core.batch.model.SchedulingRules;
+import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.entry.common.Clock;
 
 /** An entry host in simulated time: it may be killed, frozen and started again. */
@@ -61,7 +62,14 @@
     LoopTimer timer = (delayMs, task) -> time.after(delayMs, () -> loop.execute(task));
     BatchSettings settings =
         new BatchSettings(
-            name, "address-" + name, "zone", peerAddress(), leaseMs, 600_000, TermSettings.DEFAULT);
+            name,
+            "address-" + name,
+            "zone",
+            peerAddress(),
+            leaseMs,
+            600_000,
+            TermSettings.DEFAULT,
+            Mechanisms.ALL);
     batch =
         new BatchHost(
             settings,
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WatchFixture.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WatchFixture.java
@@ -37,6 +37,7 @@
           supervisor,
           TERM,
           LEASE_MS,
+          true,
           Runnable::run,
           (ms, task) -> timers.add(task),
           clock,
