--- a/app/src/main/java/org/wheatwall/app/account/AccountVerb.java
+++ b/app/src/main/java/org/wheatwall/app/account/AccountVerb.java
@@ -1,14 +1,12 @@
 package org.wheatwall.app.account;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.apache.commons.cli.ParseException;
 import org.wheatwall.app.command.Console;
+import org.wheatwall.app.command.OutputFiles;
 import org.wheatwall.app.command.Verb;
 import org.wheatwall.app.command.VerbOptions;
-import org.wheatwall.core.common.Refusal;
 
 /** Tells from the hosts' logs what the time of the jobs went into. */
 public final class AccountVerb implements Verb {
@@ -43,10 +41,10 @@
     account.stops().forEach(console::out);
     tellUnreadable(files.unreadable(), console);
     if (options.has("csv")) {
-      write(options.required("csv"), account.csv());
+      OutputFiles.write(options.required("csv"), account.csv());
     }
     if (options.has("chart")) {
-      write(options.required("chart"), new RunChart(account).lines());
+      OutputFiles.write(options.required("chart"), new RunChart(account).lines());
     }
     return DONE;
   }
@@ -57,12 +55,4 @@
       console.err(places.size() + " lines could not be read, first " + String.join(", ", first));
     }
   }
-
-  private static void write(String file, List<String> lines) {
-    try {
-      Files.write(Path.of(file), lines);
-    } catch (IOException e) {
-      throw Refusal.invalid(file + " cannot be written: " + e, "name a file that can be written");
-    }
-  }
 }
--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/command/OutputFiles.java
@@ -0,0 +1,21 @@
+package org.wheatwall.app.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.wheatwall.core.common.Refusal;
+
+/** Files that a verb writes for its user. */
+public final class OutputFiles {
+  private OutputFiles() {}
+
+  /** Writes lines to a file; refuses as invalid if that cannot be done. */
+  public static void write(String file, List<String> lines) {
+    try {
+      Files.write(Path.of(file), lines);
+    } catch (IOException e) {
+      throw Refusal.invalid(file + " cannot be written: " + e, "name a file that can be written");
+    }
+  }
+}
--- a/app/src/main/java/org/wheatwall/app/compare/CompareVerb.java
+++ b/app/src/main/java/org/wheatwall/app/compare/CompareVerb.java
@@ -5,8 +5,10 @@
 import java.util.function.ToDoubleFunction;
 import org.apache.commons.cli.ParseException;
 import org.wheatwall.app.command.Console;
+import org.wheatwall.app.command.OutputFiles;
 import org.wheatwall.app.command.Verb;
 import org.wheatwall.app.command.VerbOptions;
+import org.wheatwall.app.compare.live.LiveCompare;
 import org.wheatwall.core.common.Labels;
 import org.wheatwall.core.job.model.PolicyAlgorithm;
 import org.wheatwall.core.job.model.PolicySpec;
@@ -15,6 +17,9 @@
 public final class CompareVerb implements Verb {
   private static final double STUDENT_95 = 2.262;
   private static final int DEFAULT_SEEDS = 10;
+  private static final int DEFAULT_LIVE_HOSTS = 33;
+  private static final int DEFAULT_LIVE_SECONDS = 120;
+  private static final int DEFAULT_ROOM_PERCENT = 45;
 
   @Override
   public String name() {
@@ -36,10 +41,17 @@
             .value("jobs", "jobs in a stream, default 2000")
             .value("load", "offered load, percent of capacity, default 90")
             .value("seeds", "streams, one seed each, default 10")
-            .value("starvation-seconds", "wait after which a job may reclaim, default 3600");
+            .value("starvation-seconds", "wait after which a job may reclaim, default 3600")
+            .flag("live", "play urgent gangs, slow workers and changes of decider instead")
+            .value("seconds", "with --live: length of a day, default 120")
+            .value("room", "with --live: percent kept for urgent work, default 45")
+            .value("chart", "with --live: write a chart to this file, as SVG");
     if (!options.parse(arguments, console)) {
       return DONE;
     }
+    if (options.has("live")) {
+      return live(options, console);
+    }
     int seeds = options.integer("seeds", DEFAULT_SEEDS);
     int starvationMs = options.integer("starvation-seconds", 3600) * 1000;
     console.out(
@@ -65,6 +77,21 @@
     return DONE;
   }
 
+  private static int live(VerbOptions options, Console console) throws ParseException {
+    LiveCompare comparison =
+        new LiveCompare(
+            options.integer("hosts", DEFAULT_LIVE_HOSTS),
+            options.integer("seconds", DEFAULT_LIVE_SECONDS),
+            options.integer("room", DEFAULT_ROOM_PERCENT),
+            options.integer("seeds", DEFAULT_SEEDS));
+    List<String> chart = new ArrayList<>();
+    comparison.table(chart).forEach(console::out);
+    if (options.has("chart")) {
+      OutputFiles.write(options.required("chart"), chart);
+    }
+    return DONE;
+  }
+
   private static StreamSpec spec(VerbOptions options, int seed) throws ParseException {
     return new StreamSpec(
         options.integer("hosts", 30),
--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/compare/live/LiveDay.java
@@ -0,0 +1,346 @@
+package org.wheatwall.app.compare.live;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.RunEffects;
+import org.wheatwall.core.batch.decision.RunEvent;
+import org.wheatwall.core.batch.decision.RunSupervisor;
+import org.wheatwall.core.batch.decision.SupervisorSettings;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.EndKind;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.OrderAnswer;
+import org.wheatwall.core.batch.model.PermitQuestion;
+import org.wheatwall.core.batch.model.SchedulingRules;
+import org.wheatwall.core.batch.model.StartOrder;
+import org.wheatwall.core.batch.model.StopOrder;
+import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.core.batch.model.WorkerInfo;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.decision.HostHealthSettings;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.Objective;
+import org.wheatwall.core.job.model.PolicyAlgorithm;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.model.ResourceAmount;
+
+/**
+ * Plays a live day on the real decider's decisions, on a clock of its own: workers turn slow, stand
+ * still and come back, stops take a part of a second, and the decider goes away and is replaced by
+ * one that knows only the log. Network, processor time and entry hosts are not modelled.
+ */
+final class LiveDay {
+  private static final int STEP_MS = 10;
+  private static final int AFTER_MS = 30_000;
+  private static final int REPORT_EVERY_MS = 250;
+  private static final int LEASE_MS = 6000;
+  // From the plays of quetzal-like days: a change of decider, and the time that a stop takes.
+  private static final int OUTAGE_MS = 1260;
+  private static final int OUTAGE_EVERY_MS = 40_000;
+  private static final int LEAST_STOP_MS = 300;
+  private static final int MORE_STOP_MS = 600;
+  // A tenth of the workers slows down to a seventh, or one stands still, every 20 s.
+  private static final int TROUBLE_EVERY_MS = 20_000;
+  private static final int SLOW_FOR_MS = 9000;
+  private static final int STILL_FOR_MS = 5000;
+  private static final double SLOW_SPEED = 1.0 / 7;
+  private static final int SLOW_SHARE = 10;
+
+  private final LiveSpec spec;
+  private final Random random;
+  private final List<LiveJob> jobs;
+  private final Map<String, LiveJob> byId = new HashMap<>();
+  private final Map<String, LiveWorker> workers = new LinkedHashMap<>();
+  private final JobTable table = new JobTable();
+  private final PriorityQueue<Later> later = new PriorityQueue<>();
+  private final Map<String, Long> endedMs = new HashMap<>();
+  private Optional<RunSupervisor> decider = Optional.empty();
+  private long nowMs;
+  private long offset;
+  private long term;
+  private long order;
+  private double spentMs;
+  private double lostMs;
+  private double fragmentation;
+  private int looks;
+  private int stops;
+  private int breaches;
+  private int refusals;
+
+  private record Later(long atMs, long order, Runnable task) implements Comparable<Later> {
+    @Override
+    public int compareTo(Later other) {
+      return atMs != other.atMs ? Long.compare(atMs, other.atMs) : Long.compare(order, other.order);
+    }
+  }
+
+  LiveDay(LiveSpec spec) {
+    this.spec = spec;
+    this.random = new Random(spec.seed() * 31);
+    this.jobs = new LiveArrivals(spec).draw();
+    for (int i = 0; i < spec.hosts(); i++) {
+      workers.put("worker-" + i, new LiveWorker("worker-" + i));
+    }
+    jobs.forEach(job -> at(job.arrivesMs(), () -> accept(job)));
+    planTrouble();
+    beginTerm();
+  }
+
+  /** Plays the day to its end. */
+  LiveResult play() {
+    int lengthMs = spec.seconds() * 1000;
+    for (nowMs = 0; nowMs < lengthMs + AFTER_MS; nowMs += STEP_MS) {
+      while (!later.isEmpty() && later.peek().atMs() <= nowMs) {
+        later.poll().task().run();
+      }
+      moveTasks();
+      decider.ifPresent(this::decide);
+    }
+    LiveScore score = new LiveScore(lengthMs);
+    jobs.forEach(job -> score.add(job, endedMs.getOrDefault(job.job().id(), -1L)));
+    return score.result(
+        lostMs / Math.max(1, spentMs),
+        stops,
+        refusals,
+        fragmentation / Math.max(1, looks),
+        breaches);
+  }
+
+  private void at(long atMs, Runnable task) {
+    later.add(new Later(atMs, order++, task));
+  }
+
+  private void after(long delayMs, Runnable task) {
+    at(nowMs + delayMs, task);
+  }
+
+  private void planTrouble() {
+    List<LiveWorker> all = List.copyOf(workers.values());
+    int lengthMs = spec.seconds() * 1000;
+    for (long atMs = TROUBLE_EVERY_MS / 2; atMs < lengthMs; atMs += TROUBLE_EVERY_MS) {
+      for (int i = 0; i < Math.max(1, spec.hosts() / SLOW_SHARE); i++) {
+        change(all.get(random.nextInt(all.size())), atMs, SLOW_SPEED, SLOW_FOR_MS);
+      }
+      change(all.get(random.nextInt(all.size())), atMs + TROUBLE_EVERY_MS / 2, 0, STILL_FOR_MS);
+    }
+    for (long atMs = OUTAGE_EVERY_MS; atMs < lengthMs; atMs += OUTAGE_EVERY_MS) {
+      at(atMs, () -> decider = Optional.empty());
+      at(atMs + OUTAGE_MS, this::beginTerm);
+    }
+  }
+
+  private void change(LiveWorker worker, long atMs, double speed, int forMs) {
+    at(atMs, () -> worker.setSpeed(speed));
+    at(atMs + forMs, () -> worker.setSpeed(1));
+  }
+
+  private void accept(LiveJob job) {
+    byId.put(job.job().id(), job);
+    apply(LogEntry.of(LogKey.job(job.job().id()), new LogContent.Definition(job.job())));
+    decider.ifPresent(current -> current.accept(job.job(), nowMs, nowMs));
+  }
+
+  private void apply(LogEntry entry) {
+    table.apply(entry, offset++);
+    entry
+        .content()
+        .filter(content -> content instanceof LogContent.End)
+        .map(LogContent.End.class::cast)
+        .filter(end -> end.state() == BatchState.SUCCEEDED)
+        .ifPresent(end -> endedMs.putIfAbsent(entry.key().name(), nowMs));
+  }
+
+  private void beginTerm() {
+    term++;
+    SchedulerSettings scheduling =
+        new SchedulerSettings(
+            600_000, 500, 64, HostHealthSettings.SHORT_JOBS, spec.roomPercent(), spec.mechanisms());
+    RunSupervisor next =
+        new RunSupervisor(
+            SupervisorSettings.of(LEASE_MS, 600_000),
+            scheduling,
+            new Effects(term),
+            term,
+            nowMs,
+            0);
+    next.scheduler()
+        .setPolicies(
+            Map.of(
+                "live",
+                new PolicySpec(Labels.NONE, PolicyAlgorithm.PRIORITY_FIRST, "", 0, 0, 0, false)));
+    next.setRules(new SchedulingRules(Map.of(), Set.of(), objectives()), nowMs);
+    next.adopt(table, nowMs, nowMs);
+    decider = Optional.of(next);
+    int index = 0;
+    for (String id : workers.keySet()) {
+      next.listWorker(info(id, index++ / LiveSpec.HOSTS_A_RACK), nowMs);
+    }
+    long own = term;
+    workers.values().forEach(worker -> after(STEP_MS, () -> keepReporting(own, worker)));
+  }
+
+  private static Map<String, Objective> objectives() {
+    Map<String, Objective> objectives = new HashMap<>();
+    for (LiveKind kind : LiveKind.values()) {
+      objectives.put(kind.queue(), kind.objective());
+    }
+    return objectives;
+  }
+
+  private static WorkerInfo info(String id, int rack) {
+    ResourceAmount capacity = new ResourceAmount(32_000, 131_072, LiveSpec.ACCELERATORS);
+    return new WorkerInfo(
+        id, "127.0.0.1:1", "service", "zone", "rack-" + rack, Set.of(), capacity, false);
+  }
+
+  private void keepReporting(long ofTerm, LiveWorker worker) {
+    if (ofTerm == term && decider.isPresent()) {
+      report(ofTerm, worker);
+      after(REPORT_EVERY_MS, () -> keepReporting(ofTerm, worker));
+    }
+  }
+
+  private void report(long ofTerm, LiveWorker worker) {
+    if (ofTerm != term || decider.isEmpty()) {
+      return;
+    }
+    RunSupervisor current = decider.get();
+    long acknowledged = current.acknowledged(worker.id());
+    current.onReport(worker.id(), worker.report(acknowledged, nowMs), nowMs, nowMs, nowMs);
+  }
+
+  private void decide(RunSupervisor current) {
+    current.tick(nowMs, nowMs);
+    if (current.wantsDecision(nowMs)) {
+      current.decide(nowMs, nowMs);
+      fragmentation += current.scheduler().cluster().fragmentation();
+      looks++;
+    }
+  }
+
+  // A gang moves at the speed of its slowest member, and only once all of them are there.
+  private void moveTasks() {
+    Map<String, List<LiveWorker.Held>> gangs = new HashMap<>();
+    Map<String, Double> speeds = new HashMap<>();
+    for (LiveWorker worker : workers.values()) {
+      for (LiveWorker.Held run : worker.held()) {
+        String unit = unit(run.order.task(), run.job);
+        gangs.computeIfAbsent(unit, key -> new ArrayList<>()).add(run);
+        speeds.merge(unit, worker.speed(), Math::min);
+      }
+    }
+    gangs.forEach((unit, runs) -> move(runs, speeds.get(unit)));
+  }
+
+  private static String unit(TaskName task, LiveJob job) {
+    return job.job().steps().get(0).gang() ? task.jobId() : task.jobId() + "." + task.index();
+  }
+
+  private void move(List<LiveWorker.Held> runs, double speed) {
+    int whole = runs.get(0).job.job().steps().get(0).tasksInGroup();
+    if (runs.size() < whole) {
+      return;
+    }
+    for (LiveWorker.Held run : runs) {
+      run.workedMs += STEP_MS * speed;
+      spentMs += STEP_MS * LiveWorker.accelerators(run);
+    }
+    if (runs.get(0).over()) {
+      runs.forEach(run -> end(run.order.worker(), run.order.task(), run.order.run(), true));
+    }
+  }
+
+  private void end(String id, TaskName task, int run, boolean done) {
+    LiveWorker worker = workers.get(id);
+    LiveWorker.Held ended = worker.end(task, run, done ? EndKind.DONE : EndKind.STOPPED);
+    if (ended == null) {
+      return;
+    }
+    lostMs += done ? 0 : LiveWorker.lostMs(ended) * LiveWorker.accelerators(ended);
+    long own = term;
+    after(STEP_MS, () -> report(own, worker));
+  }
+
+  private OrderAnswer begin(StartOrder order) {
+    LiveWorker worker = workers.get(order.worker());
+    LiveJob job = byId.get(order.task().jobId());
+    if (!worker.hasRoom(job)) {
+      refusals++;
+      return OrderAnswer.NO_ROOM;
+    }
+    boolean twice = workers.values().stream().anyMatch(other -> other.holds(order.task()));
+    breaches += twice ? 1 : 0;
+    worker.start(order, job);
+    return OrderAnswer.DONE;
+  }
+
+  /** What one term's decider wants done; nothing of an earlier one is done. */
+  private final class Effects implements RunEffects {
+    private final long own;
+
+    private Effects(long own) {
+      this.own = own;
+    }
+
+    private void soon(Runnable task) {
+      after(
+          STEP_MS,
+          () -> {
+            if (own == term && decider.isPresent()) {
+              task.run();
+            }
+          });
+    }
+
+    @Override
+    public void keep(List<LogEntry> entries, Runnable whenKept) {
+      soon(
+          () -> {
+            entries.forEach(LiveDay.this::apply);
+            whenKept.run();
+          });
+    }
+
+    @Override
+    public void start(StartOrder order) {
+      soon(
+          () -> {
+            OrderAnswer answer = begin(order);
+            decider.get().onStartAnswer(order, answer, nowMs, nowMs);
+          });
+    }
+
+    @Override
+    public void stop(StopOrder order) {
+      soon(
+          () -> {
+            stops++;
+            decider.get().onStopAnswer(order, OrderAnswer.DONE, nowMs, nowMs);
+          });
+      after(
+          LEAST_STOP_MS + random.nextInt(MORE_STOP_MS),
+          () -> end(order.worker(), order.task(), order.run(), false));
+    }
+
+    @Override
+    public void look(String worker) {
+      soon(() -> report(own, workers.get(worker)));
+    }
+
+    @Override
+    public void askPermits(PermitQuestion question) {}
+
+    @Override
+    public void decided(RunEvent event) {}
+  }
+}
