Urgent work waits for what already stops for others

Cause: when room is made for urgent work, runs that are already stopping for another job counted as gone, and were not among those that the start waits for. The worker refuses such a start; it is repeated each 0.1 s and given up after five times, while half of the stops take 0.6 s; then the whole gang starts anew.

Now such a start waits for their end as for its own victims'; nothing is stopped twice. SchedulerTest (urgentWorkWaitsForWorkThatIsStoppingForOthers) fails without the change (victims [] instead of [other.0.0]).

--- a/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
@@ -221,9 +221,11 @@
     tables.track(attemptId, queued, place, nowMs);
     List<String> victimIds = new ArrayList<>();
     for (RunningAttempt victim : victims) {
-      victim.markStopping();
       victimIds.add(victim.attemptId());
-      decisions.add(new Decision.Stop(victim.attemptId(), "reclaimed for job " + queued.name()));
+      if (!victim.stopping()) {
+        victim.markStopping();
+        decisions.add(new Decision.Stop(victim.attemptId(), "reclaimed for job " + queued.name()));
+      }
     }
     decisions.add(new Decision.Start(attemptId, queued.name(), job, place, victimIds));
     return true;
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -40,7 +40,7 @@
     this.victims = victims;
   }
 
-  /** Where to run, and which gangs to stop first. */
+  /** Where to run, and which gangs have to be gone first; some may be stopping already. */
   record Reclaim(Placement placement, List<RunningAttempt> victims) {}
 
   /** Returns the candidate that costs least, empty if none has room. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
@@ -26,7 +26,12 @@
     this.byCost = byCost;
   }
 
-  /** The gangs to stop and what that costs, see {@link RunningAttempt#stopCost}. */
+  /**
+   * What a placement has to wait for.
+   *
+   * @param victims the gangs to stop, and those that stop already and hold what it needs
+   * @param cost what it costs to stop the former, see {@link RunningAttempt#stopCost}
+   */
   record Choice(List<RunningAttempt> victims, double cost) {}
 
   /** Returns which gangs to stop, empty if stopping all that may be stopped is not enough. */
@@ -37,14 +42,33 @@
       Predicate<RunningAttempt> mayStop,
       long nowMs) {
     Set<RunningAttempt> victims = new LinkedHashSet<>();
+    Set<RunningAttempt> leaving = new LinkedHashSet<>();
     for (Map.Entry<String, Integer> entry : placement.tasksByHost().entrySet()) {
       Optional<HostState> host = cluster.host(entry.getKey());
       ResourceAmount need = taskAmount.times(entry.getValue());
       if (host.isEmpty() || !makeRoom(host.get(), need, victims, mayStop, nowMs)) {
         return Optional.empty();
       }
+      if (!host.get().free().covers(need)) {
+        leaving.addAll(leaving(host.get()));
+      }
+    }
+    double cost = cost(victims, nowMs);
+    victims.addAll(leaving);
+    return Optional.of(new Choice(List.copyOf(victims), cost));
+  }
+
+  // A start that does not wait for them is refused for want of room until they are gone, and is
+  // given up after half a second of that; most stops take longer.
+  private List<RunningAttempt> leaving(HostState host) {
+    List<RunningAttempt> leaving = new ArrayList<>();
+    for (String attemptId : host.attempts()) {
+      RunningAttempt attempt = running.get(attemptId);
+      if (attempt != null && attempt.stopping()) {
+        leaving.add(attempt);
+      }
     }
-    return Optional.of(new Choice(List.copyOf(victims), cost(victims, nowMs)));
+    return leaving;
   }
 
   /** Returns what it costs to make room for {@code need} on one host, infinite if it cannot be. */
--- a/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/SchedulerTest.java
@@ -71,6 +71,24 @@
     assertThat(scheduler.attemptOf("small")).isPresent();
   }
 
+  // Both need the room of one gang; the second found it stopping already, and was started at once.
+  @Test
+  void urgentWorkWaitsForWorkThatIsStoppingForOthers() {
+    hosts(1, 1);
+    scheduler.submit("other", job(1, 8, true, false), 0);
+    String other = scheduler.decide(0).stream().map(SchedulerTest::started).findFirst().get();
+    scheduler.submit("first", job(1, 4, false, true), 1);
+    scheduler.decide(1);
+    scheduler.submit("second", job(1, 4, false, true), 2);
+    List<Decision> decisions = scheduler.decide(2);
+    assertThat(decisions).hasSize(1);
+    assertThat(((Decision.Start) decisions.get(0)).victims()).containsExactly(other);
+  }
+
+  private static String started(Decision decision) {
+    return ((Decision.Start) decision).attemptId();
+  }
+
   @Test
   void urgentWorkStopsOtherWorkAtOnce() {
     hosts(1, 1);
