--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -31,6 +31,7 @@
 import org.wheatwall.entry.request.RequestPlane;
 import org.wheatwall.entry.request.SlotService;
 import org.wheatwall.entry.request.StepCoordinator;
+import org.wheatwall.entry.request.StepKeeper;
 import org.wheatwall.wire.http.Addresses;
 import org.wheatwall.wire.http.HttpCall;
 import org.wheatwall.wire.http.HttpClient;
@@ -72,7 +73,7 @@
   private final MembershipService membership;
   private final RemoteZones remoteZones;
   private final SlotService slots;
-  private final StepCoordinator steps;
+  private final StepKeeper stepKeeper;
   private final JobPlane jobs;
   private final RequestPlane requests;
   private final OperatorApi operators;
@@ -100,7 +101,7 @@
             self, settings.zone(), clock, stateThread, configuration, directory, peers, metrics);
     remoteZones = new RemoteZones(settings.zone());
     slots = newSlots();
-    steps = newSteps();
+    stepKeeper = newStepKeeper();
     jobs =
         new JobPlane(
             settings, clock, membership, configuration, directory, platform, timer, metrics);
@@ -111,7 +112,7 @@
             settings.requests(),
             clock,
             slots,
-            steps,
+            newSteps(),
             directory,
             runnerClient,
             this::pause,
@@ -153,19 +154,21 @@
         metrics);
   }
 
-  private StepCoordinator newSteps() {
-    return new StepCoordinator(
+  private StepKeeper newStepKeeper() {
+    return new StepKeeper(
         clock,
-        settings.zones(),
         settings.requests().keepAnswersMs(),
         settings.requests().maxDeadlineMs(),
         membership,
-        remoteZones,
         peers,
         timer,
         metrics);
   }
 
+  private StepCoordinator newSteps() {
+    return new StepCoordinator(settings.zones(), stepKeeper, membership, remoteZones, peers, timer);
+  }
+
   private static PeerIdentity identity(Member self, String zone) {
     return PeerIdentity.newBuilder()
         .setName(self.name())
@@ -180,7 +183,7 @@
     configuration.addListener(requests);
     configuration.addListener(jobs);
     membership.addListener(slots);
-    membership.addListener(steps);
+    membership.addListener(stepKeeper);
     membership.addListener(jobs);
     membership.setReplyDetails(slots::replyDetails);
     directory.addListener(slots::assignRunners);
@@ -194,7 +197,7 @@
     timer.scheduleWithFixedDelay(
         slots::tick, REQUEST_TICK_MS, REQUEST_TICK_MS, TimeUnit.MILLISECONDS);
     timer.scheduleWithFixedDelay(
-        steps::tick, LEDGER_TICK_MS, LEDGER_TICK_MS, TimeUnit.MILLISECONDS);
+        stepKeeper::tick, LEDGER_TICK_MS, LEDGER_TICK_MS, TimeUnit.MILLISECONDS);
     LOG.info(
         "event=entry-started host={} zone={} http={} peer={}",
         settings.host(),
@@ -274,10 +277,10 @@
     return switch (request.getBodyCase()) {
       case HEARTBEAT -> membership.onHeartbeat(request.getHeartbeat());
       case RETIRE -> membership.onRetire(request.getRetire());
-      case STEP_ASK -> steps.onAsk(request.getStepAsk());
-      case STEP_RECORD -> steps.onRecord(request.getStepRecord());
-      case STEP_FINISH -> steps.onFinish(request.getStepFinish());
-      case LEDGER_PULL -> steps.onPull(request.getLedgerPull());
+      case STEP_ASK -> stepKeeper.onAsk(request.getStepAsk());
+      case STEP_RECORD -> stepKeeper.onRecord(request.getStepRecord());
+      case STEP_FINISH -> stepKeeper.onFinish(request.getStepFinish());
+      case LEDGER_PULL -> stepKeeper.onPull(request.getLedgerPull());
       case SLOT_ASK -> slots.onSlotAsk(request.getSlotAsk());
       case SLOT_RETURN -> slots.onSlotReturn(request.getSlotReturn());
       case SNAPSHOT_PULL -> onSnapshotPull(request.getSnapshotPull());
@@ -341,7 +344,7 @@
     configured.put("nextOffset", configuration.nextOffset());
     configured.put("sinceHeadMs", configuration.sinceHeadMs());
     node.set("slots", slots.dump());
-    node.putObject("steps").put("records", steps.recordCount());
+    node.putObject("steps").put("records", stepKeeper.recordCount());
     return jobs.dump()
         .thenApply(
             jobState -> {
