A host is out with its first failure, and back on probation

Found on reading: a host whose earlier task was done while it was out was forgotten by HostHealth and never released, so it stayed out for the rest of the term (HostHealthTest, fails on the version before).

Change: out with the first failure, 1 s, doubled up to 60 s; then on probation: one single task at a time, no gang and no urgent work, until a task is done or 4 s have passed. A job that fails on two hosts and has got less done than that speaks against itself, and hosts that are out for it alone come back. Each failure is logged with its worker.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -15,6 +15,7 @@
     GROUP_INTERRUPTED,
     GROUP_FAILED,
     RUN_STOPPING,
+    TASK_FAILED,
     RUN_ADOPTED,
     JOB_ENDED,
     FIRST_DECISION,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -153,6 +153,11 @@
 
   void noteFailure(JobRuns progress, GroupKey group, String worker, int failedRun) {
     term.scheduler.hostFailedTask(worker, group.jobId(), term.nowMs);
+    term.note(
+        RunEvent.Kind.TASK_FAILED,
+        group.jobId(),
+        group.text(),
+        "run " + failedRun + " on " + worker);
     term.avoided.computeIfAbsent(group, key -> new HashSet<>()).add(worker);
     GroupState state = progress.state(group).failedIn(failedRun);
     progress.set(group, state);
@@ -186,6 +191,7 @@
     GroupState state = progress.state(group).settled(GroupPhase.DONE);
     progress.set(group, state);
     term.outgoing.add(LogEntry.of(LogKey.group(group), new LogContent.Group(state)));
+    term.scheduler.jobProgressed(group.jobId());
     term.note(RunEvent.Kind.GROUP_DONE, group.jobId(), group.text(), "run " + doneRun);
     GroupRun run = term.runs.of(group).orElse(null);
     if (run == null) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -94,6 +94,11 @@
     change(name, host -> host.setUsable(usable));
   }
 
+  /** Sets whether a host gets only one task at a time, and only work that bears a failure. */
+  void setOnProbation(String name, boolean onProbation) {
+    change(name, host -> host.setOnProbation(onProbation));
+  }
+
   /** Sets the operator's labels of a host. */
   public void setLabels(String name, Labels labels) {
     change(name, host -> host.setLabels(labels));
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
@@ -9,17 +9,24 @@
 /**
  * Takes a worker host out of use after consecutive failed attempts and lets it back by probes. A
  * host that fails everything is always free and would otherwise attract every job.
+ *
+ * <p>A host that is let back is on probation: it is to get one task at a time that bears a failure,
+ * until one was done there or nothing has failed for a while.
  */
 public final class HostHealth {
   private final HostHealthSettings settings;
+  private final FaultyJobs faultyJobs = new FaultyJobs();
   private final Map<String, History> histories = new HashMap<>();
 
   private static final class History {
     private final Set<String> failedJobs = new HashSet<>();
     private int consecutiveFailures;
+    private long failedAtMs;
     private long quarantineMs;
     private long usableAgainAtMs;
+    private long trustedAgainAtMs;
     private boolean quarantined;
+    private boolean onProbation;
 
     private History(long quarantineMs) {
       this.quarantineMs = quarantineMs;
@@ -37,12 +44,29 @@
   }
 
   /**
-   * Notes a failed attempt; returns whether the host is out from now on. A job that fails again on
-   * the same host says more about the job, so it counts once.
+   * Notes a failed attempt; returns the hosts whose state changed. A job that fails again on the
+   * same host says more about the job, so it counts once; one that fails on several hosts and gets
+   * little done says nothing about hosts, and those that are out for it alone come back.
    */
-  public boolean failed(String host, String job, long nowMs) {
+  public Set<String> failed(String host, String job, long nowMs) {
+    if (faultyJobs.failed(job, host)) {
+      return acquit(job);
+    }
     History history = history(host);
-    return history.failedJobs.add(job) && count(history, nowMs);
+    boolean out = history.failedJobs.add(job) && count(history, nowMs);
+    return out ? Set.of(host) : Set.of();
+  }
+
+  private Set<String> acquit(String job) {
+    Set<String> acquitted = new TreeSet<>();
+    for (String host : faultyJobs.hostsOf(job)) {
+      History history = histories.get(host);
+      if (history != null && history.failedJobs.equals(Set.of(job))) {
+        histories.remove(host);
+        acquitted.add(host);
+      }
+    }
+    return acquitted;
   }
 
   private History history(String host) {
@@ -51,30 +75,50 @@
 
   private boolean count(History history, long nowMs) {
     history.consecutiveFailures++;
-    if (history.consecutiveFailures < settings.failures()) {
+    history.failedAtMs = nowMs;
+    if (history.quarantined || history.consecutiveFailures < settings.failures()) {
       return false;
     }
     history.quarantined = true;
+    history.onProbation = false;
     history.usableAgainAtMs = nowMs + history.quarantineMs;
     history.quarantineMs = Math.min(settings.longestQuarantineMs(), history.quarantineMs * 2);
-    // One further failure, of the probe, is enough to be out again.
-    history.consecutiveFailures = settings.failures() - 1;
-    history.failedJobs.clear();
     return true;
   }
 
-  /** Notes a success; the host's history is clean again. */
-  public void succeeded(String host) {
+  /** Notes that a task of a job was done. */
+  public void jobProgressed(String job) {
+    faultyJobs.progressed(job);
+  }
+
+  /**
+   * Notes a success; the host's history is clean again, unless it has failed since that attempt
+   * began. Returns whether its state changed.
+   */
+  public boolean succeeded(String host, long startedAtMs) {
+    History history = histories.get(host);
+    if (history == null || startedAtMs < history.failedAtMs) {
+      return false;
+    }
     histories.remove(host);
+    return history.quarantined || history.onProbation;
   }
 
-  /** Returns the hosts whose quarantine ended by {@code nowMs}, each once. */
+  /** Returns the hosts whose quarantine or probation ended by {@code nowMs}, each once. */
   public Set<String> released(long nowMs) {
     Set<String> released = new TreeSet<>();
     for (Map.Entry<String, History> entry : histories.entrySet()) {
       History history = entry.getValue();
       if (history.quarantined && history.usableAgainAtMs <= nowMs) {
         history.quarantined = false;
+        history.onProbation = true;
+        history.trustedAgainAtMs = nowMs + settings.probationMs();
+        // One further failure, of the probe, is enough to be out again.
+        history.consecutiveFailures = settings.failures() - 1;
+        history.failedJobs.clear();
+        released.add(entry.getKey());
+      } else if (history.onProbation && history.trustedAgainAtMs <= nowMs) {
+        history.onProbation = false;
         released.add(entry.getKey());
       }
     }
@@ -86,4 +130,10 @@
     History history = histories.get(host);
     return history != null && history.quarantined;
   }
+
+  /** Returns whether the host is back, but nothing was done there since. */
+  public boolean isOnProbation(String host) {
+    History history = histories.get(host);
+    return history != null && history.onProbation;
+  }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -23,6 +23,7 @@
   private final Map<HostSharing, Integer> sharing = new EnumMap<>(HostSharing.class);
   private Labels labels = Labels.NONE;
   private boolean usable = true;
+  private boolean onProbation;
 
   /** What one attempt holds here. */
   record Holding(ResourceAmount amount, boolean reclaimable) {}
@@ -85,6 +86,17 @@
     return room.fits(job.taskAmount()) <= left ? room : job.taskAmount().times(left);
   }
 
+  /**
+   * Returns the part of {@code room} that {@code job} may take now, which on a host on probation is
+   * one task of work that bears a failure. A gang is lost with any of its members, and urgent work
+   * has no time for a second attempt.
+   */
+  public ResourceAmount roomNow(Job job, ResourceAmount room) {
+    boolean bearsFailure = job.tasks() == 1 && !job.urgent();
+    boolean mayTry = bearsFailure && holdings.isEmpty();
+    return onProbation && !mayTry ? ResourceAmount.ZERO : roomFor(job, room);
+  }
+
   /** Counts tasks of a spread group that came or, if negative, went. */
   void countSpread(String group, int tasks) {
     spread.merge(group, tasks, (old, added) -> old + added == 0 ? null : old + added);
@@ -154,6 +166,10 @@
     usable = next;
   }
 
+  void setOnProbation(boolean next) {
+    onProbation = next;
+  }
+
   void setLabels(Labels next) {
     labels = next;
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -88,7 +88,7 @@
   }
 
   private List<Placement> places(Job job, Predicate<RunningAttempt> mayStop, long nowMs) {
-    Function<HostState, ResourceAmount> room = host -> host.roomFor(job, room(host, job, mayStop));
+    Function<HostState, ResourceAmount> room = host -> host.roomNow(job, room(host, job, mayStop));
     ToDoubleFunction<HostState> cost = host -> costOfTask(host, job, room, mayStop, nowMs);
     List<Placement> places = new ArrayList<>();
     if (job.adjacency() != Adjacency.SAME_HOST) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -189,7 +189,11 @@
         attempt.job().workspace(), -attempt.job().totalAccelerators(), Integer::sum);
     if (reason == EndReason.SUCCEEDED) {
       tables.estimator.observe(attempt.job(), (nowMs - attempt.startedAtMs()) / 1000.0);
-      attempt.placement().hosts().forEach(health::succeeded);
+      for (String host : Set.copyOf(attempt.placement().hosts())) {
+        if (health.succeeded(host, attempt.startedAtMs())) {
+          refreshUsable(host);
+        }
+      }
     }
   }
 
@@ -208,12 +212,20 @@
 
   /** Notes that a task of {@code job} failed on a host; repeats by the same job count once. */
   public void hostFailedTask(String host, String job, long nowMs) {
-    if (quarantines() && health.failed(host, job, nowMs)) {
-      refreshUsable(host);
-      tables.plan.refresh();
+    if (quarantines()) {
+      Set<String> changed = health.failed(host, job, nowMs);
+      changed.forEach(this::refreshUsable);
+      if (!changed.isEmpty()) {
+        tables.plan.refresh();
+      }
     }
   }
 
+  /** Notes that a task of {@code job} was done; tells jobs that fail from hosts that do. */
+  public void jobProgressed(String job) {
+    health.jobProgressed(job);
+  }
+
   /** Returns why a job waits, empty if it is not waiting. */
   public Optional<WaitReason> reason(String jobName) {
     Optional<WaitReason> reason = Optional.ofNullable(tables.reasons.get(jobName));
@@ -273,5 +285,6 @@
   private void refreshUsable(String host) {
     boolean allowed = !cordoned.contains(host) && !unavailable.contains(host);
     tables.cluster.setUsable(host, allowed && !health.isQuarantined(host));
+    tables.cluster.setOnProbation(host, health.isOnProbation(host));
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/policy/FirstFit.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/FirstFit.java
@@ -35,12 +35,12 @@
 
   private static boolean fits(Job job, RackState rack) {
     return GangFitter.count(
-            rack.hosts(), job.tasks(), job.taskAmount(), host -> host.roomFor(job, host.free()))
+            rack.hosts(), job.tasks(), job.taskAmount(), host -> host.roomNow(job, host.free()))
         == job.tasks();
   }
 
   private static Optional<Placement> fit(Job job, Iterable<HostState> hosts) {
     return GangFitter.fit(
-        hosts, job.tasks(), job.taskAmount(), host -> host.roomFor(job, host.free()));
+        hosts, job.tasks(), job.taskAmount(), host -> host.roomNow(job, host.free()));
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/job/decision/HostHealthTest.java
@@ -0,0 +1,146 @@
+package org.wheatwall.core.job.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Mechanisms;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.PolicyAlgorithm;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+
+/** Which work goes to hosts that failed a task, and when they are trusted again. */
+final class HostHealthTest {
+  private static final HostHealthSettings SETTINGS = HostHealthSettings.SHORT_JOBS;
+  private static final long FAILED_MS = 10_000;
+  private static final long BACK_MS = FAILED_MS + SETTINGS.firstQuarantineMs();
+  private static final long TRUSTED_MS = BACK_MS + SETTINGS.probationMs();
+
+  private final Scheduler scheduler =
+      new Scheduler(new SchedulerSettings(600_000, 500, 64, SETTINGS, 0, Mechanisms.ALL));
+  private int submitted;
+
+  @BeforeEach
+  void addHosts() {
+    addHost("a");
+    addHost("b");
+    scheduler.setPolicies(
+        Map.of(
+            "policy",
+            new PolicySpec(Labels.NONE, PolicyAlgorithm.PRIORITY_FIRST, "", 0, 0, 0, false)));
+  }
+
+  private void addHost(String name) {
+    scheduler.cluster().add(new WorkerHost(name, "zone", "rack", new ResourceAmount(32, 1000, 8)));
+    scheduler.hostsChanged();
+  }
+
+  private String submit(int tasks, int accelerators, boolean urgent, long nowMs) {
+    Job job =
+        new Job(
+            Labels.NONE,
+            "workspace",
+            "zone",
+            Optional.empty(),
+            tasks,
+            new ResourceAmount(1, 10, accelerators),
+            Adjacency.ANY,
+            2,
+            true,
+            urgent,
+            JobPhase.SUBMITTED);
+    String name = "job-" + submitted++;
+    scheduler.submit(name, job, nowMs);
+    scheduler.decide(nowMs);
+    return name;
+  }
+
+  private boolean usable(String host) {
+    return scheduler.cluster().host(host).orElseThrow().usable();
+  }
+
+  private void fails(String host, String job) {
+    scheduler.hostFailedTask(host, job, FAILED_MS);
+  }
+
+  @Test
+  void aHostThatIsBackGetsNoGangAndNoUrgentWorkUntilItIsTrusted() {
+    fails("a", "first");
+    fails("b", "second");
+    String gang = submit(2, 8, false, FAILED_MS);
+    String urgent = submit(1, 8, true, FAILED_MS);
+    scheduler.decide(BACK_MS);
+    assertThat(scheduler.attemptOf(gang)).isEmpty();
+    assertThat(scheduler.attemptOf(urgent)).isEmpty();
+    scheduler.decide(TRUSTED_MS);
+    assertThat(scheduler.attemptOf(urgent)).isPresent();
+  }
+
+  @Test
+  void aHostThatIsBackIsTriedWithOneTask() {
+    fails("a", "first");
+    fails("b", "second");
+    String first = submit(1, 1, false, FAILED_MS);
+    String second = submit(1, 1, false, FAILED_MS);
+    String third = submit(1, 1, false, FAILED_MS);
+    scheduler.decide(BACK_MS);
+    assertThat(scheduler.attemptOf(first)).isPresent();
+    assertThat(scheduler.attemptOf(second)).isPresent();
+    assertThat(scheduler.attemptOf(third)).isEmpty();
+  }
+
+  @Test
+  void aTaskThatIsDoneEndsTheProbation() {
+    fails("a", "first");
+    fails("b", "second");
+    String probe = submit(1, 1, false, FAILED_MS);
+    scheduler.decide(BACK_MS);
+    String attempt = scheduler.attemptOf(probe).orElseThrow();
+    String host = scheduler.cluster().placement(attempt).orElseThrow().hosts().get(0);
+    scheduler.attemptEnded(attempt, EndReason.SUCCEEDED, BACK_MS + 100);
+    String urgent = submit(1, 8, true, BACK_MS + 100);
+    String urgentAttempt = scheduler.attemptOf(urgent).orElseThrow();
+    assertThat(scheduler.cluster().placement(urgentAttempt).orElseThrow().hosts())
+        .containsExactly(host);
+  }
+
+  // The host stayed out of use for good: its history was cleared, and nobody released it.
+  @Test
+  void aHostWhoseEarlierTaskIsDoneWhileItIsOutComesBackInTime() {
+    String before = submit(1, 1, false, FAILED_MS - 5000);
+    String attempt = scheduler.attemptOf(before).orElseThrow();
+    String host = scheduler.cluster().placement(attempt).orElseThrow().hosts().get(0);
+    fails(host, "first");
+    assertThat(usable(host)).isFalse();
+    scheduler.attemptEnded(attempt, EndReason.SUCCEEDED, FAILED_MS + 100);
+    assertThat(usable(host)).isFalse();
+    scheduler.decide(BACK_MS);
+    assertThat(usable(host)).isTrue();
+  }
+
+  @Test
+  void hostsAreNotOutForAJobThatFailsOnSeveral() {
+    fails("a", "faulty");
+    assertThat(usable("a")).isFalse();
+    fails("b", "faulty");
+    assertThat(usable("a")).isTrue();
+    assertThat(usable("b")).isTrue();
+  }
+
+  @Test
+  void aJobThatGetsTasksDoneSpeaksAgainstEveryHostThatFailsIt() {
+    fails("a", "wide");
+    scheduler.jobProgressed("wide");
+    scheduler.jobProgressed("wide");
+    fails("b", "wide");
+    assertThat(usable("a")).isFalse();
+    assertThat(usable("b")).isFalse();
+  }
+}
