Gangs are placed on hosts on which work was seen to be fast

A gang moves at the pace of its slowest member, so nearly all gangs of several hosts ran 1.3 times as long as they had to, while single tasks held the faster hosts.

Change: every host measures single tasks by the records of the job log it reads anyway (RunTimes, HostPaces), so that a new decider has learned the same without a message. RackPacking takes for a gang the rack and hosts whose slowest is fastest, for single tasks the slower ones. Switch: host-paces.

Without a known difference nothing changes.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -27,6 +27,7 @@
     WORKER_GONE,
     WORKER_SLOW,
     WORKER_AT_SPEED,
+    WORKER_PACE,
     STRAY_RUN
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -19,10 +19,14 @@
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.core.common.Mechanism;
 import org.wheatwall.core.common.Names;
 import org.wheatwall.core.job.decision.Decision;
+import org.wheatwall.core.job.decision.HostPaces;
+import org.wheatwall.core.job.decision.HostState;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
+import org.wheatwall.core.job.model.HostPace;
 import org.wheatwall.core.job.model.Objective;
 
 /**
@@ -44,12 +48,14 @@
   private final RunLifecycle lifecycle;
   private final WorkerReports reports;
   private final FirstReports firstReports;
+  private final HostPaces paces;
+  private final boolean usesPaces;
   private long decidedAtMs;
   private boolean decided;
   private long sweptAtMs;
 
   /**
-   * Creates a supervisor for a term that starts now.
+   * Creates a supervisor for a term that starts now, with nothing learned before it.
    *
    * @param number number of the term, part of the identifiers of attempts
    * @param overlapMs how much longer the decider before may give orders, milliseconds
@@ -61,6 +67,27 @@
       long number,
       long startMs,
       long overlapMs) {
+    this(settings, scheduling, effects, number, startMs, overlapMs, new HostPaces());
+  }
+
+  /**
+   * Creates a supervisor for a term that starts now.
+   *
+   * @param number number of the term, part of the identifiers of attempts
+   * @param overlapMs how much longer the decider before may give orders, milliseconds
+   * @param paces how fast workers are, as learned before this term; this supervisor alone takes
+   *     changes from it while the term lasts
+   */
+  public RunSupervisor(
+      SupervisorSettings settings,
+      SchedulerSettings scheduling,
+      RunEffects effects,
+      long number,
+      long startMs,
+      long overlapMs,
+      HostPaces paces) {
+    this.paces = paces;
+    this.usesPaces = scheduling.mechanisms().on(Mechanism.HOST_PACES);
     Scheduler scheduler = new Scheduler(scheduling);
     scheduler.setAttemptPrefix("t" + number);
     this.term = new TermState(settings, effects, scheduler, startMs, startMs + overlapMs);
@@ -137,6 +164,7 @@
       term.note(RunEvent.Kind.WORKER_LISTED, "", info.id(), "rack " + info.rack());
       term.effects.look(info.id());
     }
+    takePace(info.id());
     term.dirty = true;
   }
 
@@ -323,6 +351,7 @@
     term.dirty = false;
     term.describeGangsAgain();
     decidedAtMs = term.nowMs;
+    paces.takeChanged().forEach(this::takePace);
     for (Decision decision : term.scheduler.decide(term.nowMs)) {
       if (decision instanceof Decision.Stop stop) {
         term.runs
@@ -334,6 +363,15 @@
     }
   }
 
+  private void takePace(String worker) {
+    HostState host = term.scheduler.cluster().host(worker).orElse(null);
+    HostPace pace = paces.of(worker);
+    if (usesPaces && host != null && host.pace() != pace) {
+      term.scheduler.cluster().setPace(worker, pace);
+      term.note(RunEvent.Kind.WORKER_PACE, "", worker, pace + " by the run times of its tasks");
+    }
+  }
+
   private void plan(Decision.Start start) {
     GroupKey group = GroupKey.parse(start.jobName()).orElseThrow();
     JobRuns progress = term.jobs.get(group.jobId());
--- a/core/src/main/java/org/wheatwall/core/common/Mechanism.java
+++ b/core/src/main/java/org/wheatwall/core/common/Mechanism.java
@@ -29,6 +29,8 @@
   LATE_WORKERS,
   /** Workers whose tasks turn slow or stand still are left aside. */
   SLOW_WORKERS,
+  /** Gangs are placed on the hosts on which work was seen to be fast. */
+  HOST_PACES,
   /** Calls are passed on to another host while the log cannot be reached. */
   PASSED_ON_CALLS;
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -13,6 +13,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.HostPace;
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.JobOptions;
@@ -94,6 +95,11 @@
     change(name, host -> host.setUsable(usable));
   }
 
+  /** Sets how long tasks take on a host, compared with others. */
+  public void setPace(String name, HostPace pace) {
+    change(name, host -> host.setPace(pace));
+  }
+
   /** Sets whether a host gets only one task at a time, and only work that bears a failure. */
   void setOnProbation(String name, boolean onProbation) {
     change(name, host -> host.setOnProbation(onProbation));
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.model.HostPace;
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.JobOptions;
@@ -24,6 +25,7 @@
   private Labels labels = Labels.NONE;
   private boolean usable = true;
   private boolean onProbation;
+  private HostPace pace = HostPace.USUAL;
 
   /** What one attempt holds here. */
   record Holding(ResourceAmount amount, boolean reclaimable) {}
@@ -48,6 +50,11 @@
     return labels;
   }
 
+  /** Returns how long tasks take here, compared with other hosts. */
+  public HostPace pace() {
+    return pace;
+  }
+
   /** Returns whether new work may be placed here. */
   public boolean usable() {
     return usable;
@@ -170,6 +177,10 @@
     onProbation = next;
   }
 
+  void setPace(HostPace next) {
+    pace = next;
+  }
+
   void setLabels(Labels next) {
     labels = next;
   }
--- a/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
@@ -1,26 +1,71 @@
 package org.wheatwall.core.job.policy;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableSet;
 import java.util.Optional;
 import org.wheatwall.core.job.decision.ClusterView;
+import org.wheatwall.core.job.decision.GangFitter;
+import org.wheatwall.core.job.decision.HostState;
+import org.wheatwall.core.job.decision.RackState;
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Placement;
 
 /**
- * Keeps every gang in one rack where one holds it, the fullest first, even if the gang may be
- * scattered; so racks stay free as a whole for gangs that need one.
+ * Keeps every gang in one rack where one holds it, even if the gang may be scattered, so racks stay
+ * free as a whole for gangs that need one. Of the racks that hold it the one is taken whose hosts
+ * suit it best by their pace ({@link PaceOrder}), among equals the fullest.
  */
 public final class RackPacking implements PlacementRule {
+  // Enough to find hosts of another pace where there are some, few enough for a fleet of hundreds.
+  private static final int RACKS_COMPARED = 16;
+
   private final BestFit bestFit = new BestFit();
 
   @Override
   public Optional<Placement> place(Job job, ClusterView cluster) {
-    if (job.adjacency() == Adjacency.ANY) {
-      Optional<Placement> inRack = BestFit.inOneRack(job, cluster);
-      if (inRack.isPresent()) {
-        return inRack;
+    if (job.adjacency() == Adjacency.SAME_HOST) {
+      return bestFit.place(job, cluster);
+    }
+    Optional<Placement> inRack = inOneRack(job, cluster);
+    boolean scatters = inRack.isEmpty() && job.adjacency() == Adjacency.ANY;
+    return scatters ? bestFit.place(job, cluster) : inRack;
+  }
+
+  private static Optional<Placement> inOneRack(Job job, ClusterView cluster) {
+    Optional<Placement> best = Optional.empty();
+    int bestRank = Integer.MAX_VALUE;
+    int compared = 0;
+    for (NavigableSet<RackState> group : cluster.racksWithFree(job.totalAccelerators())) {
+      for (RackState rack : group) {
+        if (bestRank == 0 || (best.isPresent() && compared >= RACKS_COMPARED)) {
+          return best;
+        }
+        compared++;
+        Optional<Placement> placement = inRack(job, rack);
+        int rank = placement.map(found -> worstRank(job, found, cluster)).orElse(bestRank);
+        if (rank < bestRank) {
+          best = placement;
+          bestRank = rank;
+        }
       }
     }
-    return bestFit.place(job, cluster);
+    return best;
+  }
+
+  private static Optional<Placement> inRack(Job job, RackState rack) {
+    List<HostState> hosts = new ArrayList<>(rack.hosts());
+    hosts.sort(PaceOrder.of(job));
+    return GangFitter.fit(
+        hosts, job.tasks(), job.taskAmount(), host -> host.roomNow(job, host.free()));
+  }
+
+  private static int worstRank(Job job, Placement placement, ClusterView cluster) {
+    return placement.hosts().stream()
+        .flatMap(name -> cluster.host(name).stream())
+        .mapToInt(host -> PaceOrder.rank(job, host.pace()))
+        .max()
+        .orElse(0);
   }
 }
--- a/core/src/test/java/org/wheatwall/core/job/decision/LiveLoad.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/LiveLoad.java
@@ -11,9 +11,11 @@
 import java.util.Set;
 import org.wheatwall.core.common.Labels;
 import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.HostPace;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.JobPhase;
 import org.wheatwall.core.job.model.Objective;
+import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.PolicyAlgorithm;
 import org.wheatwall.core.job.model.PolicySpec;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -34,6 +36,8 @@
 
   private final Scheduler scheduler;
   private final Random random;
+  private final Hosts hosts;
+  private final double load;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Map<String, Work> works = new HashMap<>();
   private final Map<String, Decision.Start> planned = new HashMap<>();
@@ -42,6 +46,20 @@
   private long nowMs;
   private long number;
 
+  /**
+   * How fast hosts are.
+   *
+   * @param thirdTakes how much longer tasks take on each third host than on the others
+   * @param known whether it is known which hosts those are
+   */
+  record Hosts(double thirdTakes, boolean known) {
+    static final Hosts ALIKE = new Hosts(1, false);
+
+    boolean isThird(int number) {
+      return number % 3 == 2;
+    }
+  }
+
   /** What came of the load. */
   static final class Result {
     int live;
@@ -50,6 +68,7 @@
     int others;
     int othersInTime;
     int stops;
+    long liveMs;
     double secondsThrownAway;
 
     @Override
@@ -74,6 +93,17 @@
   private record Work(String name, Job job, long arrivedMs, long tookMs) {}
 
   LiveLoad(SchedulerSettings settings, long seed) {
+    this(settings, seed, Hosts.ALIKE, 1);
+  }
+
+  /**
+   * Creates a load.
+   *
+   * @param load how many jobs come, 1 for about as many as the hosts can do if they are alike
+   */
+  LiveLoad(SchedulerSettings settings, long seed, Hosts hosts, double load) {
+    this.hosts = hosts;
+    this.load = load;
     scheduler = new Scheduler(settings);
     random = new Random(seed);
     for (int i = 0; i < HOSTS; i++) {
@@ -81,6 +111,8 @@
       scheduler
           .cluster()
           .add(new WorkerHost("host-" + i, "zone", "rack-" + i / HOSTS_A_RACK, capacity));
+      boolean slower = hosts.known() && hosts.isThird(i);
+      scheduler.cluster().setPace("host-" + i, slower ? HostPace.SLOWER : HostPace.USUAL);
     }
     scheduler.hostsChanged();
     scheduler.setObjectives(Map.of("long", OTHER, "wide", OTHER));
@@ -113,7 +145,7 @@
   private void arrivals(String kind, long fromMs, long lengthMs, double perSecond) {
     double at = fromMs;
     while (true) {
-      at += -Math.log(1 - random.nextDouble()) / perSecond * 1000;
+      at += -Math.log(1 - random.nextDouble()) / (perSecond * load) * 1000;
       if (at >= fromMs + lengthMs) {
         return;
       }
@@ -173,10 +205,19 @@
       Work work = works.get(start.jobName());
       boolean atOnce = nowMs - work.arrivedMs() <= AT_ONCE_MS;
       result.liveAtOnce += work.job().urgent() && atOnce ? 1 : 0;
-      at(nowMs + work.tookMs(), () -> done(attemptId, work));
+      long tookMs = Math.round(work.tookMs() * slowest(start.placement()));
+      at(nowMs + tookMs, () -> done(attemptId, work));
     }
   }
 
+  // The members of a gang end together.
+  private double slowest(Placement placement) {
+    boolean third =
+        placement.hosts().stream()
+            .anyMatch(host -> hosts.isThird(Integer.parseInt(host.substring("host-".length()))));
+    return third ? hosts.thirdTakes() : 1;
+  }
+
   private void done(String attemptId, Work work) {
     if (stopped.contains(attemptId)) {
       return;
@@ -186,6 +227,7 @@
     Objective objective = live ? LIVE : OTHER;
     boolean inTime = nowMs - work.arrivedMs() <= objective.ms(work.tookMs());
     result.live += live ? 1 : 0;
+    result.liveMs += live ? nowMs - work.arrivedMs() : 0;
     result.liveInTime += live && inTime ? 1 : 0;
     result.others += live ? 0 : 1;
     result.othersInTime += !live && inTime ? 1 : 0;
@@ -226,10 +268,15 @@
 
   /** Returns what came of several seeds. */
   static Result sum(SchedulerSettings settings, int seeds) {
+    return sum(settings, seeds, Hosts.ALIKE, 1);
+  }
+
+  /** Returns what came of several seeds of a load. */
+  static Result sum(SchedulerSettings settings, int seeds, Hosts hosts, double load) {
     Result sum = new Result();
     List<Result> results = new ArrayList<>();
     for (int seed = 1; seed <= seeds; seed++) {
-      results.add(new LiveLoad(settings, seed).run());
+      results.add(new LiveLoad(settings, seed, hosts, load).run());
     }
     for (Result each : results) {
       sum.live += each.live;
@@ -238,6 +285,7 @@
       sum.others += each.others;
       sum.othersInTime += each.othersInTime;
       sum.stops += each.stops;
+      sum.liveMs += each.liveMs;
       sum.secondsThrownAway += each.secondsThrownAway;
     }
     return sum;
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/job/policy/RackPackingTest.java
@@ -0,0 +1,97 @@
+package org.wheatwall.core.job.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.job.decision.Cluster;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.HostPace;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+
+/** Gangs go to the fastest hosts of one rack, single tasks to the slower ones. */
+final class RackPackingTest {
+  private static final ResourceAmount CAPACITY = new ResourceAmount(32, 1000, 8);
+
+  private final Cluster cluster = new Cluster();
+  private final RackPacking packing = new RackPacking();
+
+  private void rack(String rack, HostPace... paces) {
+    for (int i = 0; i < paces.length; i++) {
+      String name = rack + "-" + i;
+      cluster.add(new WorkerHost(name, "zone", rack, CAPACITY));
+      cluster.setPace(name, paces[i]);
+    }
+  }
+
+  private Optional<Placement> place(int tasks, int accelerators, Adjacency adjacency) {
+    Job job =
+        new Job(
+            Labels.NONE,
+            "workspace",
+            "zone",
+            Optional.empty(),
+            tasks,
+            new ResourceAmount(1, 10, accelerators),
+            adjacency,
+            10,
+            true,
+            false,
+            JobPhase.SUBMITTED);
+    return packing.place(job, cluster);
+  }
+
+  private List<String> hosts(int tasks, int accelerators) {
+    return place(tasks, accelerators, Adjacency.SAME_RACK).orElseThrow().hosts();
+  }
+
+  @Test
+  void aGangLeavesOutASlowerHost() {
+    rack("r", HostPace.SLOWER, HostPace.USUAL, HostPace.USUAL);
+    assertThat(hosts(2, 8)).containsExactly("r-1", "r-2");
+  }
+
+  @Test
+  void aGangTakesTheRackWhoseSlowestHostIsFastest() {
+    rack("full", HostPace.SLOWER, HostPace.USUAL);
+    rack("roomy", HostPace.USUAL, HostPace.USUAL, HostPace.USUAL);
+    assertThat(hosts(2, 8)).containsExactly("roomy-0", "roomy-1");
+  }
+
+  @Test
+  void aGangThatNeedsASlowerHostTakesIt() {
+    rack("r", HostPace.SLOWER, HostPace.USUAL);
+    assertThat(hosts(2, 8)).containsExactly("r-0", "r-1");
+  }
+
+  @Test
+  void aSingleTaskTakesASlowerHostButNotOneThatIsMuchSlower() {
+    rack("r", HostPace.USUAL, HostPace.MUCH_SLOWER, HostPace.SLOWER);
+    assertThat(hosts(1, 1)).containsExactly("r-2");
+    cluster.hold("other", new Placement(List.of("r-2")), CAPACITY, true);
+    assertThat(hosts(1, 1)).containsExactly("r-0");
+  }
+
+  @Test
+  void amongHostsThatAreAlikeTheFullestRackAndHostAreTaken() {
+    rack("empty", HostPace.USUAL, HostPace.USUAL);
+    rack("used", HostPace.USUAL, HostPace.USUAL);
+    cluster.hold("other", new Placement(List.of("used-1")), new ResourceAmount(1, 10, 4), true);
+    assertThat(hosts(1, 2)).containsExactly("used-1");
+    assertThat(hosts(2, 4)).containsExactly("used-1", "used-0");
+  }
+
+  @Test
+  void aGangThatNoRackHoldsIsScatteredIfItMayBe() {
+    rack("a", HostPace.USUAL);
+    rack("b", HostPace.USUAL);
+    assertThat(place(2, 8, Adjacency.ANY)).isPresent();
+    assertThat(place(2, 8, Adjacency.SAME_RACK)).isEmpty();
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -21,6 +21,7 @@
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.common.Mechanism;
+import org.wheatwall.core.job.decision.HostPaces;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogWriter;
 import org.wheatwall.entry.batch.permit.PermitDesk;
@@ -61,6 +62,7 @@
    *
    * @param firstSequence number of the first call after the claim
    * @param overlapMs how much longer the decider before may give orders, milliseconds
+   * @param paces how fast workers are, as learned from the log
    * @param onLost run when the store or a worker has refused the term
    */
   BatchDecider(
@@ -70,6 +72,7 @@
       TermRule rule,
       long firstSequence,
       long overlapMs,
+      HostPaces paces,
       Runnable onLost) {
     this.tools = tools;
     this.rule = rule;
@@ -92,7 +95,8 @@
             this,
             term,
             tools.clock().nowMs(),
-            overlapMs);
+            overlapMs,
+            paces);
     this.supervisor.scheduler().setPolicies(Map.of("batch", BatchScheduling.POLICY));
     this.watch =
         new WorkerWatch(
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -6,12 +6,16 @@
 import java.util.Optional;
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.RunTimes;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.job.decision.HostPaces;
 import org.wheatwall.entry.batch.log.KeyedLog;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogFollower;
@@ -30,6 +34,7 @@
   private final EndWatch ends;
   private final Clock clock;
   private final DecisionLog decisions;
+  private final RunTimes runTimes = new RunTimes();
   private JobTable table = new JobTable();
   private Listener listener;
   private Runnable whenRegained = () -> {};
@@ -72,9 +77,15 @@
     return table;
   }
 
+  /** Returns how fast workers are, by the records that were read. */
+  HostPaces paces() {
+    return runTimes.paces();
+  }
+
   @Override
   public void restart(List<KeyedLog.NewestRecord> newest) {
     table = new JobTable();
+    runTimes.interrupted();
     for (KeyedLog.NewestRecord entry : newest) {
       decode(entry.record()).ifPresent(read -> table.apply(read, entry.offset()));
     }
@@ -96,7 +107,11 @@
       return;
     }
     LogEntry entry = decoded.get();
+    long termBefore = table.termNumber();
     table.apply(entry, offset);
+    if (table.termNumber() != termBefore) {
+      runTimes.interrupted();
+    }
     LogKey key = entry.key();
     if (key.kind().writtenByDecider()) {
       rule.sawDecider(clock.nowMs());
@@ -112,14 +127,19 @@
       case CANCEL -> listener.cancelled(key.name());
       case HOST -> roster.seen(key.name(), clock.nowMs());
       case END -> ends.ended(key.name());
-      case GROUP -> {
-        // Written by the decider, who knows it already.
-      }
+      case GROUP -> GroupKey.parse(key.name()).ifPresent(group -> measure(group, entry));
     }
   }
 
+  private void measure(GroupKey group, LogEntry entry) {
+    Optional<GroupState> state =
+        entry.content().map(content -> ((LogContent.Group) content).state());
+    runTimes.read(group, state, clock.nowMs());
+  }
+
   @Override
   public void regained() {
+    runTimes.interrupted();
     rule.sawOutageEnd(clock.nowMs());
     whenRegained.run();
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -291,6 +291,7 @@
             rule,
             process.claimSequence() + 1,
             rule.overlapMs(),
+            replica.paces(),
             () -> lose("the term was refused"));
     decider = Optional.of(next);
     next.setRules(rules);
