Stopping work for urgent gangs weighs the pace of hosts

Change: the accelerator time that a slower host costs beyond the usual counts like work that is thrown away; faster hosts are tried first.

UrgentVictimsTest: the first of the new tests fails without.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.HostPace;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -58,14 +59,36 @@
     for (Placement candidate : candidates) {
       Optional<VictimChooser.Choice> choice =
           victims.choose(cluster, candidate, job.taskAmount(), mayStop, nowMs);
-      if (choice.isPresent() && choice.get().cost() < least) {
-        least = choice.get().cost();
+      double cost =
+          choice.map(VictimChooser.Choice::cost).orElse(0.0) + costOfPace(queued, candidate);
+      if (choice.isPresent() && cost < least) {
+        least = cost;
         best = new Reclaim(candidate, choice.get().victims());
       }
     }
     return Optional.ofNullable(best);
   }
 
+  // A gang holds all its accelerators for as long as its slowest host takes, so the time beyond the
+  // usual counts like work that is thrown away.
+  private double costOfPace(QueuedJob queued, Placement candidate) {
+    double beyond =
+        candidate.hosts().stream()
+            .flatMap(name -> cluster.host(name).stream())
+            .mapToDouble(host -> beyondUsual(host.pace()))
+            .max()
+            .orElse(0);
+    return beyond * queued.expectedSeconds() * Math.max(1, queued.job().totalAccelerators());
+  }
+
+  private static double beyondUsual(HostPace pace) {
+    return switch (pace) {
+      case FASTER, USUAL -> 0;
+      case SLOWER -> HostPaces.LEAST_RATIO - 1;
+      case MUCH_SLOWER -> HostPaces.MUCH_SLOWER_RATIO - 1;
+    };
+  }
+
   // Without a strict order two jobs that both waited too long would stop each other in turn, for
   // ever. So guaranteed urgent work stops all other, urgent work what is not urgent, and otherwise
   // the
@@ -147,7 +170,8 @@
     for (RackState rack : racks.subList(0, Math.min(MAX_CANDIDATES, racks.size()))) {
       List<HostState> hosts = new ArrayList<>(rack.hosts());
       hosts.sort(
-          Comparator.comparingInt((HostState host) -> -host.free().accelerators())
+          Comparator.comparing(HostState::pace)
+              .thenComparingInt(host -> -host.free().accelerators())
               .thenComparingInt(HostState::index));
       GangFitter.fit(hosts, job.tasks(), job.taskAmount(), room).ifPresent(places::add);
       GangFitter.fit(cheapestFirst(rack, cost), job.tasks(), job.taskAmount(), room)
--- a/core/src/test/java/org/wheatwall/core/job/decision/UrgentVictimsTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/UrgentVictimsTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.common.Labels;
 import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.HostPace;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.JobPhase;
 import org.wheatwall.core.job.model.Placement;
@@ -78,4 +79,22 @@
     adopt("second", "b", true, JUST_NOW_MS);
     assertThat(stoppedFor(job("guaranteed", true))).containsExactly("second");
   }
+
+  // A run of 10 s on a host that is slower by a tenth or more holds its accelerators a second
+  // longer.
+  @Test
+  void aSlowerHostIsTakenOnlyIfItsWorkIsCheapEnough() {
+    scheduler.cluster().setPace("a", HostPace.SLOWER);
+    adopt("slower", "a", false, JUST_NOW_MS);
+    adopt("usual", "b", false, JUST_NOW_MS - 500);
+    assertThat(stoppedFor(job("guaranteed", true))).containsExactly("usual");
+  }
+
+  @Test
+  void muchWorkIsNotThrownAwayForAFasterHost() {
+    scheduler.cluster().setPace("a", HostPace.SLOWER);
+    adopt("slower", "a", false, JUST_NOW_MS);
+    adopt("usual", "b", false, LONG_AGO_MS);
+    assertThat(stoppedFor(job("guaranteed", true))).containsExactly("slower");
+  }
 }
