A view that follows before the last was confirmed is not waited out; one that was missed is

Cause, by reading PlannedStopIT's failure (a call held up for 2 s while members change): when a second view came before the first was confirmed by all, the lease waited out the whole promise of 1.5 s, whatever was confirmed meanwhile. It now keeps the members of all older views that may still act in one, and waits for those: a confirmation of the newest ends all older ones.

Found on the way: a host that acted in a view and read the next but one (both changes in one reading) took the members of the view between for all that could act, and did not wait for one that was left out there. It waits out the promise now.

ViewLeaseTest: two of the three new tests fail on the version before, the third holds that a silent member of an earlier view is waited for.

--- a/core/src/main/java/org/wheatwall/core/membership/decision/ViewLease.java
+++ b/core/src/main/java/org/wheatwall/core/membership/decision/ViewLease.java
@@ -28,7 +28,9 @@
   private ZoneView view;
   private long epoch;
   private long installedAtMs;
-  private boolean wasActing;
+  // Members of older views that may still act in one of them, as long as none of those is unknown.
+  private final Set<String> older = new HashSet<>();
+  private boolean olderKnown;
   private boolean drained;
   private long firstContinuingConfirmationMs = Long.MAX_VALUE;
   private long lastTickMs;
@@ -50,16 +52,32 @@
     if (newEpoch <= epoch) {
       return;
     }
-    wasActing = mayAct(nowMs);
+    noteOlder(newView, nowMs);
     epoch = newEpoch;
     view = newView;
     installedAtMs = nowMs;
     drained = newView.first();
     confirmedUntil.clear();
-    retired.removeIf(id -> !isIn(newView.members(), id) && !isIn(newView.previous(), id));
+    retired.removeIf(id -> !isIn(newView.members(), id) && !older.contains(id));
     firstContinuingConfirmationMs = Long.MAX_VALUE;
   }
 
+  // Views may follow each other faster than members confirm them. Whoever may act in any of them
+  // counts until it has confirmed the newest.
+  private void noteOlder(ZoneView newView, long nowMs) {
+    boolean ended = isDrained(nowMs);
+    olderKnown = view != null && (ended || olderKnown) && follows(newView);
+    if (ended) {
+      older.clear();
+    }
+    newView.previous().forEach(member -> older.add(member.id()));
+  }
+
+  private boolean follows(ZoneView newView) {
+    List<String> before = view.members().stream().map(Member::id).sorted().toList();
+    return newView.previous().stream().map(Member::id).sorted().toList().equals(before);
+  }
+
   /**
    * Takes in another member's answer to a heartbeat.
    *
@@ -128,7 +146,7 @@
     if (drained || view == null) {
       return drained;
     }
-    drained = wasActing && everyPreviousConfirmed();
+    drained = olderKnown && everyOlderConfirmed();
     if (isIn(view.previous(), self) || !view.continues()) {
       drained |= nowMs >= installedAtMs + promiseMs;
     }
@@ -138,19 +156,11 @@
     return drained;
   }
 
-  // A member that stopped for good has ended its part of the older view as surely as one that
-  // confirms the newer view.
-  private boolean everyPreviousConfirmed() {
-    for (Member old : view.previous()) {
-      boolean ended =
-          old.id().equals(self)
-              || confirmedUntil.containsKey(old.id())
-              || retired.contains(old.id());
-      if (!ended) {
-        return false;
-      }
-    }
-    return true;
+  // A member that stopped for good has ended its part of the older views as surely as one that
+  // confirms the newest.
+  private boolean everyOlderConfirmed() {
+    return older.stream()
+        .allMatch(id -> id.equals(self) || confirmedUntil.containsKey(id) || retired.contains(id));
   }
 
   private static boolean isIn(List<Member> members, String id) {
--- a/core/src/test/java/org/wheatwall/core/membership/decision/ViewLeaseTest.java
+++ b/core/src/test/java/org/wheatwall/core/membership/decision/ViewLeaseTest.java
@@ -20,6 +20,7 @@
   private static final Member A = new Member("a", 1, "127.0.0.1:1");
   private static final Member B = new Member("b", 1, "127.0.0.1:2");
   private static final Member C = new Member("c", 1, "127.0.0.1:3");
+  private static final Member D = new Member("d", 1, "127.0.0.1:4");
 
   private final ViewLease lease = new ViewLease(A.id(), PROMISE_MS);
 
@@ -57,6 +58,38 @@
     assertThat(lease.mayAct(101)).isTrue();
   }
 
+  // The second view came before the first was confirmed, and the whole promise was waited out.
+  @Test
+  void viewsThatFollowQuicklyAreLeftOnceAllTheirMembersAreKnownToHaveEndedThem() {
+    actInViewOfThree();
+    lease.onRetired(C.id());
+    lease.install(2, new ZoneView(Labels.NONE, List.of(A, B), List.of(A, B, C), false), 100);
+    lease.install(3, new ZoneView(Labels.NONE, List.of(A, B, D), List.of(A, B), false), 110);
+    lease.onConfirmation(B.id(), 3, false, 120);
+    assertThat(lease.mayAct(121)).isFalse();
+    lease.onConfirmation(D.id(), 3, false, 130);
+    assertThat(lease.mayAct(131)).isTrue();
+  }
+
+  @Test
+  void silentMemberOfAViewBeforeTheLastIsWaitedOut() {
+    actInViewOfThree();
+    lease.install(2, new ZoneView(Labels.NONE, List.of(A, B), List.of(A, B, C), false), 100);
+    lease.install(3, new ZoneView(Labels.NONE, List.of(A, B, D), List.of(A, B), false), 110);
+    lease.onConfirmation(B.id(), 3, false, 120);
+    lease.onConfirmation(D.id(), 3, false, 130);
+    assertThat(lease.mayAct(131)).isFalse();
+  }
+
+  @Test
+  void viewsThatWereMissedAreWaitedOut() {
+    actInViewOfThree();
+    lease.install(4, new ZoneView(Labels.NONE, List.of(A, B), List.of(A, B, D), false), 100);
+    lease.onConfirmation(B.id(), 4, false, 120);
+    lease.onRetired(D.id());
+    assertThat(lease.mayAct(121)).isFalse();
+  }
+
   @Test
   void memberThatStoppedIsAnotherThanTheOneThatReplacesIt() {
     actInViewOfThree();
