--- a/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
@@ -10,8 +10,9 @@
  * Takes a worker host out of use after consecutive failed attempts and lets it back by probes. A
  * host that fails everything is always free and would otherwise attract every job.
  *
- * <p>A host that is let back is on probation: it is to get one task at a time that bears a failure,
- * until one was done there or nothing has failed for a while.
+ * <p>A host that fails again once it is back is on probation the next time: it is to get one task
+ * at a time that bears a failure, until one was done there or nothing has failed for a while. The
+ * first failure alone is often the task's own.
  */
 public final class HostHealth {
   private final HostHealthSettings settings;
@@ -22,6 +23,7 @@
     private final Set<String> failedJobs = new HashSet<>();
     private int consecutiveFailures;
     private long failedAtMs;
+    private int quarantines;
     private long quarantineMs;
     private long usableAgainAtMs;
     private long trustedAgainAtMs;
@@ -80,6 +82,7 @@
       return false;
     }
     history.quarantined = true;
+    history.quarantines++;
     history.onProbation = false;
     history.usableAgainAtMs = nowMs + history.quarantineMs;
     history.quarantineMs = Math.min(settings.longestQuarantineMs(), history.quarantineMs * 2);
@@ -111,7 +114,7 @@
       History history = entry.getValue();
       if (history.quarantined && history.usableAgainAtMs <= nowMs) {
         history.quarantined = false;
-        history.onProbation = true;
+        history.onProbation = history.quarantines > 1;
         history.trustedAgainAtMs = nowMs + settings.probationMs();
         // One further failure, of the probe, is enough to be out again.
         history.consecutiveFailures = settings.failures() - 1;
