WorkerPaces takes what was learned of workers to the scheduler; plainer words

No change of what is decided: the part of RunSupervisor that follows HostPaces is a class of its own, and comments of HostHealth, FaultyJobs and HostPaces say it in the field's words.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -19,14 +19,11 @@
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
-import org.wheatwall.core.common.Mechanism;
 import org.wheatwall.core.common.Names;
 import org.wheatwall.core.job.decision.Decision;
 import org.wheatwall.core.job.decision.HostPaces;
-import org.wheatwall.core.job.decision.HostState;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
-import org.wheatwall.core.job.model.HostPace;
 import org.wheatwall.core.job.model.Objective;
 
 /**
@@ -48,8 +45,7 @@
   private final RunLifecycle lifecycle;
   private final WorkerReports reports;
   private final FirstReports firstReports;
-  private final HostPaces paces;
-  private final boolean usesPaces;
+  private final WorkerPaces paces;
   private long decidedAtMs;
   private boolean decided;
   private long sweptAtMs;
@@ -86,12 +82,11 @@
       long startMs,
       long overlapMs,
       HostPaces paces) {
-    this.paces = paces;
-    this.usesPaces = scheduling.mechanisms().on(Mechanism.HOST_PACES);
     Scheduler scheduler = new Scheduler(scheduling);
     scheduler.setAttemptPrefix("t" + number);
     this.term = new TermState(settings, effects, scheduler, startMs, startMs + overlapMs);
     this.lifecycle = new RunLifecycle(term);
+    this.paces = new WorkerPaces(term, paces, scheduling.mechanisms());
     this.reports = new WorkerReports(term, lifecycle, scheduling.mechanisms());
     this.firstReports = new FirstReports(term.workers, startMs);
     this.sweptAtMs = startMs;
@@ -164,7 +159,7 @@
       term.note(RunEvent.Kind.WORKER_LISTED, "", info.id(), "rack " + info.rack());
       term.effects.look(info.id());
     }
-    takePace(info.id());
+    paces.listed(info.id());
     term.dirty = true;
   }
 
@@ -351,7 +346,7 @@
     term.dirty = false;
     term.describeGangsAgain();
     decidedAtMs = term.nowMs;
-    paces.takeChanged().forEach(this::takePace);
+    paces.takeChanges();
     for (Decision decision : term.scheduler.decide(term.nowMs)) {
       if (decision instanceof Decision.Stop stop) {
         term.runs
@@ -363,15 +358,6 @@
     }
   }
 
-  private void takePace(String worker) {
-    HostState host = term.scheduler.cluster().host(worker).orElse(null);
-    HostPace pace = paces.of(worker);
-    if (usesPaces && host != null && host.pace() != pace) {
-      term.scheduler.cluster().setPace(worker, pace);
-      term.note(RunEvent.Kind.WORKER_PACE, "", worker, pace + " by the run times of its tasks");
-    }
-  }
-
   private void plan(Decision.Start start) {
     GroupKey group = GroupKey.parse(start.jobName()).orElseThrow();
     JobRuns progress = term.jobs.get(group.jobId());
--- a/core/src/main/java/org/wheatwall/core/job/decision/FaultyJobs.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/FaultyJobs.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * Tells jobs that fail by their own fault from hosts that fail what they are given: such a job
- * fails on several hosts and gets little done.
+ * Finds the jobs that fail by their own fault rather than by that of a host: they fail on many
+ * hosts, on more than they got tasks done.
  */
 final class FaultyJobs {
   // Only jobs that failed lately are compared; more than fail within a quarantine.
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostHealth.java
@@ -47,28 +47,28 @@
 
   /**
    * Notes a failed attempt; returns the hosts whose state changed. A job that fails again on the
-   * same host says more about the job, so it counts once; one that fails on several hosts and gets
-   * little done says nothing about hosts, and those that are out for it alone come back.
+   * same host counts once, since the cause may be the job. Once a job counts as faulty ({@link
+   * FaultyJobs}), hosts that are out because of it alone come back.
    */
   public Set<String> failed(String host, String job, long nowMs) {
     if (faultyJobs.failed(job, host)) {
-      return acquit(job);
+      return clear(job);
     }
     History history = history(host);
     boolean out = history.failedJobs.add(job) && count(history, nowMs);
     return out ? Set.of(host) : Set.of();
   }
 
-  private Set<String> acquit(String job) {
-    Set<String> acquitted = new TreeSet<>();
+  private Set<String> clear(String job) {
+    Set<String> cleared = new TreeSet<>();
     for (String host : faultyJobs.hostsOf(job)) {
       History history = histories.get(host);
       if (history != null && history.failedJobs.equals(Set.of(job))) {
         histories.remove(host);
-        acquitted.add(host);
+        cleared.add(host);
       }
     }
-    return acquitted;
+    return cleared;
   }
 
   private History history(String host) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostPaces.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostPaces.java
@@ -11,6 +11,9 @@
  * took on them. Declared run times do not matter, since only tasks of one step are compared, and a
  * difference counts once it is larger than what tasks of one step differ by anyway.
  *
+ * <p>This is about lasting differences between hosts. A host whose tasks turn slow while they run
+ * is found sooner by their progress, which the supervisor of runs watches.
+ *
  * <p>Sizes are bounded; the host or step that was used least recently is forgotten first. Not
  * thread-safe.
  */
