FaultProxy: a cut has closed its connections when setMode returns

The cut-off host had read version 2 of the configuration at 05:18:40.350, 9 ms before its connection was closed (log-lost at .359): setMode starts closing and returns, and the test publishes at once. The host's 401 was right, the test's cut was late.

Change: setMode waits for the connections that it closes. The check is unchanged.

--- a/standin/src/main/java/org/wheatwall/standin/proxy/FaultProxy.java
+++ b/standin/src/main/java/org/wheatwall/standin/proxy/FaultProxy.java
@@ -38,6 +38,9 @@
     RESET
   }
 
+  // Connections on loopback close within some milliseconds, also beside other load.
+  private static final int CLOSE_LIMIT_MS = 1000;
+
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final EventLoopGroup group;
   private final InetSocketAddress target;
@@ -77,14 +80,18 @@
     return ((InetSocketAddress) listener.localAddress()).getPort();
   }
 
-  /** Sets what the proxy does from now on, to connections that are open too. */
+  /**
+   * Sets what the proxy does from now on, to connections that are open too. Those that a cut closes
+   * are closed once this returns, so nothing that happens later passes; not to be called on an
+   * event loop.
+   */
   public void setMode(Mode next) {
     mode = next;
     if (next == Mode.CUT || next == Mode.RESET) {
       if (next == Mode.RESET) {
         connections.forEach(channel -> channel.config().setOption(ChannelOption.SO_LINGER, 0));
       }
-      connections.close();
+      connections.close().awaitUninterruptibly(CLOSE_LIMIT_MS);
     }
   }
 
@@ -96,7 +103,7 @@
   @Override
   public void close() {
     listener.close().syncUninterruptibly();
-    connections.close().awaitUninterruptibly(1000);
+    connections.close().awaitUninterruptibly(CLOSE_LIMIT_MS);
   }
 
   private void accept(SocketChannel client) {
