--- a/core/src/main/java/org/wheatwall/core/job/decision/HostHealthSettings.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostHealthSettings.java
@@ -17,10 +17,10 @@
       new HostHealthSettings(3, 30_000, 3_600_000, 30_000);
 
   /**
-   * For jobs of seconds that bear few failures: out with the first, which most often tells a host
-   * that fails all it is given from a task that fails by itself, but soon tried again.
+   * For jobs of seconds: a host that fails is tried again after about one such job. Out with the
+   * first failure, for a second, measured worse where many tasks fail by themselves.
    */
-  public static final HostHealthSettings SHORT_JOBS = new HostHealthSettings(1, 1000, 60_000, 4000);
+  public static final HostHealthSettings SHORT_JOBS = new HostHealthSettings(3, 4000, 60_000, 0);
 
   /** Validates. */
   public HostHealthSettings {
--- a/core/src/test/java/org/wheatwall/core/job/decision/HostHealthTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/HostHealthTest.java
@@ -18,7 +18,7 @@
 
 /** Which work goes to hosts that failed a task, and when they are trusted again. */
 final class HostHealthTest {
-  private static final HostHealthSettings SETTINGS = HostHealthSettings.SHORT_JOBS;
+  private static final HostHealthSettings SETTINGS = new HostHealthSettings(1, 1000, 60_000, 4000);
   private static final long FAILED_MS = 10_000;
   private static final long FIRST_BACK_MS = FAILED_MS + SETTINGS.firstQuarantineMs();
   private static final long BACK_MS = FIRST_BACK_MS + 2L * SETTINGS.firstQuarantineMs();
