--- a/core/src/main/java/org/wheatwall/core/job/decision/HostHealthSettings.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostHealthSettings.java
@@ -18,7 +18,7 @@
 
   /**
    * For jobs of seconds: a host that fails is tried again after about one such job. Out with the
-   * first failure, for a second, measured worse where many tasks fail by themselves.
+   * first failure was not shown to be better: many tasks fail by their own fault.
    */
   public static final HostHealthSettings SHORT_JOBS = new HostHealthSettings(3, 4000, 60_000, 0);
 
