RackPacking takes the first rack of usual hosts again

Cause, most likely: since racks are compared by pace, each placement sorted the hosts of up to 16 racks, also with no pace known, since the best rank was never reached.

--- a/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
@@ -21,6 +21,10 @@
   // Enough to find hosts of another pace where there are some, few enough for a fleet of hundreds.
   private static final int RACKS_COMPARED = 16;
 
+  // The rank of hosts of the usual pace. Looking for better ones at each placement would sort the
+  // hosts of every rack, which a decider on a part of a core feels.
+  private static final int GOOD_ENOUGH = 1;
+
   private final BestFit bestFit = new BestFit();
 
   @Override
@@ -39,7 +43,7 @@
     int compared = 0;
     for (NavigableSet<RackState> group : cluster.racksWithFree(job.totalAccelerators())) {
       for (RackState rack : group) {
-        if (bestRank == 0 || (best.isPresent() && compared >= RACKS_COMPARED)) {
+        if (bestRank <= GOOD_ENOUGH || (best.isPresent() && compared >= RACKS_COMPARED)) {
           return best;
         }
         compared++;
