WORKER_GONE says which runs a lost worker held, and for how long

When a worker is gone, logs told that one of its runs stops, run by run, but not what else it held nor since when. Which task may have crashed it cannot be told without that. Up to ten runs are named.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/MemberRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/MemberRun.java
@@ -22,6 +22,7 @@
   private int tries;
   private long repeatAtMs = Long.MAX_VALUE;
   private int unanswered;
+  private long orderedAtMs = Long.MAX_VALUE;
   private long confirmedAtMs;
   private boolean stopWanted;
   private long stopSentAtMs = Long.MIN_VALUE;
@@ -53,12 +54,21 @@
     phase = Phase.ENDED;
   }
 
-  void ordered() {
+  void ordered(long nowMs) {
     phase = Phase.ORDERED;
+    orderedAtMs = Math.min(orderedAtMs, nowMs);
     repeatAtMs = Long.MAX_VALUE;
     tries++;
   }
 
+  /**
+   * Returns since when it may be running, as far as this decider knows: its own first order, or the
+   * first report that names a run of an earlier decider. The largest value if neither has come.
+   */
+  long sinceMs() {
+    return Math.min(orderedAtMs, confirmedAtMs == 0 ? Long.MAX_VALUE : confirmedAtMs);
+  }
+
   /** Asks for the start to be sent again at a time. */
   void repeatAt(long timeMs) {
     repeatAtMs = timeMs;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -20,6 +20,7 @@
  */
 final class RunLifecycle {
   private static final int ROOM_REPEAT_MS = 100;
+  private static final int MOST_NAMED = 10;
   static final String NO_CHECKPOINT = "";
 
   private final TermState term;
@@ -70,7 +71,7 @@
   }
 
   void sendStart(GroupRun run, MemberRun member) {
-    member.ordered();
+    member.ordered(term.nowMs);
     term.effects.start(
         new StartOrder(
             member.worker(),
@@ -260,6 +261,22 @@
     }
   }
 
+  /** Tells what a worker may be running, and for how long, so far as it fits a log line. */
+  String heldBy(String worker) {
+    StringBuilder text = new StringBuilder();
+    int count = 0;
+    for (GroupRun run : term.runs.on(worker)) {
+      for (MemberRun member : run.members()) {
+        boolean held = member.worker().equals(worker) && !member.ended();
+        if (held && member.phase() != MemberRun.Phase.PLANNED && count++ < MOST_NAMED) {
+          text.append(", ").append(run.group().text()).append(" run ").append(run.state().run());
+          text.append(" for ").append(Math.max(0, term.nowMs - member.sinceMs())).append(" ms");
+        }
+      }
+    }
+    return count == 0 ? ", it held nothing" : text.insert(0, ", it held " + count).toString();
+  }
+
   void endLapsed() {
     for (String worker : List.copyOf(term.runs.workers())) {
       if (term.workers.record(worker).lapsed(term.nowMs, term.settings.lapseMs())) {
--- a/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
@@ -15,6 +15,7 @@
   final List<StartOrder> starts = new ArrayList<>();
   final List<StopOrder> stops = new ArrayList<>();
   final List<PermitQuestion> questions = new ArrayList<>();
+  final List<RunEvent> events = new ArrayList<>();
   private final Deque<Runnable> waiting = new ArrayDeque<>();
 
   @Override
@@ -42,7 +43,9 @@
   }
 
   @Override
-  public void decided(RunEvent event) {}
+  public void decided(RunEvent event) {
+    events.add(event);
+  }
 
   void keepAll() {
     while (!waiting.isEmpty()) {
