--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
@@ -0,0 +1,281 @@
+package org.wheatwall.entry.batch;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.common.Refusal;
+import org.wheatwall.core.job.model.HostSharing;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.standin.permit.PermitModel;
+import org.wheatwall.standin.task.TaskPlan;
+import org.wheatwall.wire.http.Problems;
+
+/** Random jobs and random faults against a whole cluster in simulated time, by a seed. */
+final class BatchSchedule {
+  private static final int HOSTS = 4;
+  private static final int WORKERS = 8;
+  private static final int ACCELERATORS = 8;
+  private static final int LEASE_MS = 6000;
+  private static final int FAULTY_MS = 30_000;
+  private static final int CALM_MS = 60_000;
+  private static final int JOBS = 30;
+  private static final String QUEUE = "queue";
+  // Two crashes under a task are reason enough to give it up.
+  private static final int CRASHES_TO_GIVE_UP = 2;
+
+  private final long seed;
+  private final VirtualTime time;
+  private final SimulatedStore store;
+  private final SimulatedWorkers workers;
+  private final SimulatedPeers peers;
+  private final List<SimulatedHost> hosts = new ArrayList<>();
+  private final Map<String, String> outcomes = new TreeMap<>();
+  private final Set<String> cancelled = new HashSet<>();
+  private final Set<String> crashing = new HashSet<>();
+  private int crashingOneIn;
+
+  BatchSchedule(long seed, Optional<PermitModel> permits) {
+    this.seed = seed;
+    time = new VirtualTime(seed);
+    store = new SimulatedStore(time);
+    workers = new SimulatedWorkers(time, WORKERS, ACCELERATORS, permits);
+    peers = new SimulatedPeers(time);
+    Set<String> permitQueues = permits.isPresent() ? Set.of(QUEUE) : Set.of();
+    for (int i = 0; i < HOSTS; i++) {
+      hosts.add(
+          new SimulatedHost(time, "host-" + i, store, workers, peers, LEASE_MS, permitQueues));
+    }
+  }
+
+  /** Lets one in {@code jobs} of the jobs crash the workers of its tasks, each time it starts. */
+  void crashWorkersByOneIn(int jobs) {
+    crashingOneIn = jobs;
+  }
+
+  // One after another, so that most hosts see each other at any time.
+  void cutHostsOff(int times) {
+    long slotMs = FAULTY_MS / times;
+    for (int i = 0; i < times; i++) {
+      SimulatedHost host = anyHost();
+      time.after(
+          2000 + i * slotMs + time.random().nextLong(slotMs / 2), () -> setCutOff(host, true));
+      time.after(2000 + (i + 1) * slotMs, () -> setCutOff(host, false));
+    }
+  }
+
+  private void setCutOff(SimulatedHost host, boolean next) {
+    store.setCut(host, next);
+    peers.setCut(host, next);
+  }
+
+  int run() {
+    hosts.forEach(SimulatedHost::start);
+    time.runFor(2000);
+    for (int i = 0; i < JOBS; i++) {
+      long at = time.random().nextInt(FAULTY_MS);
+      String id = String.format("%016x", seed * 1000 + i);
+      time.after(at, () -> submit(id));
+    }
+    int faults = 4 + time.random().nextInt(8);
+    for (int i = 0; i < faults; i++) {
+      time.after(time.random().nextInt(FAULTY_MS), this::fault);
+    }
+    time.runFor(FAULTY_MS);
+    time.runFor(CALM_MS);
+    return check();
+  }
+
+  private SimulatedHost anyHost() {
+    return hosts.get(time.random().nextInt(HOSTS));
+  }
+
+  private void submit(String id) {
+    SimulatedHost host = anyHost();
+    if (!host.alive()) {
+      return;
+    }
+    host.batch()
+        .submit(job(id), time.nowMs() + 2000)
+        .whenComplete((done, failure) -> outcomes.put(id, outcome(failure)));
+    if (time.random().nextInt(8) == 0) {
+      time.after(200L + time.random().nextInt(3000), () -> cancel(id));
+    }
+  }
+
+  private void cancel(String id) {
+    SimulatedHost host = anyHost();
+    if (host.alive()) {
+      // A host that is killed meanwhile never answers; its cancellation may have been kept.
+      cancelled.add(id);
+      host.batch()
+          .cancel(id, time.nowMs() + 2000)
+          .whenComplete(
+              (known, failure) -> {
+                boolean refused = failure != null && outcome(failure).equals("unavailable");
+                if (refused || (failure == null && !known)) {
+                  cancelled.remove(id);
+                }
+              });
+    }
+  }
+
+  private static String outcome(Throwable failure) {
+    if (failure == null) {
+      return "accepted";
+    }
+    Throwable cause = Problems.unwrap(failure);
+    return cause instanceof Refusal refusal ? refusal.kind().label() : String.valueOf(cause);
+  }
+
+  private BatchJob job(String id) {
+    boolean gang = time.random().nextBoolean();
+    int tasks = 1 + time.random().nextInt(6);
+    int accelerators = 1 + time.random().nextInt(4);
+    int work = 300 + time.random().nextInt(4000);
+    int failing = time.random().nextInt(6) == 0 ? 1 : 0;
+    TaskPlan plan = new TaskPlan(work, gang ? tasks : 1, accelerators, failing);
+    if (crashingOneIn > 0 && time.random().nextInt(crashingOneIn) == 0) {
+      crashing.add(id);
+      plan = plan.crashing();
+    }
+    ResourceAmount amount = new ResourceAmount(1000, 100, accelerators);
+    StepSpec step =
+        new StepSpec(
+            tasks,
+            amount,
+            work,
+            List.of(),
+            false,
+            gang,
+            gang,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false,
+            HostSharing.ORDINARY);
+    int priority = time.random().nextInt(3);
+    return new BatchJob(
+        id,
+        QUEUE,
+        "service",
+        "workspace",
+        plan.text(),
+        List.of(step),
+        Optional.empty(),
+        priority,
+        4,
+        time.nowMs());
+  }
+
+  private void fault() {
+    long lasts = 500L + time.random().nextInt(8000);
+    SimulatedHost host = anyHost();
+    int worker = time.random().nextInt(WORKERS);
+    switch (time.random().nextInt(11)) {
+      case 0 -> {
+        host.kill();
+        time.after(lasts, host::start);
+      }
+      case 1 -> host.freeze(lasts);
+      case 2 -> {
+        store.setCut(host, true);
+        time.after(lasts, () -> store.setCut(host, false));
+      }
+      case 3 -> {
+        store.setDown(true, time.random().nextBoolean());
+        time.after(lasts, () -> store.setDown(false, false));
+      }
+      case 4 -> {
+        store.setLostShare(0.4);
+        time.after(lasts, () -> store.setLostShare(0));
+      }
+      case 5 -> {
+        store.setLatencyMs(200);
+        time.after(lasts, () -> store.setLatencyMs(4));
+      }
+      case 6 -> store.dropHistory();
+      case 7 -> {
+        // Longer than the leases, so that ends are heard of after the work was started again.
+        workers.setCut(worker, true);
+        time.after(2 * lasts, () -> workers.setCut(worker, false));
+      }
+      case 8 -> {
+        workers.setLostShare(0.2);
+        time.after(lasts, () -> workers.setLostShare(0));
+      }
+      case 9 -> workers.restart(worker);
+      default -> {
+        hosts.forEach(SimulatedHost::kill);
+        time.after(1000, () -> hosts.forEach(SimulatedHost::start));
+      }
+    }
+  }
+
+  private int check() {
+    String what = "seed " + seed;
+    assertWithMessage(what).that(workers.ledger().violations()).isEmpty();
+    Set<String> began = new HashSet<>();
+    workers.ledger().events().forEach(event -> began.add(event.task().jobId()));
+    int accepted = 0;
+    SimulatedHost host = hosts.get(0);
+    for (Map.Entry<String, String> entry : outcomes.entrySet()) {
+      String job = what + " job " + entry.getKey();
+      if (entry.getValue().equals("unavailable")) {
+        assertWithMessage(job + " was refused").that(began).doesNotContain(entry.getKey());
+        continue;
+      }
+      Optional<BatchState> state = stateAt(host, entry.getKey());
+      if (entry.getValue().equals("accepted")) {
+        accepted++;
+        assertWithMessage(job).that(state).isPresent();
+      }
+      if (state.isPresent() && !cancelled.contains(entry.getKey())) {
+        String message = job + explain(entry.getKey());
+        assertWithMessage(message).that(state).hasValue(expectedEnd(entry.getKey(), state.get()));
+      }
+    }
+    assertWithMessage(what).that(workers.ledger().running()).isEmpty();
+    return accepted;
+  }
+
+  // A job whose tasks crash their workers is given up; another one only if it met enough crashes.
+  private BatchState expectedEnd(String id, BatchState state) {
+    boolean mayBeGivenUp =
+        crashingOneIn > 0
+            && workers.ledger().crashesUnder().entrySet().stream()
+                .anyMatch(
+                    entry ->
+                        entry.getKey().jobId().equals(id)
+                            && entry.getValue() >= CRASHES_TO_GIVE_UP);
+    if (crashing.contains(id) || (mayBeGivenUp && state == BatchState.FAILED)) {
+      return BatchState.FAILED;
+    }
+    return BatchState.SUCCEEDED;
+  }
+
+  private String explain(String id) {
+    StringBuilder text = new StringBuilder();
+    for (SimulatedHost host : hosts) {
+      CompletableFuture<List<String>> lines = host.batch().explain(id);
+      time.runFor(1000);
+      text.append(' ').append(host.name()).append(lines.join());
+    }
+    return text.toString();
+  }
+
+  private Optional<BatchState> stateAt(SimulatedHost host, String id) {
+    CompletableFuture<Optional<BatchHost.JobSummary>> found = host.batch().find(id);
+    time.runFor(1000);
+    return found.join().map(BatchHost.JobSummary::state);
+  }
+}
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
@@ -15,6 +15,9 @@
  */
 public final class TaskLedger {
   private static final String BEGAN = "began";
+  // What a scheduler may have to see before it can know, and what it may still start then.
+  private static final int CRASHES_BORNE = 3;
+  private static final int STARTS_BORNE = 2;
 
   private final List<Event> events = new ArrayList<>();
   private final Map<TaskName, Holder> running = new HashMap<>();
@@ -22,6 +25,9 @@
   private final Set<TaskName> done = new HashSet<>();
   // For each run that ended as done: the run of the same task that began after that, 0 if none.
   private final Map<Run, Integer> startAfterDone = new HashMap<>();
+  private final Map<TaskName, Integer> crashesUnder = new HashMap<>();
+  private final Map<TaskName, Integer> crashesBy = new HashMap<>();
+  private final Map<TaskName, Integer> startsBeyond = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
 
   /** A run that began or ended. */
@@ -45,6 +51,12 @@
     if (done.contains(task)) {
       violations.add(atMs + ": " + task + " run " + run + " at " + worker + " after it was done");
     }
+    if (crashesBy.getOrDefault(task, 0) >= CRASHES_BORNE) {
+      int beyond = startsBeyond.merge(task, 1, Integer::sum);
+      if (beyond > STARTS_BORNE) {
+        violations.add(atMs + ": " + task + " run " + run + " after it had crashed its workers");
+      }
+    }
     startAfterDone.replaceAll((ended, again) -> ended.task().equals(task) ? run : again);
     gangs.computeIfAbsent(gangOf(task, run), key -> new HashSet<>()).add(task);
   }
@@ -74,6 +86,19 @@
     }
   }
 
+  /** Notes that a worker crashed while it held a task, by which {@code own} says. */
+  synchronized void crashed(TaskName task, boolean own) {
+    crashesUnder.merge(task, 1, Integer::sum);
+    if (own) {
+      crashesBy.merge(task, 1, Integer::sum);
+    }
+  }
+
+  /** Returns under which tasks a worker has crashed, and how often, whatever the cause. */
+  public synchronized Map<TaskName, Integer> crashesUnder() {
+    return Map.copyOf(crashesUnder);
+  }
+
   synchronized int together(TaskName task, int run) {
     return gangs.getOrDefault(gangOf(task, run), Set.of()).size();
   }
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
@@ -36,6 +36,7 @@
   private long leaseUntilMs;
   private long lastEnd;
   private boolean stuck;
+  private boolean crashing;
   private Optional<PermitModel> permits = Optional.empty();
 
   private static final class Held {
@@ -117,6 +118,7 @@
       return OrderAnswer.NO_ROOM;
     }
     held.put(order.task(), new Held(order.run(), plan, nowMs));
+    crashing |= plan.crashesWorker();
     ledger.began(nowMs, id, order.task(), order.run());
     return OrderAnswer.DONE;
   }
@@ -178,9 +180,15 @@
     }
   }
 
+  /** Returns whether something that it was told to start is about to crash it. */
+  public boolean crashing() {
+    return crashing;
+  }
+
   /** Ends everything without a word, as a crash does. */
   public void crash(long nowMs) {
     for (TaskName task : List.copyOf(held.keySet())) {
+      ledger.crashed(task, held.get(task).plan.crashesWorker());
       ledger.ended(nowMs, id, task, held.remove(task).run, EndKind.LAPSED);
     }
   }
