Workers that are lost under a task count against it, and the task is given up

What callers saw: two tasks that crash each worker they start on were started 108 and some 30 times, whatever ran beside them was lost each time, and nobody was told an end.

Cause: only ends that a worker lists as failed were counted. A worker that crashes lists nothing, so such a run ended as interrupted, without limit. Class: an end that nobody reports was taken for one that costs nothing. Ruled out: a count lost with the decider (one term), workers blamed instead of the task (no worker was out).

Why this holds: every run whose worker went without a word of it ends in one place (endMembersOn), whether another life answers there, its leases ran out, or a later decider inherits it; there the loss is counted by task in the group's record, which is written before the next run is intended. Two crashes as a run began end the job, or four runs that may have crashed their worker (before its answer, while seen at work, behind a cut). A worker that left as announced counts nothing; tasks of a gang count apart; a task that lasts is cleared by a run of 30 s. Suspects do not share a worker, so that a healthy task that was beside one is told from it by the next crash.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
@@ -41,6 +41,7 @@
    *
    * @param avoided workers on which the group failed before
    * @param permitted the only workers that may run it; all if empty
+   * @param suspect whether a worker crashed as one of its tasks began
    * @param oneRack whether it is to be kept in one rack
    */
   static Job of(
@@ -49,6 +50,7 @@
       GroupKey group,
       Set<String> avoided,
       Optional<Set<String>> permitted,
+      boolean suspect,
       boolean oneRack) {
     int tasks = step.tasksInGroup();
     long rounded = ((long) step.estimateMs() + MS_PER_SECOND / 2) / MS_PER_SECOND;
@@ -70,7 +72,8 @@
             step.checkpointing(),
             avoided,
             step.sharing(),
-            permitted);
+            permitted,
+            suspect);
     return new Job(
         new Labels(Map.of(CLASS, Names.labelTextOf(job.queue()))),
         Names.nameOf(job.workspace()),
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.function.BiFunction;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupPhase;
@@ -9,9 +10,11 @@
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.LossKind;
 import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
+import org.wheatwall.core.batch.model.TaskLosses;
 import org.wheatwall.core.job.decision.EndReason;
 
 /**
@@ -21,6 +24,12 @@
 final class RunLifecycle {
   private static final int ROOM_REPEAT_MS = 100;
   private static final int MOST_NAMED = 10;
+  // A task that crashes its worker as a rule does so as it begins; one that was reported to be
+  // there
+  // for longer is more likely to be a neighbour of the one that did.
+  private static final int SEEN_AT_WORK_MS = 500;
+  // A task that lasts loses workers to their own faults over days; after such a run it is cleared.
+  private static final int LONG_RUN_MS = 30_000;
   static final String NO_CHECKPOINT = "";
 
   private final TermState term;
@@ -171,15 +180,28 @@
   // A failure that is heard of late may be the last one allowed while no run is under way.
   void failIfWaitingInVain(JobRuns progress, GroupKey group) {
     GroupState state = progress.state(group);
-    boolean exhausted = state.failures() >= progress.job().maxAttempts();
-    boolean lasts = progress.job().steps().get(group.step()).longRunning();
+    boolean exhausted = failedTooOften(progress, group, state);
     boolean waits = state.phase() == GroupPhase.WAITING && term.runs.of(group).isEmpty();
-    if (exhausted && !lasts && !progress.closed() && waits) {
+    if (exhausted && !progress.closed() && waits) {
       term.scheduler.withdraw(group.text());
       finishFailed(progress, group, state);
     }
   }
 
+  private static boolean failedTooOften(JobRuns progress, GroupKey group, GroupState state) {
+    boolean lasts = progress.job().steps().get(group.step()).longRunning();
+    return !lasts && state.failures() >= progress.job().maxAttempts();
+  }
+
+  private static String counts(GroupState state) {
+    StringBuilder text = new StringBuilder().append(state.failures()).append(" failed");
+    for (TaskLosses losses : state.losses()) {
+      text.append(", task ").append(losses.position()).append(" lost ").append(losses.lost());
+      text.append(" workers, ").append(losses.crashesAtStart()).append(" as it began");
+    }
+    return text.toString();
+  }
+
   void complete(JobRuns progress, GroupKey group, int doneRun) {
     if (progress.closed() || progress.state(group).phase() == GroupPhase.DONE) {
       GroupRun leftOver = term.runs.of(group).orElse(null);
@@ -250,10 +272,29 @@
     return progress.state(run.group()).phase() == GroupPhase.ACTIVE;
   }
 
-  void endMembersOn(String worker, String reason) {
+  /** Ends what a worker that is gone may have run. */
+  void workerGone(String worker) {
+    endMembersOn(worker, "its worker is gone", (run, member) -> kindOfLoss(worker, run, member));
+  }
+
+  private LossKind kindOfLoss(String worker, GroupRun run, MemberRun member) {
+    WorkerRecord record = term.workers.record(worker);
+    if (!record.endsWithoutNotice()) {
+      return LossKind.LEFT;
+    }
+    // A start without an answer may not have arrived before the crash, and what was being stopped
+    // may have ended.
+    boolean began = member.phase() == MemberRun.Phase.RUNNING && !run.stopping();
+    boolean seen = record.answeredAtMs() - member.sinceMs() >= SEEN_AT_WORK_MS;
+    return began && !seen ? LossKind.CRASH_AT_START : LossKind.POSSIBLE_CRASH;
+  }
+
+  private void endMembersOn(
+      String worker, String reason, BiFunction<GroupRun, MemberRun, LossKind> kinds) {
     for (GroupRun run : term.runs.on(worker)) {
       for (MemberRun member : run.members()) {
         if (member.worker().equals(worker) && !member.ended()) {
+          noteLoss(run, member, kinds.apply(run, member));
           endMember(run, member, NO_CHECKPOINT);
         }
       }
@@ -277,10 +318,28 @@
     return count == 0 ? ", it held nothing" : text.insert(0, ", it held " + count).toString();
   }
 
+  // No worker is left to tell that a task failed by crashing it. Without this count the task would
+  // be started again for ever, a worker each time.
+  private void noteLoss(GroupRun run, MemberRun member, LossKind kind) {
+    if (!run.launched() || member.phase() == MemberRun.Phase.PLANNED || !isActive(run)) {
+      return;
+    }
+    JobRuns progress = term.jobs.get(run.group().jobId());
+    GroupState state = progress.state(run.group());
+    boolean lasted = term.nowMs - member.sinceMs() >= LONG_RUN_MS;
+    GroupState next =
+        run.step().longRunning() && lasted
+            ? state.lossesForgiven(member.position())
+            : state.lostIn(state.run(), member.position(), kind);
+    run.setState(next);
+    progress.set(run.group(), next);
+  }
+
   void endLapsed() {
     for (String worker : List.copyOf(term.runs.workers())) {
       if (term.workers.record(worker).lapsed(term.nowMs, term.settings.lapseMs())) {
-        endMembersOn(worker, "every lease at its worker has run out");
+        String reason = "every lease at its worker has run out";
+        endMembersOn(worker, reason, (run, member) -> LossKind.POSSIBLE_CRASH);
       }
     }
   }
@@ -310,8 +369,7 @@
     if (state.phase() == GroupPhase.DONE) {
       return;
     }
-    int attempts = progress.job().maxAttempts();
-    if (state.failures() >= attempts && !run.step().longRunning()) {
+    if (state.lostTooOften() || failedTooOften(progress, run.group(), state)) {
       finishFailed(progress, run.group(), state);
       return;
     }
@@ -323,7 +381,7 @@
           RunEvent.Kind.GROUP_INTERRUPTED,
           run.group().jobId(),
           run.group().text(),
-          "run " + state.run() + ", " + state.failures() + " failed");
+          "run " + state.run() + ", " + counts(state));
     }
     term.submit(progress, run.group());
   }
@@ -335,8 +393,10 @@
         RunEvent.Kind.GROUP_FAILED,
         group.jobId(),
         group.text(),
-        state.failures() + " of " + progress.job().maxAttempts() + " runs failed");
-    endJob(progress, BatchState.FAILED, "group " + group.text() + " failed as often as is allowed");
+        counts(state) + ", of " + progress.job().maxAttempts() + " allowed to fail");
+    String cause =
+        state.lostTooOften() ? " has cost too many workers" : " failed as often as is allowed";
+    endJob(progress, BatchState.FAILED, "group " + group.text() + cause);
   }
 
   void endJob(JobRuns progress, BatchState state, String reason) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -166,7 +166,7 @@
   /** Notes that the platform lists a worker no longer. */
   public void unlistWorker(String id, long steadyMs) {
     term.nowMs = steadyMs;
-    if (term.workers.unlist(id)) {
+    if (term.workers.unlist(id, steadyMs)) {
       term.note(RunEvent.Kind.WORKER_UNLISTED, "", id, "its entry is gone");
       term.forgetIfIdle(id);
     }
@@ -187,7 +187,7 @@
   public void workerGone(String worker, long steadyMs, long dayMs) {
     term.at(steadyMs, dayMs);
     String held = lifecycle.heldBy(worker);
-    lifecycle.endMembersOn(worker, "its worker is gone");
+    lifecycle.workerGone(worker);
     term.workers.remove(worker);
     term.note(RunEvent.Kind.WORKER_GONE, "", worker, "another process answers there" + held);
     term.flush();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -89,7 +89,9 @@
     boolean oneRack =
         step.sameRack()
             && workers.someRackHolds(step, job.service(), permits.rackWorkers(job, group));
-    return GroupJobs.of(job, step, group, avoid, permits.permittedWorkers(job, group), oneRack);
+    boolean suspect = progress.state(group).suspect();
+    return GroupJobs.of(
+        job, step, group, avoid, permits.permittedWorkers(job, group), suspect, oneRack);
   }
 
   /** Describes waiting gangs anew once other workers are known, whose racks may hold others. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
@@ -64,12 +64,12 @@
   }
 
   /** Notes that the platform no longer lists a worker; what runs there may go on. */
-  boolean unlist(String id) {
+  boolean unlist(String id, long nowMs) {
     WorkerRecord record = workers.get(id);
     if (record == null || !record.listed()) {
       return false;
     }
-    record.unlist();
+    record.unlist(nowMs);
     refresh(record);
     return true;
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -15,7 +15,8 @@
   private boolean suspected;
   private boolean aside;
   private long leasedAtMs;
-  private long answeredAtMs = Long.MIN_VALUE;
+  private long answeredAtMs = Long.MIN_VALUE / 2;
+  private long unlistedAtMs = Long.MAX_VALUE;
   private long acknowledged;
 
   /**
@@ -39,10 +40,12 @@
   void list(WorkerInfo next) {
     info = Optional.of(next);
     listed = true;
+    unlistedAtMs = Long.MAX_VALUE;
   }
 
-  void unlist() {
+  void unlist(long nowMs) {
     listed = false;
+    unlistedAtMs = nowMs;
   }
 
   boolean listed() {
@@ -100,6 +103,20 @@
     return answeredAtMs < leasedAtMs && nowMs - leasedAtMs > waitMs;
   }
 
+  /** Returns when it last answered, the smallest value if it never did. */
+  long answeredAtMs() {
+    return answeredAtMs;
+  }
+
+  /**
+   * Returns whether its end, if it has ended, came without notice. One that leaves as planned says
+   * so, or its entry goes while it still answers.
+   */
+  boolean endsWithoutNotice() {
+    boolean draining = info.map(WorkerInfo::draining).orElse(false);
+    return !draining && unlistedAtMs > answeredAtMs;
+  }
+
   /** Returns the highest number of an end that need not be reported again. */
   long acknowledged() {
     return acknowledged;
--- a/core/src/main/java/org/wheatwall/core/batch/model/GroupState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/GroupState.java
@@ -13,6 +13,7 @@
  *     run count once
  * @param members workers of the latest run, by position of the task
  * @param checkpoint from where the next run goes on, empty for the start
+ * @param losses runs that were lost with their worker, by task; none for tasks that lost none
  */
 public record GroupState(
     GroupPhase phase,
@@ -20,21 +21,25 @@
     int failures,
     int lastFailedRun,
     List<GroupMember> members,
-    String checkpoint) {
+    String checkpoint,
+    List<TaskLosses> losses) {
   /** A group that was never started. */
-  public static final GroupState NEW = new GroupState(GroupPhase.WAITING, 0, 0, 0, List.of(), "");
+  public static final GroupState NEW =
+      new GroupState(GroupPhase.WAITING, 0, 0, 0, List.of(), "", List.of());
 
   /** Copies the members. */
   public GroupState {
     Objects.requireNonNull(phase);
     Objects.requireNonNull(checkpoint);
     members = List.copyOf(members);
+    losses = List.copyOf(losses);
   }
 
   /** Returns the state once the next run is intended on {@code workers}. */
   public GroupState started(List<String> workers) {
     List<GroupMember> next = workers.stream().map(GroupMember::open).toList();
-    return new GroupState(GroupPhase.ACTIVE, run + 1, failures, lastFailedRun, next, checkpoint);
+    return new GroupState(
+        GroupPhase.ACTIVE, run + 1, failures, lastFailedRun, next, checkpoint, losses);
   }
 
   /** Returns the state after a failed end of {@code failedRun}, which counts once. */
@@ -42,24 +47,60 @@
     if (failedRun <= lastFailedRun) {
       return this;
     }
-    return new GroupState(phase, run, failures + 1, failedRun, members, checkpoint);
+    return new GroupState(phase, run, failures + 1, failedRun, members, checkpoint, losses);
   }
 
   /** Returns the state with a checkpoint; an empty one changes nothing. */
   public GroupState savedAt(String saved) {
     String next = saved.isEmpty() ? checkpoint : saved;
-    return new GroupState(phase, run, failures, lastFailedRun, members, next);
+    return new GroupState(phase, run, failures, lastFailedRun, members, next, losses);
   }
 
   /** Returns the state with the member at {@code position} ended. */
   public GroupState memberEnded(int position) {
     List<GroupMember> next = new ArrayList<>(members);
     next.set(position, new GroupMember(next.get(position).worker(), true));
-    return new GroupState(phase, run, failures, lastFailedRun, next, checkpoint);
+    return new GroupState(phase, run, failures, lastFailedRun, next, checkpoint, losses);
   }
 
   /** Returns the state in a phase without a run under way. */
   public GroupState settled(GroupPhase next) {
-    return new GroupState(next, run, failures, lastFailedRun, List.of(), checkpoint);
+    return new GroupState(next, run, failures, lastFailedRun, List.of(), checkpoint, losses);
+  }
+
+  /** Returns the state after {@code lostRun} was lost with the worker of one of its tasks. */
+  public GroupState lostIn(int lostRun, int position, LossKind kind) {
+    return withLosses(lossesOf(position).with(kind, lostRun));
+  }
+
+  /** Returns the state without what was counted against the task at {@code position}. */
+  public GroupState lossesForgiven(int position) {
+    return withLosses(TaskLosses.none(position));
+  }
+
+  /** Returns whether a task may be what crashed a worker. */
+  public boolean suspect() {
+    return losses.stream().anyMatch(TaskLosses::suspect);
+  }
+
+  /** Returns whether a task has cost so many workers that no further run may start. */
+  public boolean lostTooOften() {
+    return losses.stream().anyMatch(TaskLosses::tooMany);
+  }
+
+  private TaskLosses lossesOf(int position) {
+    return losses.stream()
+        .filter(known -> known.position() == position)
+        .findFirst()
+        .orElse(TaskLosses.none(position));
+  }
+
+  private GroupState withLosses(TaskLosses changed) {
+    List<TaskLosses> next = new ArrayList<>(losses);
+    next.removeIf(known -> known.position() == changed.position());
+    if (changed.lost() > 0) {
+      next.add(changed);
+    }
+    return new GroupState(phase, run, failures, lastFailedRun, members, checkpoint, next);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LossKind.java
@@ -0,0 +1,14 @@
+package org.wheatwall.core.batch.model;
+
+/** What is known of a run that was lost with its worker. */
+public enum LossKind {
+  /** The worker left, as it had given notice of. */
+  LEFT,
+  /**
+   * The worker may have crashed: it was seen with the run for a while before, it may as well have
+   * been cut off, or it is not known whether the run had begun.
+   */
+  POSSIBLE_CRASH,
+  /** The worker ended without notice just after the run had begun there. */
+  CRASH_AT_START
+}
--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -46,14 +46,20 @@
       ResourceAmount amount,
       boolean reclaimable,
       String spreadGroup,
-      HostSharing sharing) {
+      HostSharing sharing,
+      boolean suspect) {
     Held without(String host) {
-      return new Held(placement.without(host), amount, reclaimable, spreadGroup, sharing);
+      return new Held(placement.without(host), amount, reclaimable, spreadGroup, sharing, suspect);
     }
 
     Held of(JobOptions options) {
       return new Held(
-          placement, amount, reclaimable, options.spreadGroup().orElse(""), options.sharing());
+          placement,
+          amount,
+          reclaimable,
+          options.spreadGroup().orElse(""),
+          options.sharing(),
+          options.suspect());
     }
   }
 
@@ -117,7 +123,7 @@
   /** Takes {@code amount} per task of {@code placement} for the attempt. */
   public void hold(
       String attemptId, Placement placement, ResourceAmount amount, boolean reclaimable) {
-    Held entry = new Held(placement, amount, reclaimable, "", HostSharing.ORDINARY);
+    Held entry = new Held(placement, amount, reclaimable, "", HostSharing.ORDINARY, false);
     held.put(attemptId, entry);
     for (String name : placement.tasksByHost().keySet()) {
       holdOnHost(attemptId, entry, name);
@@ -181,6 +187,9 @@
     if (entry.sharing() != HostSharing.ORDINARY) {
       host.countSharing(entry.sharing(), tasks);
     }
+    if (entry.suspect()) {
+      host.countSuspects(tasks);
+    }
   }
 
   /** Counts {@code amount} per task of {@code placement} as planned for a guarantee. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -22,6 +22,7 @@
   private ResourceAmount planned = ResourceAmount.ZERO;
   private final Map<String, Integer> spread = new HashMap<>();
   private final Map<HostSharing, Integer> sharing = new EnumMap<>(HostSharing.class);
+  private int suspects;
   private Labels labels = Labels.NONE;
   private boolean usable = true;
   private boolean onProbation;
@@ -82,7 +83,8 @@
     boolean inRack = options.preferredRack().map(host.rack()::equals).orElse(true);
     boolean borne = sharing.keySet().stream().allMatch(options.sharing()::bears);
     boolean allowed = options.permits(name()) && !options.avoidedHosts().contains(name());
-    if (!labelled || !inRack || !borne || !allowed) {
+    boolean apart = !options.suspect() || suspects == 0;
+    if (!labelled || !inRack || !borne || !allowed || !apart) {
       return ResourceAmount.ZERO;
     }
     if (options.spreadLimit() == 0 || options.spreadGroup().isEmpty()) {
@@ -114,6 +116,11 @@
     sharing.merge(kind, tasks, (old, added) -> old + added == 0 ? null : old + added);
   }
 
+  /** Counts tasks of suspect jobs that came or, if negative, went. */
+  void countSuspects(int tasks) {
+    suspects += tasks;
+  }
+
   /** Returns the identifiers of the attempts that hold something here. */
   public Collection<String> attempts() {
     return holdings.keySet();
--- a/core/src/main/java/org/wheatwall/core/job/model/JobOptions.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/JobOptions.java
@@ -18,6 +18,8 @@
  *     there
  * @param sharing how its tasks bear others on their host
  * @param permittedHosts the only hosts that may run it; every host if empty
+ * @param suspect whether a host crashed as one of its tasks began; two such jobs never share a
+ *     host, so that the next crash tells which of them it was
  */
 public record JobOptions(
     int priority,
@@ -28,7 +30,8 @@
     boolean resumable,
     Set<String> avoidedHosts,
     HostSharing sharing,
-    Optional<Set<String>> permittedHosts) {
+    Optional<Set<String>> permittedHosts,
+    boolean suspect) {
   /** Nothing asked for. */
   public static final JobOptions NONE =
       new JobOptions(
@@ -40,7 +43,8 @@
           false,
           Set.of(),
           HostSharing.ORDINARY,
-          Optional.empty());
+          Optional.empty(),
+          false);
 
   private static final int MAX_PRIORITY = 1000;
 
@@ -72,7 +76,8 @@
         resumable,
         Set.of(),
         sharing,
-        permittedHosts);
+        permittedHosts,
+        suspect);
   }
 
   /** Returns whether a host may run the job at all. */
--- a/core/src/test/java/org/wheatwall/core/batch/decision/RunTimesTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/RunTimesTest.java
@@ -27,7 +27,8 @@
 
   // One task each on two workers; b takes twice as long.
   private void pair(int job, String checkpoint, boolean interrupted) {
-    GroupState first = new GroupState(GroupPhase.WAITING, 0, 0, 0, List.of(), checkpoint);
+    GroupState first =
+        new GroupState(GroupPhase.WAITING, 0, 0, 0, List.of(), checkpoint, List.of());
     GroupState onA = first.started(List.of("a"));
     GroupState onB = first.started(List.of("b"));
     read(task(job, 0), onA);
--- a/core/src/test/java/org/wheatwall/core/job/decision/JobOptionsTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/JobOptionsTest.java
@@ -60,7 +60,8 @@
         false,
         Set.of(),
         HostSharing.ORDINARY,
-        Optional.empty());
+        Optional.empty(),
+        false);
   }
 
   private List<String> placeOf(String name, Job job) {
@@ -87,7 +88,8 @@
             false,
             Set.of(),
             HostSharing.ORDINARY,
-            Optional.empty());
+            Optional.empty(),
+            false);
     assertThat(placeOf("job", job(2, options))).containsExactly("labelled", "labelled");
   }
 
@@ -105,7 +107,8 @@
             false,
             Set.of(),
             HostSharing.ORDINARY,
-            Optional.empty());
+            Optional.empty(),
+            false);
     assertThat(placeOf("near", job(1, options))).containsExactly("b");
     JobOptions gone =
         new JobOptions(
@@ -117,7 +120,8 @@
             false,
             Set.of(),
             HostSharing.ORDINARY,
-            Optional.empty());
+            Optional.empty(),
+            false);
     assertThat(placeOf("anywhere", job(1, gone))).hasSize(1);
   }
 
@@ -135,7 +139,8 @@
             false,
             Set.of("a"),
             HostSharing.ORDINARY,
-            Optional.empty());
+            Optional.empty(),
+            false);
     assertThat(placeOf("first", job(8, avoid))).doesNotContain("a");
     scheduler.cluster().remove("b");
     assertThat(placeOf("second", job(1, avoid))).containsExactly("a");
@@ -172,7 +177,8 @@
         false,
         Set.of(),
         kind,
-        Optional.empty());
+        Optional.empty(),
+        false);
   }
 
   @Test
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -3,6 +3,7 @@
 import static org.wheatwall.entry.batch.DecisionLog.field;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -256,6 +257,7 @@
 
   @Override
   public void decided(RunEvent event) {
+    tools.metrics().counter("decided." + event.kind().name().toLowerCase(Locale.ROOT)).inc();
     tools
         .decisions()
         .note(
--- a/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -12,6 +12,7 @@
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.Recurrence;
 import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.batch.model.TaskLosses;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -25,6 +26,7 @@
 import org.wheatwall.wire.message.JobEndRecord;
 import org.wheatwall.wire.message.JobEndState;
 import org.wheatwall.wire.message.SharingKind;
+import org.wheatwall.wire.message.TaskLossesRecord;
 import org.wheatwall.wire.message.TermRecord;
 
 /** Writes and reads the records of the job log. */
@@ -256,6 +258,7 @@
       record.addMembers(
           GroupMemberRecord.newBuilder().setWorker(member.worker()).setEnded(member.ended()));
     }
+    state.losses().forEach(losses -> record.addLosses(losses(losses)));
     return record.build();
   }
 
@@ -268,7 +271,22 @@
         record.getMembersList().stream()
             .map(member -> new GroupMember(member.getWorker(), member.getEnded()))
             .toList(),
-        record.getCheckpoint());
+        record.getCheckpoint(),
+        record.getLossesList().stream().map(JobLogCodec::losses).toList());
+  }
+
+  private static TaskLossesRecord losses(TaskLosses losses) {
+    return TaskLossesRecord.newBuilder()
+        .setPosition(losses.position())
+        .setLost(losses.lost())
+        .setCrashesAtStart(losses.crashesAtStart())
+        .setLastRun(losses.lastRun())
+        .build();
+  }
+
+  private static TaskLosses losses(TaskLossesRecord record) {
+    return new TaskLosses(
+        record.getPosition(), record.getLost(), record.getCrashesAtStart(), record.getLastRun());
   }
 
   private static TermRecord term(LogContent.Term term) {
--- a/wire/src/main/java/org/wheatwall/wire/message/GroupRecord.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/GroupRecord.java
@@ -21,6 +21,7 @@
   private GroupRecord() {
     members_ = emptyProtobufList();
     checkpoint_ = "";
+    losses_ = emptyProtobufList();
   }
   public static final int PHASE_FIELD_NUMBER = 1;
   private int phase_;
@@ -284,6 +285,100 @@
 
   }
 
+  public static final int LOSSES_FIELD_NUMBER = 7;
+  private com.google.protobuf.Internal.ProtobufList<org.wheatwall.wire.message.TaskLossesRecord> losses_;
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wheatwall.wire.message.TaskLossesRecord> getLossesList() {
+    return losses_;
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  public java.util.List<? extends org.wheatwall.wire.message.TaskLossesRecordOrBuilder> 
+      getLossesOrBuilderList() {
+    return losses_;
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  @java.lang.Override
+  public int getLossesCount() {
+    return losses_.size();
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  @java.lang.Override
+  public org.wheatwall.wire.message.TaskLossesRecord getLosses(int index) {
+    return losses_.get(index);
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  public org.wheatwall.wire.message.TaskLossesRecordOrBuilder getLossesOrBuilder(
+      int index) {
+    return losses_.get(index);
+  }
+  private void ensureLossesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.wheatwall.wire.message.TaskLossesRecord> tmp = losses_;
+    if (!tmp.isModifiable()) {
+      losses_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  private void setLosses(
+      int index, org.wheatwall.wire.message.TaskLossesRecord value) {
+    java.util.Objects.requireNonNull(value);
+    ensureLossesIsMutable();
+    losses_.set(index, value);
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  private void addLosses(org.wheatwall.wire.message.TaskLossesRecord value) {
+    java.util.Objects.requireNonNull(value);
+    ensureLossesIsMutable();
+    losses_.add(value);
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  private void addLosses(
+      int index, org.wheatwall.wire.message.TaskLossesRecord value) {
+    java.util.Objects.requireNonNull(value);
+    ensureLossesIsMutable();
+    losses_.add(index, value);
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  private void addAllLosses(
+      java.lang.Iterable<? extends org.wheatwall.wire.message.TaskLossesRecord> values) {
+    ensureLossesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, losses_);
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  private void clearLosses() {
+    losses_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  private void removeLosses(int index) {
+    ensureLossesIsMutable();
+    losses_.remove(index);
+  }
+
   public static org.wheatwall.wire.message.GroupRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -667,6 +762,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.wheatwall.wire.message.TaskLossesRecord> getLossesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getLossesList());
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    @java.lang.Override
+    public int getLossesCount() {
+      return instance.getLossesCount();
+    }/**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    @java.lang.Override
+    public org.wheatwall.wire.message.TaskLossesRecord getLosses(int index) {
+      return instance.getLosses(index);
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder setLosses(
+        int index, org.wheatwall.wire.message.TaskLossesRecord value) {
+      copyOnWrite();
+      instance.setLosses(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder setLosses(
+        int index, org.wheatwall.wire.message.TaskLossesRecord.Builder builderForValue) {
+      copyOnWrite();
+      instance.setLosses(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder addLosses(org.wheatwall.wire.message.TaskLossesRecord value) {
+      copyOnWrite();
+      instance.addLosses(value);
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder addLosses(
+        int index, org.wheatwall.wire.message.TaskLossesRecord value) {
+      copyOnWrite();
+      instance.addLosses(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder addLosses(
+        org.wheatwall.wire.message.TaskLossesRecord.Builder builderForValue) {
+      copyOnWrite();
+      instance.addLosses(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder addLosses(
+        int index, org.wheatwall.wire.message.TaskLossesRecord.Builder builderForValue) {
+      copyOnWrite();
+      instance.addLosses(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder addAllLosses(
+        java.lang.Iterable<? extends org.wheatwall.wire.message.TaskLossesRecord> values) {
+      copyOnWrite();
+      instance.addAllLosses(values);
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder clearLosses() {
+      copyOnWrite();
+      instance.clearLosses();
+      return this;
+    }
+    /**
+     * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+     */
+    public Builder removeLosses(int index) {
+      copyOnWrite();
+      instance.removeLosses(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.GroupRecord)
   }
   @java.lang.Override
@@ -690,10 +887,12 @@
             "members_",
             org.wheatwall.wire.message.GroupMemberRecord.class,
             "checkpoint_",
+            "losses_",
+            org.wheatwall.wire.message.TaskLossesRecord.class,
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0001\u0000\u0001\f\u0002\u000b" +
-              "\u0003\u000b\u0004\u000b\u0005\u001b\u0006\u0208";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0002\u0000\u0001\f\u0002\u000b" +
+              "\u0003\u000b\u0004\u000b\u0005\u001b\u0006\u0208\u0007\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/GroupRecordOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/GroupRecordOrBuilder.java
@@ -64,4 +64,18 @@
    */
   com.google.protobuf.ByteString
       getCheckpointBytes();
+
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  java.util.List<org.wheatwall.wire.message.TaskLossesRecord> 
+      getLossesList();
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  org.wheatwall.wire.message.TaskLossesRecord getLosses(int index);
+  /**
+   * <code>repeated .wheatwall.TaskLossesRecord losses = 7;</code>
+   */
+  int getLossesCount();
 }
--- a/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -4,12 +4,16 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.LossKind;
 import org.wheatwall.core.batch.model.Recurrence;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.job.model.HostSharing;
@@ -51,4 +55,18 @@
     LogEntry entry = LogEntry.of(LogKey.job(ID), new LogContent.Definition(job));
     assertThat(JobLogCodec.entry(entry.key().text(), JobLogCodec.value(entry))).hasValue(entry);
   }
+
+  @Test
+  void whatATaskHasCostIsReadAsItWasWritten() {
+    GroupState state =
+        GroupState.NEW
+            .started(List.of("a", "b"))
+            .lostIn(1, 1, LossKind.CRASH_AT_START)
+            .started(List.of("c", "d"))
+            .lostIn(2, 1, LossKind.POSSIBLE_CRASH)
+            .lostIn(2, 0, LossKind.POSSIBLE_CRASH);
+    GroupKey group = new GroupKey(ID, 0, 0, GroupKey.WHOLE_STEP);
+    LogEntry entry = LogEntry.of(LogKey.group(group), new LogContent.Group(state));
+    assertThat(JobLogCodec.entry(entry.key().text(), JobLogCodec.value(entry))).hasValue(entry);
+  }
 }
