A run that ended with its job is not settled a second time

What operators would have seen: the decider's loop failed with a NullPointerException when a worker was gone, and the rest of what that worker held was looked at only by its next report. Cause: giving a job up settles its runs that were not ordered yet, while the loop that ends what the worker held still goes over one of them. It holds for every caller, since settle itself looks.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -357,6 +357,10 @@
   }
 
   void settle(GroupRun run) {
+    if (term.runs.of(run.group()).orElse(null) != run) {
+      // Settled already: the end of one run may end its job, and with it others of the same loop.
+      return;
+    }
     JobRuns progress = term.jobs.get(run.group().jobId());
     GroupState state = progress.state(run.group());
     removeRun(run, EndReason.INTERRUPTED);
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LostWorkersTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LostWorkersTest.java
@@ -10,6 +10,7 @@
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupPhase;
 import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
@@ -211,6 +212,27 @@
     assertThat(written()).isEmpty();
   }
 
+  // The decider's loop failed on the second run, which had ended with its job a moment before.
+  @Test
+  void aJobIsGivenUpWhileAnotherRunOfItIsStillBeingWrittenDown() {
+    GroupState once =
+        GroupState.NEW
+            .started(List.of("gone"))
+            .lostIn(1, 0, LossKind.CRASH_AT_START)
+            .settled(GroupPhase.WAITING);
+    LogEntry entry = LogEntry.of(LogKey.group(GROUP), new LogContent.Group(once));
+    supervisor.adopt(tableWith(job(2, false, 9), entry), nowMs, WALL_MS);
+    listWorker("a");
+    while (effects.starts.isEmpty()) {
+      effects.keepNext();
+    }
+    assertThat(supervisor.running()).hasSize(2);
+    answerStarts(OrderAnswer.DONE);
+    supervisor.workerGone("a", nowMs, WALL_MS);
+    assertThat(written()).hasValue(BatchState.FAILED);
+    assertThat(supervisor.running()).isEmpty();
+  }
+
   // The next crash must tell which of the two it was.
   @Test
   void suspectsOfOneCrashDoNotShareTheNextWorker() {
--- a/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
@@ -47,6 +47,11 @@
     events.add(event);
   }
 
+  /** Has the records of the earliest call kept that wait for it. */
+  void keepNext() {
+    waiting.poll().run();
+  }
+
   void keepAll() {
     while (!waiting.isEmpty()) {
       waiting.poll().run();
