A worker to which no connection can be made gets no more starts until it answers

What callers saw: work waited for a worker whose process was down, with others free.

Such an answer has a name of its own now and takes the worker out at once; asking goes on, and its first answer brings it back.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -113,6 +113,11 @@
         term.permits.refused(run, member.worker());
         refused(run, member, "the permit did not hold at " + member.worker());
       }
+      case NOT_REACHED -> {
+        // Its process may be down for seconds, with nothing on it; it would attract all that waits.
+        term.unreachable(member.worker(), "no connection could be made");
+        refused(run, member, "no connection to " + member.worker());
+      }
       case TOO_LATE, NOT_DONE -> refused(run, member, answer + " at " + member.worker());
       case UNKNOWN -> unanswered(run, member);
       case FENCED, WORKER_GONE -> {
