Room of a worker that shrinks and grows counts from its newest word, up to the order itself

Workers may say that they have less room, and more again, while work runs there, and some start whatever they are told. Room, use and permits are looked at again when the order goes out.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -11,6 +11,7 @@
 import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.core.job.model.ResourceAmount;
 
 /** A run of a group of tasks, from the decision to start it until none of its tasks can run. */
 final class GroupRun {
@@ -120,6 +121,15 @@
         .anyMatch(member -> !member.ended() && workers.contains(member.worker()));
   }
 
+  /** Returns what its tasks that have not ended take on a worker. */
+  ResourceAmount amountOn(String worker) {
+    long tasks =
+        members.stream()
+            .filter(member -> !member.ended() && member.worker().equals(worker))
+            .count();
+    return step().taskAmount().times((int) tasks);
+  }
+
   boolean launched() {
     return launched;
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -2,6 +2,8 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiFunction;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.GroupKey;
@@ -16,6 +18,7 @@
 import org.wheatwall.core.batch.model.StopOrder;
 import org.wheatwall.core.batch.model.TaskLosses;
 import org.wheatwall.core.job.decision.EndReason;
+import org.wheatwall.core.job.model.ResourceAmount;
 
 /**
  * The course of runs within a term: from the intent over orders and ends to the next run, or to the
@@ -39,15 +42,9 @@
   }
 
   void launch(GroupRun run) {
-    boolean usable =
-        run.workers().stream()
-            .allMatch(id -> term.workers.find(id).filter(WorkerRecord::usable).isPresent());
-    if (!usable) {
-      stopRun(run, "a worker was lost before the start");
-      return;
-    }
-    if (!term.permits.cover(run)) {
-      stopRun(run, "a permit lapsed before the start");
+    Optional<String> obstacle = obstacleTo(run);
+    if (obstacle.isPresent()) {
+      stopRun(run, obstacle.get() + " before the start");
       return;
     }
     GroupState state = run.state().started(run.workers());
@@ -58,10 +55,44 @@
     term.flushThen(() -> order(run));
   }
 
+  /** Returns why a run cannot start on its workers now, though it was planned there. */
+  private Optional<String> obstacleTo(GroupRun run) {
+    boolean usable =
+        run.workers().stream()
+            .allMatch(id -> term.workers.find(id).filter(WorkerRecord::usable).isPresent());
+    if (!usable) {
+      return Optional.of("a worker was lost");
+    }
+    if (!hasRoom(run)) {
+      return Optional.of("room has shrunk");
+    }
+    return term.permits.cover(run) ? Optional.empty() : Optional.of("a permit lapsed");
+  }
+
+  // Not every worker refuses what it has no room for.
+  private boolean hasRoom(GroupRun run) {
+    return Set.copyOf(run.workers()).stream()
+        .allMatch(worker -> term.workers.hasRoomFor(worker, takenWith(run, worker)));
+  }
+
+  private ResourceAmount takenWith(GroupRun run, String worker) {
+    ResourceAmount taken = run.amountOn(worker);
+    for (GroupRun other : term.runs.on(worker)) {
+      taken = other.launched() && other != run ? taken.plus(other.amountOn(worker)) : taken;
+    }
+    return taken;
+  }
+
   void order(GroupRun run) {
     if (run.stopping() || term.runs.of(run.group()).orElse(null) != run) {
       return;
     }
+    // Writing the intent down takes seconds at times; what held before it may not hold any more.
+    Optional<String> obstacle = obstacleTo(run);
+    if (obstacle.isPresent()) {
+      stopRun(run, obstacle.get() + " before the order");
+      return;
+    }
     term.note(
         RunEvent.Kind.GROUP_STARTED,
         run.group().jobId(),
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
@@ -12,6 +12,7 @@
 import org.wheatwall.core.common.Labels;
 import org.wheatwall.core.common.Names;
 import org.wheatwall.core.job.decision.Scheduler;
+import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.core.job.model.WorkerHost;
 
 /** The workers of a service as the decider knows them, and the scheduler's view of them. */
@@ -53,8 +54,9 @@
   boolean list(WorkerInfo info) {
     WorkerRecord record = record(info.id());
     boolean fresh = !record.listed();
+    boolean sameRoom = record.info().map(WorkerInfo::capacity).equals(Optional.of(info.capacity()));
     record.list(info);
-    version += fresh ? 1 : 0;
+    version += fresh || !sameRoom ? 1 : 0;
     scheduler
         .cluster()
         .add(new WorkerHost(info.id(), GroupJobs.ZONE, Names.nameOf(info.rack()), info.capacity()));
@@ -63,6 +65,14 @@
     return fresh;
   }
 
+  /** Returns whether a worker, by its newest entry, has room for an amount in all. */
+  boolean hasRoomFor(String id, ResourceAmount amount) {
+    return find(id)
+        .flatMap(WorkerRecord::info)
+        .filter(i -> i.capacity().covers(amount))
+        .isPresent();
+  }
+
   /** Notes that the platform no longer lists a worker; what runs there may go on. */
   boolean unlist(String id, long nowMs) {
     WorkerRecord record = workers.get(id);
@@ -128,7 +138,7 @@
     scheduler.hostsChanged();
   }
 
-  /** Changes whenever another worker is listed or forgotten. */
+  /** Changes whenever another worker is listed or forgotten, or one has other room. */
   int version() {
     return version;
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -63,10 +63,14 @@
     }
   }
 
-  /** Adds a host, or does nothing if it is known with the same capacity. */
+  /**
+   * Adds a host. One that is known in the same place only has its capacity set, which may change
+   * while work is held there; whether it is in use, on probation or slow stays as it is.
+   */
   public void add(WorkerHost host) {
     HostState known = hosts.get(host.name());
-    if (known != null && known.host().equals(host)) {
+    if (known != null && known.host().isInPlaceOf(host)) {
+      resize(known, host.capacity());
       return;
     }
     if (known != null) {
@@ -83,6 +87,11 @@
     held.forEach((attemptId, entry) -> holdOnHost(attemptId, entry, host.name()));
   }
 
+  private void resize(HostState host, ResourceAmount capacity) {
+    totalAccelerators += capacity.accelerators() - host.host().capacity().accelerators();
+    change(host.name(), state -> state.resize(capacity));
+  }
+
   /** Removes a host; what attempts held on it is forgotten. */
   public void remove(String name) {
     HostState state = hosts.remove(name);
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -14,7 +14,7 @@
 
 /** What the decider counts on one worker host. Changed only through {@link Cluster}. */
 public final class HostState {
-  private final WorkerHost host;
+  private WorkerHost host;
   private final int index;
   private final Map<String, Holding> holdings = new HashMap<>();
   private ResourceAmount used = ResourceAmount.ZERO;
@@ -176,6 +176,10 @@
     planned = ResourceAmount.ZERO;
   }
 
+  void resize(ResourceAmount capacity) {
+    host = new WorkerHost(host.name(), host.zone(), host.rack(), capacity);
+  }
+
   void setUsable(boolean next) {
     usable = next;
   }
--- a/core/src/main/java/org/wheatwall/core/job/model/WorkerHost.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/WorkerHost.java
@@ -12,4 +12,9 @@
     Names.require("rack", rack);
     Objects.requireNonNull(capacity);
   }
+
+  /** Returns whether another description is of the same host in the same zone and rack. */
+  public boolean isInPlaceOf(WorkerHost other) {
+    return name.equals(other.name) && zone.equals(other.zone) && rack.equals(other.rack);
+  }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
@@ -62,6 +62,19 @@
     crashingOneIn = jobs;
   }
 
+  /** Lets workers that start whatever they are told have less room, and more again, by turns. */
+  void changeRoom(int times) {
+    workers.leaveRoomUnguarded();
+    for (int i = 0; i < times; i++) {
+      int worker = time.random().nextInt(WORKERS);
+      long fromMs = time.random().nextInt(FAULTY_MS);
+      int left = time.random().nextInt(ACCELERATORS);
+      time.after(fromMs, () -> workers.resize(worker, left));
+      long lastsMs = 1000L + time.random().nextInt(FAULTY_MS / 2);
+      time.after(fromMs + lastsMs, () -> workers.resize(worker, ACCELERATORS));
+    }
+  }
+
   // One after another, so that most hosts see each other at any time.
   void cutHostsOff(int times) {
     long slotMs = FAULTY_MS / times;
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/ChangingRoomTest.java
@@ -0,0 +1,28 @@
+package org.wheatwall.entry.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Workers have less room for a while and say so, also with work on them that takes more, and start
+ * whatever they are told. A version that looks at the room only when it plans a run, or that
+ * believes an older word of a worker, takes one over its room within a few seeds.
+ */
+final class ChangingRoomTest {
+  private static final int CHANGES = 40;
+
+  @Test
+  void noStartTakesAWorkerOverItsRoomUnderRandomFaults() {
+    int schedules = Integer.getInteger("wheatwall.schedules", 40);
+    long firstSeed = Long.getLong("wheatwall.seed", 1);
+    int accepted = 0;
+    for (long seed = firstSeed; seed < firstSeed + schedules; seed++) {
+      BatchSchedule schedule = new BatchSchedule(seed, Optional.empty());
+      schedule.changeRoom(CHANGES);
+      accepted += schedule.run();
+    }
+    assertThat(accepted).isGreaterThan(schedules);
+  }
+}
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -37,6 +37,8 @@
   private static final int MOST_DECIDE_MS = 60;
   private static final int LONGEST_DOWN_MS = 7000;
   private static final int ENTRY_LAPSES_MS = 4500;
+  // Long enough for a host that is frozen, or for orders that are under way, far shorter than work.
+  private static final int ROOM_LAG_MS = 500;
 
   private final VirtualTime time;
   private final TaskLedger ledger = new TaskLedger();
@@ -48,6 +50,7 @@
   private final Set<Integer> lapsed = new HashSet<>();
   private final Map<SimulatedHost, WorkerDirectory.Listener> listeners = new HashMap<>();
   private final Optional<PermitModel> permits;
+  private boolean unguarded;
   private double lostShare;
   private int lives;
 
@@ -134,6 +137,23 @@
     listInPlaceOf(before, infos.get(index));
   }
 
+  /** Lets all workers, and those that come after them, start whatever they are told. */
+  void leaveRoomUnguarded() {
+    unguarded = true;
+    workers.forEach(TaskWorkerModel::leaveRoomUnguarded);
+  }
+
+  /** Gives a worker other room, and lists it so. */
+  void resize(int index, int next) {
+    if (down.contains(index)) {
+      return;
+    }
+    workers.get(index).resize(next, ROOM_LAG_MS, time.nowMs());
+    WorkerInfo info = info(index, workers.get(index).id(), next);
+    infos.set(index, info);
+    List.copyOf(listeners.values()).forEach(listener -> listener.listed(info));
+  }
+
   private void listInPlaceOf(String other, WorkerInfo worker) {
     for (WorkerDirectory.Listener listener : List.copyOf(listeners.values())) {
       listener.listed(worker);
@@ -146,18 +166,23 @@
     long offset = time.random().nextInt(1_000_000);
     TaskWorkerModel model = new TaskWorkerModel(id, accelerators, ledger, offset, GANG_WAIT_MS);
     permits.ifPresent(model::requirePermits);
+    if (unguarded) {
+      model.leaveRoomUnguarded();
+    }
     workers.set(index, model);
-    infos.set(
-        index,
-        new WorkerInfo(
-            id,
-            "127.0.0.1:" + (1000 + index),
-            "service",
-            "zone",
-            "rack" + index / HOSTS_A_RACK,
-            Set.of("a"),
-            new ResourceAmount(32_000, 64_000, accelerators),
-            false));
+    infos.set(index, info(index, id, accelerators));
+  }
+
+  private static WorkerInfo info(int index, String id, int accelerators) {
+    return new WorkerInfo(
+        id,
+        "127.0.0.1:" + (1000 + index),
+        "service",
+        "zone",
+        "rack" + index / HOSTS_A_RACK,
+        Set.of("a"),
+        new ResourceAmount(32_000, 64_000, accelerators),
+        false);
   }
 
   private void tick() {
@@ -262,6 +287,7 @@
             return;
           }
           TaskWorkerModel model = workers.get(index);
+          model.ordersAreLate(lost);
           OrderAnswer result =
               model.id().equals(worker.id()) ? work.apply(model) : OrderAnswer.WORKER_GONE;
           boolean crashesAtOnce = model.crashing() && time.random().nextBoolean();
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Notes that a start took a worker over its room. */
+  synchronized void overfull(long atMs, String worker, TaskName task, String amounts) {
+    violations.add(atMs + ": " + task + " takes " + worker + " to " + amounts + " accelerators");
+  }
+
   /** Notes that a worker crashed while it held a task, by which {@code own} says. */
   synchronized void crashed(TaskName task, boolean own) {
     crashesUnder.merge(task, 1, Integer::sum);
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
@@ -25,7 +25,7 @@
   private static final int PERCENT = 100;
 
   private final String id;
-  private final int accelerators;
+  private int accelerators;
   private final TaskLedger ledger;
   private final long clockOffsetMs;
   private final int gangWaitMs;
@@ -35,6 +35,10 @@
   private long highestToken;
   private long leaseUntilMs;
   private long lastEnd;
+  private boolean guards = true;
+  private boolean lateOrder;
+  private int roomBefore;
+  private long roomBeforeUntilMs = Long.MIN_VALUE;
   private boolean stuck;
   private boolean crashing;
   private Optional<PermitModel> permits = Optional.empty();
@@ -87,6 +91,29 @@
     stuck = next;
   }
 
+  /** Takes whatever it is told to start from now on; the ledger notes what it has no room for. */
+  public void leaveRoomUnguarded() {
+    guards = false;
+  }
+
+  /**
+   * Says whether the orders that come next were held up on their way, so that room was not known.
+   */
+  public void ordersAreLate(boolean next) {
+    lateOrder = next;
+  }
+
+  /**
+   * Has another room from now on, whatever runs.
+   *
+   * @param lagMs how long a scheduler may count on the room before, milliseconds
+   */
+  public void resize(int next, long lagMs, long nowMs) {
+    roomBefore = Math.max(accelerators, nowMs < roomBeforeUntilMs ? roomBefore : 0);
+    roomBeforeUntilMs = nowMs + lagMs;
+    accelerators = next;
+  }
+
   /** Takes only starts that carry a text of {@code model} from now on. */
   public void requirePermits(PermitModel model) {
     permits = Optional.of(model);
@@ -114,9 +141,14 @@
       return OrderAnswer.NO_PERMIT;
     }
     TaskPlan plan = TaskPlan.parse(order.specification());
-    if (used() + plan.accelerators() > accelerators) {
+    int needed = used() + plan.accelerators();
+    if (guards && needed > accelerators) {
       return OrderAnswer.NO_ROOM;
     }
+    int room = nowMs < roomBeforeUntilMs ? Math.max(accelerators, roomBefore) : accelerators;
+    if (needed > room && !lateOrder) {
+      ledger.overfull(nowMs, id, order.task(), needed + " of " + room);
+    }
     held.put(order.task(), new Held(order.run(), plan, nowMs));
     crashing |= plan.crashesWorker();
     ledger.began(nowMs, id, order.task(), order.run());
