A suspended machine's steady clock does not hold limits any more

A machine may be suspended for seconds. Its steady clock does not count that time, so on waking a host believed in its term, extended leases and would have ordered starts for as long as it had stood still, beside a successor that had waited for it; and a key that was taken away meanwhile was good until the log was read again.

Clock has two times now. Waits are measured by nowMs, which only stands still and so only makes them longer.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/PermitRounds.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/PermitRounds.java
@@ -111,6 +111,11 @@
     }
   }
 
+  /** Takes every permit for lapsed; those still needed are asked for again. */
+  void lapseAll() {
+    steps.values().forEach(StepPermits::lapseAll);
+  }
+
   /** Takes in the answer to a question; empty if there was none. */
   void onAnswer(PermitQuestion question, Optional<PermitAnswer> answer, long askedMs) {
     StepPermits permits = steps.get(question.step());
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -126,6 +126,11 @@
     term.permits.onAnswer(question, answer, askedMs);
   }
 
+  /** Takes every permit for lapsed, as it is not known how long each has been held. */
+  public void lapsePermits() {
+    term.permits.lapseAll();
+  }
+
   /** Takes over what the log says. Call once, before anything else. */
   public void adopt(JobTable table, long steadyMs, long dayMs) {
     term.at(steadyMs, dayMs);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/StepPermits.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StepPermits.java
@@ -72,6 +72,11 @@
     permits.computeIfPresent(worker, (id, permit) -> new Permit(permit.text(), 0, 0));
   }
 
+  /** Takes every text for lapsed. */
+  void lapseAll() {
+    permits.replaceAll((worker, permit) -> new Permit(permit.text(), 0, 0));
+  }
+
   long answeredAtMs() {
     return answeredAtMs;
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
@@ -4,8 +4,9 @@
 import org.wheatwall.core.batch.model.LogContent;
 
 /**
- * When this host may claim the right to decide, and how long it may act on it. All times are of the
- * host's steady clock.
+ * When this host may claim the right to decide, and how long it may act on it. What it waits for is
+ * measured on the host's steady clock, which may stand still; what it may do itself, by limit
+ * times, which never fall behind.
  *
  * <p>Safety: a holder acts for {@link TermSettings#actMs} from the sending of its last confirmed
  * record. Others see that record later than it was sent, and claim no earlier than {@link
@@ -25,7 +26,7 @@
   private long actUntilMs = Long.MIN_VALUE;
   private long quietSinceMs;
   private HolderSign sign = HolderSign.UNKNOWN;
-  private long claimSentMs;
+  private long claimSentLimitMs;
   private long overlapMs;
 
   /**
@@ -82,10 +83,14 @@
     return ownEarlierLife || sign == HolderSign.RESIGNED || gone || quietMs >= settings.silenceMs();
   }
 
-  /** Notes that a claim is sent now. Its own record is read later, and ends the silence. */
-  public void claimSent(long nowMs) {
+  /**
+   * Notes that a claim is sent now. Its own record is read later, and ends the silence.
+   *
+   * @param limitMs the same moment as limit time
+   */
+  public void claimSent(long nowMs, long limitMs) {
     boolean mayAct = sign == HolderSign.SILENT;
-    claimSentMs = nowMs;
+    claimSentLimitMs = limitMs;
     overlapMs = mayAct ? Math.max(0, settings.silenceMs() - (nowMs - quietSinceMs)) : 0;
   }
 
@@ -102,10 +107,10 @@
   /** Notes that the last claim has become the term {@code term}. */
   public void won(long term) {
     heldTerm = term;
-    actUntilMs = claimSentMs + settings.actMs();
+    actUntilMs = claimSentLimitMs + settings.actMs();
   }
 
-  /** Notes that a record of the held term, sent at {@code sentMs}, was accepted. */
+  /** Notes that a record of the held term, sent at limit time {@code sentMs}, was accepted. */
   public void confirmed(long sentMs) {
     actUntilMs = Math.max(actUntilMs, sentMs + settings.actMs());
   }
@@ -119,8 +124,8 @@
   }
 
   /** Returns whether a term is held of which nothing was confirmed for too long to be kept. */
-  public boolean unconfirmed(long nowMs) {
-    return heldTerm != 0 && nowMs >= actUntilMs - settings.actMs() + settings.resignMs();
+  public boolean unconfirmed(long limitMs) {
+    return heldTerm != 0 && limitMs >= actUntilMs - settings.actMs() + settings.resignMs();
   }
 
   /** Returns whether this process holds a term, confirmed lately or not. */
@@ -128,9 +133,9 @@
     return heldTerm != 0;
   }
 
-  /** Returns whether orders may be given now. */
-  public boolean mayAct(long nowMs) {
-    return heldTerm != 0 && nowMs < actUntilMs;
+  /** Returns whether orders may be given at a limit time. */
+  public boolean mayAct(long limitMs) {
+    return heldTerm != 0 && limitMs < actUntilMs;
   }
 
   /** Returns the number of the held term, 0 if none. */
--- a/core/src/test/java/org/wheatwall/core/batch/decision/TermRuleTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/TermRuleTest.java
@@ -25,7 +25,7 @@
   void aSilentHolderIsReplacedOnlyAfterItHasStopped() {
     TermRule holder = new TermRule(TIMES, "a", "life-1", 0);
     TermRule rival = new TermRule(TIMES, "b", "life-2", 0);
-    holder.claimSent(1000);
+    holder.claimSent(1000, 1000);
     holder.won(7);
     rival.sawDecider(1000);
     long claimAt = 1000;
@@ -88,7 +88,7 @@
     rival.sawDecider(1000);
     rival.holderAsked(HolderSign.RESIGNED);
     assertThat(firstClaim(rival, 1900)).isEqualTo(1900);
-    rival.claimSent(1900);
+    rival.claimSent(1900, 1900);
     assertThat(rival.overlapMs()).isEqualTo(0);
   }
 
@@ -108,12 +108,12 @@
     rival.holderAsked(HolderSign.SILENT);
     long claimAt = firstClaim(rival, 1000);
     assertThat(claimAt).isEqualTo(1000 + TIMES.goneMs());
-    rival.claimSent(claimAt);
+    rival.claimSent(claimAt, claimAt);
     // The record of the claim itself is read before the claim is known to have won.
     rival.sawDecider(claimAt + 5);
     rival.won(8);
     TermRule holder = new TermRule(TIMES, "a", "life-1", 0);
-    holder.claimSent(1000);
+    holder.claimSent(1000, 1000);
     holder.won(7);
     long over = 1000 + (long) ((claimAt + rival.overlapMs() - 1000) * 0.98 * 0.98);
     assertThat(holder.mayAct(over)).isFalse();
@@ -130,7 +130,7 @@
   @Test
   void aHolderIsUnconfirmedOnceItsLastRecordIsOld() {
     TermRule holder = new TermRule(TIMES, "a", "life-1", 0);
-    holder.claimSent(1000);
+    holder.claimSent(1000, 1000);
     holder.won(7);
     assertThat(holder.unconfirmed(1000 + TIMES.resignMs() - 1)).isFalse();
     assertThat(holder.unconfirmed(1000 + TIMES.resignMs())).isTrue();
@@ -141,7 +141,7 @@
   @Test
   void confirmationCountsFromWhenItWasSent() {
     TermRule rule = new TermRule(TIMES, "a", "life-1", 0);
-    rule.claimSent(1000);
+    rule.claimSent(1000, 1000);
     rule.won(7);
     rule.confirmed(2000);
     assertThat(rule.mayAct(2000 + TIMES.actMs() - 1)).isTrue();
@@ -153,7 +153,7 @@
   @Test
   void aLostTermGivesNoLeave() {
     TermRule rule = new TermRule(TIMES, "a", "life-1", 0);
-    rule.claimSent(1000);
+    rule.claimSent(1000, 1000);
     rule.won(7);
     rule.lost(1100);
     assertThat(rule.mayAct(1101)).isFalse();
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -18,6 +18,7 @@
 import org.wheatwall.core.request.decision.ConnectionShare;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.EntrySettings;
+import org.wheatwall.entry.common.MachineClock;
 import org.wheatwall.entry.configuration.ConfigurationService;
 import org.wheatwall.entry.job.JobPlane;
 import org.wheatwall.entry.membership.MembershipService;
@@ -63,7 +64,7 @@
   private static final long QUERY_TIMEOUT_MS = 1500;
 
   private final EntrySettings settings;
-  private final Clock clock = Clock.SYSTEM;
+  private final Clock clock = MachineClock.SYSTEM;
   private final MetricRegistry metrics = new MetricRegistry();
   private final ScheduledExecutorService stateThread = thread("state");
   private final ScheduledExecutorService timer = thread("timer");
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -56,6 +56,7 @@
   private final Runnable onLost;
   private final DecisionPace pace = new DecisionPace();
   private boolean wakeIsSet;
+  private long skippedMs;
   private boolean ended;
 
   /**
@@ -78,6 +79,7 @@
     this.tools = tools;
     this.rule = rule;
     this.term = rule.term();
+    this.skippedMs = tools.clock().skippedMs();
     this.onLost = onLost;
     this.writer =
         new LogWriter(
@@ -176,7 +178,22 @@
 
   @Override
   public boolean mayAct() {
-    return !ended && rule.term() == term && rule.mayAct(tools.clock().nowMs());
+    if (ended) {
+      return false;
+    }
+    takeNoteOfSuspension();
+    return rule.term() == term && rule.mayAct(tools.clock().limitMs());
+  }
+
+  // Workers' clocks were carried forward, and permits counted down, by a clock that stood still.
+  private void takeNoteOfSuspension() {
+    long skipped = tools.clock().skippedMs();
+    if (skipped != skippedMs) {
+      skippedMs = skipped;
+      tools.decisions().note("term-unconfirmed", field("term", term), field("cause", "clocks"));
+      watch.forgetClocks();
+      supervisor.lapsePermits();
+    }
   }
 
   @Override
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -116,7 +116,7 @@
       disown(term);
       return false;
     }
-    if (!stopping && rule.unconfirmed(tools.clock().nowMs())) {
+    if (!stopping && rule.unconfirmed(tools.clock().limitMs())) {
       lose("nothing was confirmed, and another host can read the log");
       disown(term);
       return false;
@@ -196,7 +196,7 @@
 
   private void renewIfDue() {
     if (decider.isPresent() && !stopping && rule.holds() && decider.get().writerIdle()) {
-      long now = tools.clock().nowMs();
+      long now = tools.clock().limitMs();
       if (!rule.mayAct(now + settings.term().actMs() - settings.term().renewMs())) {
         decider.get().write(termEntry(rule.term(), false));
       }
@@ -233,7 +233,7 @@
   // The call's number is this process's own, or the store would take a rival's claim for such a
   // repeat.
   private void claim(long position) {
-    rule.claimSent(tools.clock().nowMs());
+    rule.claimSent(tools.clock().nowMs(), tools.clock().limitMs());
     claimedTerm = OptionalLong.of(JobTable.termOfClaim(position));
     LogEntry entry = termEntry(0, false);
     KeyedRecord record = new KeyedRecord(entry.key().text(), JobLogCodec.value(entry));
--- a/entry/src/main/java/org/wheatwall/entry/batch/WorkerOrders.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/WorkerOrders.java
@@ -57,9 +57,10 @@
    * Tells a worker to start a task; without a term or a known clock of the worker it is not done.
    */
   void start(StartOrder order) {
+    boolean mayAct = term.mayAct();
     Optional<WorkerInfo> worker = supervisor.workerInfo(order.worker());
     Optional<WorkerPort.Lease> lease = watch.lease(order.worker());
-    if (worker.isEmpty() || lease.isEmpty() || !term.mayAct()) {
+    if (worker.isEmpty() || lease.isEmpty() || !mayAct) {
       tools.loop().execute(() -> startAnswered(order, OrderAnswer.NOT_DONE));
       return;
     }
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
@@ -25,6 +25,7 @@
   // A log that says nothing holds each call until its time limit, so while it fails one call
   // follows another without waiting for answers. Callers have 3 s, and come back until then.
   private static final int PROBE_EACH_MS = 200;
+  private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
   private final String name;
   private final KeyedLog log;
@@ -35,6 +36,7 @@
   private final IntSupplier pauseMs;
   private long position = -1;
   private long confirmedAtMs;
+  private long confirmedSkippedMs;
   private long answeredAtMs;
   private boolean failing;
   private boolean probing;
@@ -43,6 +45,9 @@
   private boolean pausing;
   private int pauses;
 
+  /** When something was asked, and what was skipped by then. */
+  private record Moment(long atMs, long skippedMs) {}
+
   /** Takes in what the log says. */
   public interface Listener {
     /** Starts anew with the newest records of all keys, in the order of their offsets. */
@@ -51,8 +56,8 @@
     /** Takes in the next record. */
     void next(KeyedRecord record, long offset);
 
-    /** Notes that everything up to the log's end, as of {@code askedMs}, was taken in. */
-    default void upToDate(long askedMs) {}
+    /** Notes that everything up to the log's end, as of a moment ago, was taken in. */
+    default void upToDate() {}
 
     /** Notes that the log can be read again after it could not. */
     default void regained() {}
@@ -80,13 +85,18 @@
     this.clock = clock;
     this.pauseMs = pauseMs;
     this.listener = listener;
-    this.confirmedAtMs = Long.MIN_VALUE / 2;
+    this.confirmedAtMs = NEVER_MS;
+    this.confirmedSkippedMs = clock.skippedMs();
     this.answeredAtMs = clock.nowMs();
   }
 
   /** Begins to follow. */
   public void start() {
-    restart(Optional.empty(), new ArrayList<>(), -1, clock.nowMs());
+    restart(Optional.empty(), new ArrayList<>(), -1, now());
+  }
+
+  private Moment now() {
+    return new Moment(clock.nowMs(), clock.skippedMs());
   }
 
   /** Stops following. */
@@ -104,9 +114,12 @@
     return position >= 0;
   }
 
-  /** Returns when the latest reading that reached the log's end was asked for. */
+  /**
+   * Returns when the latest reading that reached the log's end was asked for; long ago if the
+   * machine may have been suspended since.
+   */
   public long confirmedAtMs() {
-    return confirmedAtMs;
+    return confirmedSkippedMs == clock.skippedMs() ? confirmedAtMs : NEVER_MS;
   }
 
   /** Returns when the log last answered, or when this follower was made if it never did. */
@@ -128,11 +141,11 @@
       return CompletableFuture.failedFuture(
           new LogFailure(LogFailure.Kind.NOT_DONE, name + " was not read yet"));
     }
-    long askedMs = clock.nowMs();
+    Moment asked = now();
     return log.read(position, 0)
         .thenAcceptAsync(
             page -> {
-              take(page, askedMs);
+              take(page, asked);
               if (page.end() > position) {
                 throw new LogFailure(LogFailure.Kind.NOT_DONE, name + " is being read");
               }
@@ -141,7 +154,7 @@
   }
 
   private void restart(
-      Optional<String> afterKey, List<KeyedLog.NewestRecord> read, long end, long askedMs) {
+      Optional<String> afterKey, List<KeyedLog.NewestRecord> read, long end, Moment asked) {
     if (stopped) {
       return;
     }
@@ -150,7 +163,7 @@
         loop,
         (page, failure) -> {
           if (failure == null) {
-            takeNewest(page, read, end, askedMs);
+            takeNewest(page, read, end, asked);
           } else {
             failed(LogFailure.of(failure));
           }
@@ -158,18 +171,18 @@
   }
 
   private void takeNewest(
-      KeyedLog.NewestPage page, List<KeyedLog.NewestRecord> read, long end, long askedMs) {
+      KeyedLog.NewestPage page, List<KeyedLog.NewestRecord> read, long end, Moment asked) {
     read.addAll(page.records());
     long from = end < 0 ? page.end() : end;
     if (page.more() && !page.records().isEmpty()) {
       String last = page.records().get(page.records().size() - 1).record().key();
-      restart(Optional.of(last), read, from, askedMs);
+      restart(Optional.of(last), read, from, asked);
       return;
     }
     read.sort(Comparator.comparingLong(KeyedLog.NewestRecord::offset));
     position = from;
     logged(position, () -> listener.restart(read));
-    succeeded(askedMs, true);
+    succeeded(asked, true);
     follow();
   }
 
@@ -186,13 +199,13 @@
     if (stopped) {
       return;
     }
-    long askedMs = clock.nowMs();
+    Moment asked = now();
     LoopCallbacks.whenDone(
-        log.read(position, WAIT_MS),
+        log.read(position, confirmedSkippedMs == asked.skippedMs() ? WAIT_MS : 0),
         loop,
         (page, failure) -> {
           if (failure == null) {
-            take(page, askedMs);
+            take(page, asked);
             followAfterPause(page);
           } else {
             notRead(LogFailure.of(failure));
@@ -232,7 +245,7 @@
     }
   }
 
-  private void take(KeyedLog.LogPage page, long askedMs) {
+  private void take(KeyedLog.LogPage page, Moment asked) {
     long offset = page.from();
     for (KeyedRecord record : page.records()) {
       if (offset == position) {
@@ -242,19 +255,21 @@
       }
       offset++;
     }
-    succeeded(askedMs, position >= page.end());
+    succeeded(asked, position >= page.end());
   }
 
-  private void succeeded(long askedMs, boolean atEnd) {
+  private void succeeded(Moment asked, boolean atEnd) {
     answeredAtMs = clock.nowMs();
     if (failing) {
       failing = false;
       LOG.info("event=log-regained log={} position={}", name, position);
       listener.regained();
     }
-    if (atEnd) {
-      confirmedAtMs = Math.max(confirmedAtMs, askedMs);
-      listener.upToDate(askedMs);
+    // An answer that came while the machine was suspended tells nothing of the end now.
+    if (atEnd && asked.skippedMs() == clock.skippedMs()) {
+      confirmedAtMs = Math.max(confirmedAtMs, asked.atMs());
+      confirmedSkippedMs = asked.skippedMs();
+      listener.upToDate();
     }
   }
 
@@ -272,17 +287,17 @@
     if (stopped || !probing || series != probeSeries) {
       return;
     }
-    long askedMs = clock.nowMs();
+    Moment asked = now();
     LoopCallbacks.whenDone(
         log.read(Math.max(0, position), 0),
         loop,
-        (page, failure) -> probed(series, page, askedMs, Optional.ofNullable(failure)));
+        (page, failure) -> probed(series, page, asked, Optional.ofNullable(failure)));
     timer.after(PROBE_EACH_MS, () -> probe(series));
   }
 
   // The first answer ends the probing; one that history is gone shows as well that the log answers.
   private void probed(
-      int series, KeyedLog.LogPage page, long askedMs, Optional<Throwable> failure) {
+      int series, KeyedLog.LogPage page, Moment asked, Optional<Throwable> failure) {
     boolean answered =
         failure
             .map(cause -> LogFailure.of(cause).kind() == LogFailure.Kind.HISTORY_GONE)
@@ -294,7 +309,7 @@
     if (failure.isPresent() || !started()) {
       start();
     } else {
-      take(page, askedMs);
+      take(page, asked);
       follow();
     }
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -38,7 +38,7 @@
   private long sequence;
   private boolean sending;
   private boolean mayHaveArrived;
-  // When what is under way was first sent in a call that may have had an effect.
+  // When what is under way was first sent in a call that may have had an effect, as limit time.
   private long firstSentMs;
   private boolean closed;
   private int backoffMs = FIRST_BACKOFF_MS;
@@ -59,7 +59,7 @@
    * Creates a writer.
    *
    * @param firstSequence number of its first call
-   * @param confirmed told, for each call that was answered, when it was first sent
+   * @param confirmed told, for each call that was answered, at which limit time it was first sent
    */
   public LogWriter(
       KeyedLog log,
@@ -182,7 +182,7 @@
     }
     mayHaveArrived = false;
     backoffMs = FIRST_BACKOFF_MS;
-    firstSentMs = clock.nowMs();
+    firstSentMs = clock.limitMs();
     send();
   }
 
@@ -274,7 +274,7 @@
         wait,
         () -> {
           if (!closed && number == sequence && !inFlight.isEmpty()) {
-            firstSentMs = mayHaveArrived ? firstSentMs : clock.nowMs();
+            firstSentMs = mayHaveArrived ? firstSentMs : clock.limitMs();
             send();
           }
         });
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
@@ -122,6 +122,11 @@
     return Optional.of(new WorkerPort.Lease(term, until(session)));
   }
 
+  /** Takes the clocks of all workers for unknown until they answer again. */
+  public void forgetClocks() {
+    sessions.values().forEach(session -> session.clockKnown = false);
+  }
+
   /** Asks the workers that have to be asked and are not; those that are late get no new work. */
   public void tick() {
     if (doubtsLate) {
--- a/entry/src/main/java/org/wheatwall/entry/common/Clock.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/Clock.java
@@ -1,26 +1,29 @@
 package org.wheatwall.entry.common;
 
-import java.util.concurrent.TimeUnit;
-
 /** Time as an entry host sees it. */
 public interface Clock {
-  /** Returns monotonic time, milliseconds from an arbitrary start. */
+  /**
+   * Returns monotonic time, milliseconds from an arbitrary start. It may stand still while the
+   * machine is suspended, so it is for waits, which only become longer by that.
+   */
   long nowMs();
 
   /** Returns wall clock time, milliseconds since 1970. */
   long wallMs();
 
-  /** The machine's clocks. */
-  Clock SYSTEM =
-      new Clock() {
-        @Override
-        public long nowMs() {
-          return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-        }
+  /**
+   * Returns by how much {@link #limitMs} is ahead of {@link #nowMs}. It changes when the machine
+   * may have been suspended: what was confirmed before has to be confirmed again.
+   */
+  default long skippedMs() {
+    return 0;
+  }
 
-        @Override
-        public long wallMs() {
-          return System.currentTimeMillis();
-        }
-      };
+  /**
+   * Returns the time by which this host holds limits on what it may still do, such as to give
+   * orders under its term. It is never behind real time by more than a fraction of a second.
+   */
+  default long limitMs() {
+    return skippedMs() + nowMs();
+  }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
@@ -48,7 +48,7 @@
     this.seed = seed;
     time = new VirtualTime(seed);
     store = new SimulatedStore(time);
-    workers = new SimulatedWorkers(time, WORKERS, ACCELERATORS, permits);
+    workers = new SimulatedWorkers(time, WORKERS, ACCELERATORS, permits, store::confirmedAtMs);
     peers = new SimulatedPeers(time);
     Set<String> permitQueues = permits.isPresent() ? Set.of(QUEUE) : Set.of();
     for (int i = 0; i < HOSTS; i++) {
@@ -75,6 +75,18 @@
     }
   }
 
+  /** Suspends hosts, and lets the time of day of others jump, at random times. */
+  void suspendHosts(int times) {
+    for (int i = 0; i < times; i++) {
+      SimulatedHost host = anyHost();
+      long lastsMs = 300L + time.random().nextInt(9000);
+      time.after(time.random().nextInt(FAULTY_MS), () -> host.suspend(lastsMs));
+      SimulatedHost other = anyHost();
+      long stepMs = time.random().nextInt(6000) - 3000L;
+      time.after(time.random().nextInt(FAULTY_MS), () -> other.stepWall(stepMs, lastsMs));
+    }
+  }
+
   // One after another, so that most hosts see each other at any time.
   void cutHostsOff(int times) {
     long slotMs = FAULTY_MS / times;
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -7,9 +7,12 @@
 import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.common.MachineClock;
 
 /** An entry host in simulated time: it may be killed, frozen and started again. */
 final class SimulatedHost {
+  private static final long NANOS_PER_MS = 1_000_000;
+
   private final VirtualTime time;
   private final String name;
   private final SimulatedStore store;
@@ -20,6 +23,10 @@
   private BatchHost batch;
   private int life;
   private long frozenUntilMs;
+  // How long the steady clock stood still in all, up to the end of a suspension under way.
+  private long suspendedMs;
+  private long suspendedUntilMs;
+  private long wallStepMs;
 
   SimulatedHost(
       VirtualTime time,
@@ -57,9 +64,9 @@
 
   void start() {
     int own = ++life;
-    Clock clock = clock();
+    Clock clock = new MachineClock(() -> steadyMs() * NANOS_PER_MS, this::wallMs, time::nowMs);
     Executor loop = task -> post(own, task);
-    LoopTimer timer = (delayMs, task) -> time.after(delayMs, () -> loop.execute(task));
+    LoopTimer timer = (delayMs, task) -> after(delayMs, () -> loop.execute(task));
     BatchSettings settings =
         new BatchSettings(
             name,
@@ -100,6 +107,45 @@
     frozenUntilMs = time.nowMs() + ms;
   }
 
+  /** Suspends the machine: it stands still like a frozen one, and its steady clock with it. */
+  void suspend(long ms) {
+    if (time.nowMs() >= suspendedUntilMs) {
+      freeze(ms);
+      suspendedMs += ms;
+      suspendedUntilMs = time.nowMs() + ms;
+    }
+  }
+
+  /** Lets the time of day jump, and back after some time. */
+  void stepWall(long stepMs, long lastsMs) {
+    wallStepMs = stepMs;
+    time.after(lastsMs, () -> wallStepMs = 0);
+  }
+
+  // While it is suspended, its steady clock shows the moment at which that began.
+  private long steadyMs() {
+    long ahead = Math.max(0, suspendedUntilMs - time.nowMs());
+    return time.nowMs() - suspendedMs + ahead;
+  }
+
+  private long wallMs() {
+    return time.nowMs() + wallStepMs;
+  }
+
+  // Timers run by the steady clock.
+  private void after(long delayMs, Runnable task) {
+    long dueMs = steadyMs() + delayMs;
+    time.after(
+        delayMs,
+        () -> {
+          if (steadyMs() < dueMs) {
+            after(dueMs - steadyMs(), task);
+          } else {
+            task.run();
+          }
+        });
+  }
+
   private void post(int own, Runnable task) {
     if (own != life) {
       return;
@@ -118,18 +164,4 @@
           }
         });
   }
-
-  private Clock clock() {
-    return new Clock() {
-      @Override
-      public long nowMs() {
-        return time.nowMs();
-      }
-
-      @Override
-      public long wallMs() {
-        return time.nowMs();
-      }
-    };
-  }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
@@ -29,6 +29,7 @@
   private final Map<String, Producer> producers = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
   private final Set<SimulatedHost> cut = new HashSet<>();
+  private final Map<SimulatedHost, Long> confirmedAtMs = new HashMap<>();
   private long first;
   private boolean down;
   private boolean silent;
@@ -78,7 +79,8 @@
     return new KeyedLog() {
       @Override
       public CompletableFuture<Appended> append(AppendCall call) {
-        return call(host, true, () -> doAppend(call));
+        long sentMs = time.nowMs();
+        return call(host, true, () -> confirm(host, sentMs, call, doAppend(call)));
       }
 
       @Override
@@ -93,6 +95,19 @@
     };
   }
 
+  private KeyedLog.Appended confirm(
+      SimulatedHost host, long sentMs, KeyedLog.AppendCall call, KeyedLog.Appended appended) {
+    if (call.producer().equals(BatchDecider.PRODUCER)) {
+      confirmedAtMs.merge(host, sentMs, Math::max);
+    }
+    return appended;
+  }
+
+  /** Returns when the latest record of a host as decider was sent that was taken. */
+  long confirmedAtMs(SimulatedHost host) {
+    return confirmedAtMs.getOrDefault(host, Long.MIN_VALUE / 2);
+  }
+
   private boolean unreachable(SimulatedHost host) {
     return down || cut.contains(host);
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
+import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.PermitAnswer;
 import org.wheatwall.core.batch.model.StartOrder;
@@ -50,6 +52,7 @@
   private final Set<Integer> lapsed = new HashSet<>();
   private final Map<SimulatedHost, WorkerDirectory.Listener> listeners = new HashMap<>();
   private final Optional<PermitModel> permits;
+  private final ToLongFunction<SimulatedHost> confirmedAtMs;
   private boolean unguarded;
   private double lostShare;
   private int lives;
@@ -57,10 +60,17 @@
   /**
    * Creates workers.
    *
+   * @param confirmedAtMs when a host's term was last confirmed
    * @param permits gives permits, without which no worker takes a start; empty if none are needed
    */
-  SimulatedWorkers(VirtualTime time, int count, int accelerators, Optional<PermitModel> permits) {
+  SimulatedWorkers(
+      VirtualTime time,
+      int count,
+      int accelerators,
+      Optional<PermitModel> permits,
+      ToLongFunction<SimulatedHost> confirmedAtMs) {
     this.time = time;
+    this.confirmedAtMs = confirmedAtMs;
     this.permits = permits;
     this.accelerators = accelerators;
     for (int i = 0; i < count; i++) {
@@ -117,7 +127,7 @@
   private void crashByTask(int index) {
     workers.get(index).crash(time.nowMs());
     down.add(index);
-    long downMs = 1 + time.random().nextInt(LONGEST_DOWN_MS);
+    long downMs = 1L + time.random().nextInt(LONGEST_DOWN_MS);
     String before = infos.get(index).id();
     if (downMs > ENTRY_LAPSES_MS) {
       time.after(ENTRY_LAPSES_MS, () -> unlist(index, before));
@@ -225,6 +235,7 @@
       @Override
       public CompletableFuture<OrderAnswer> start(
           WorkerInfo worker, StartOrder order, Lease lease) {
+        checkTerm(host, "a start");
         return order(
             worker, model -> model.start(order, lease.term(), lease.untilMs(), time.nowMs()));
       }
@@ -236,11 +247,23 @@
 
       @Override
       public CompletableFuture<WorkerInventory> renew(WorkerInfo worker, RenewCall call) {
+        if (call.untilMs().isPresent()) {
+          checkTerm(host, "an extension");
+        }
         return SimulatedWorkers.this.renew(worker, call);
       }
     };
   }
 
+  // Others claim the term once they have waited that long, whatever this host believes.
+  private void checkTerm(SimulatedHost host, String order) {
+    long ageMs = time.nowMs() - confirmedAtMs.applyAsLong(host);
+    if (ageMs > TermSettings.DEFAULT.silenceMs()) {
+      ledger.violated(
+          time.nowMs(), order + " of " + host.name() + ", unconfirmed for " + ageMs + " ms");
+    }
+  }
+
   PermitPort permitsOf(SimulatedHost host) {
     return question -> {
       CompletableFuture<PermitAnswer> answer = new CompletableFuture<>();
--- a/entry/src/test/java/org/wheatwall/entry/batch/StateOfEndedJobTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/StateOfEndedJobTest.java
@@ -31,7 +31,8 @@
 
   private final VirtualTime time = new VirtualTime(7);
   private final SimulatedStore store = new SimulatedStore(time);
-  private final SimulatedWorkers workers = new SimulatedWorkers(time, 8, 8, Optional.empty());
+  private final SimulatedWorkers workers =
+      new SimulatedWorkers(time, 8, 8, Optional.empty(), store::confirmedAtMs);
   private final SimulatedPeers peers = new SimulatedPeers(time);
   private final List<SimulatedHost> hosts = new ArrayList<>();
   private final List<Long> toldAfterMs = new ArrayList<>();
--- a/entry/src/test/java/org/wheatwall/entry/batch/TermQuestionTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/TermQuestionTest.java
@@ -15,7 +15,8 @@
 
   private final VirtualTime time = new VirtualTime(11);
   private final SimulatedStore store = new SimulatedStore(time);
-  private final SimulatedWorkers workers = new SimulatedWorkers(time, 4, 8, Optional.empty());
+  private final SimulatedWorkers workers =
+      new SimulatedWorkers(time, 4, 8, Optional.empty(), store::confirmedAtMs);
   private final SimulatedPeers peers = new SimulatedPeers(time);
   private final List<SimulatedHost> hosts = new ArrayList<>();
 
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
@@ -23,6 +23,9 @@
   private final Deque<Runnable> paused = new ArrayDeque<>();
   private final List<String> seen = new ArrayList<>();
 
+  private final StillClock clock = new StillClock();
+  private int upToDate;
+
   private final LogFollower follower =
       new LogFollower(
           "test",
@@ -32,11 +35,18 @@
             pauses.add(ms);
             paused.add(task);
           },
-          new StillClock(),
+          clock,
           () -> PAUSE_MS,
           new Listener());
 
   private static final class StillClock implements Clock {
+    private long skippedMs;
+
+    @Override
+    public long skippedMs() {
+      return skippedMs;
+    }
+
     @Override
     public long nowMs() {
       return 1000;
@@ -49,6 +59,11 @@
   }
 
   private final class Listener implements LogFollower.Listener {
+    @Override
+    public void upToDate() {
+      upToDate++;
+    }
+
     @Override
     public void restart(List<KeyedLog.NewestRecord> newest) {}
 
@@ -64,6 +79,7 @@
   /** Keeps each reading until the test answers it. */
   private static final class HeldLog implements KeyedLog {
     private final List<Long> from = new ArrayList<>();
+    private int lastWaitMs;
     private CompletableFuture<LogPage> answer = new CompletableFuture<>();
 
     @Override
@@ -74,6 +90,7 @@
     @Override
     public CompletableFuture<LogPage> read(long offset, int waitMs) {
       from.add(offset);
+      lastWaitMs = waitMs;
       answer = new CompletableFuture<>();
       return answer;
     }
@@ -158,4 +175,19 @@
     log.answer(3, "c");
     assertThat(seen).containsExactly("a", "b", "c").inOrder();
   }
+
+  // An answer that came while the machine was suspended waits in a buffer and is old when it is
+  // read.
+  @Test
+  void anAnswerFromBeforeASuspensionDoesNotShowTheLogsEnd() {
+    follower.start();
+    int before = upToDate;
+    clock.skippedMs += 600_000;
+    log.answer.complete(new KeyedLog.LogPage(0, 0, List.of()));
+    assertThat(upToDate).isEqualTo(before);
+    assertThat(log.lastWaitMs).isEqualTo(0);
+    log.answer.complete(new KeyedLog.LogPage(0, 0, List.of()));
+    assertThat(upToDate).isEqualTo(before + 1);
+    assertThat(log.lastWaitMs).isGreaterThan(0);
+  }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/peer/PeerRelayTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/peer/PeerRelayTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.model.LogContent;
-import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.common.MachineClock;
 import org.wheatwall.wire.http.AnswerMatching;
 import org.wheatwall.wire.http.HttpCall;
 import org.wheatwall.wire.http.HttpClient;
@@ -34,7 +34,9 @@
   private final AtomicInteger asked = new AtomicInteger();
   private final PeerRelay relay =
       new PeerRelay(
-          new HttpClient(group, 1024, 2, AnswerMatching.BY_ORDER), () -> peers, Clock.SYSTEM);
+          new HttpClient(group, 1024, 2, AnswerMatching.BY_ORDER),
+          () -> peers,
+          MachineClock.SYSTEM);
 
   @AfterEach
   void stop() {
@@ -70,7 +72,7 @@
             HttpCall.of("POST", "/queue/1", "{}"),
             reply -> reply.status() != 503 && reply.status() != 504,
             reply -> reply.status() != 503,
-            Clock.SYSTEM.nowMs() + TIME_MS)
+            MachineClock.SYSTEM.nowMs() + TIME_MS)
         .join();
   }
 
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Notes that something happened that never should. */
+  public synchronized void violated(long atMs, String what) {
+    violations.add(atMs + ": " + what);
+  }
+
   /** Notes that a start took a worker over its room. */
   synchronized void overfull(long atMs, String worker, TaskName task, String amounts) {
     violations.add(atMs + ": " + task + " takes " + worker + " to " + amounts + " accelerators");
