Views and duties of a zone are not held over a suspension either

A member would have gone on giving leave for steps, lending slots and deciding on jobs beside the next view. Confirmations from before, and answers to heartbeats sent before, count no more; the view must be verified again, as after a pause that the clock does see. ViewLeaseTest failed before.

--- a/core/src/main/java/org/wheatwall/core/membership/decision/ViewLease.java
+++ b/core/src/main/java/org/wheatwall/core/membership/decision/ViewLease.java
@@ -116,6 +116,15 @@
     lastTickMs = nowMs;
   }
 
+  /**
+   * Notes that this process did not run for a time that its clock may not have counted: what others
+   * confirmed before holds no more.
+   */
+  public void onSuspended() {
+    confirmedUntil.clear();
+    suspended = true;
+  }
+
   /** Notes that the platform confirmed the view in force to be this one. */
   public void onVerified() {
     suspended = false;
--- a/core/src/test/java/org/wheatwall/core/membership/decision/ViewLeaseTest.java
+++ b/core/src/test/java/org/wheatwall/core/membership/decision/ViewLeaseTest.java
@@ -50,6 +50,19 @@
     assertThat(lease.mayAct(100 + PROMISE_MS)).isTrue();
   }
 
+  // The clock stood still meanwhile, so the confirmations seemed to hold on.
+  @Test
+  void confirmationsFromBeforeASuspensionHoldNoMore() {
+    actInViewOfThree();
+    lease.onSuspended();
+    assertThat(lease.mayAct(30)).isFalse();
+    lease.onConfirmation(B.id(), 1, true, 40);
+    lease.onConfirmation(C.id(), 1, true, 40);
+    assertThat(lease.mayAct(50)).isFalse();
+    lease.onVerified();
+    assertThat(lease.mayAct(50)).isTrue();
+  }
+
   @Test
   void memberThatStoppedForGoodIsNotWaitedFor() {
     actInViewOfThree();
--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -337,7 +337,7 @@
     node.put("draining", draining);
     ObjectNode view = node.putObject("view");
     view.put("epoch", status.epoch());
-    view.put("acting", status.mayAct(clock.nowMs()));
+    view.put("acting", status.mayAct(clock));
     view.set(
         "members",
         Json.mapper().valueToTree(status.view().map(v -> v.memberIds()).orElse(List.of())));
--- a/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
+++ b/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
@@ -110,7 +110,7 @@
 
   /** Returns for how long the log has not confirmed this host's position, milliseconds. */
   public long sinceHeadMs() {
-    return clock.nowMs() - lastHeadMs;
+    return clock.limitMs() - lastHeadMs;
   }
 
   /** Reads from the replica on the state thread. */
@@ -193,8 +193,8 @@
     }
     long position = catchUp == null ? replica.nextOffset() : catchUp.position();
     if (position >= page.next() && catchUp == null) {
-      lastHeadMs = clock.nowMs();
-      firstHeadMs = Math.min(firstHeadMs, lastHeadMs);
+      lastHeadMs = clock.limitMs();
+      firstHeadMs = Math.min(firstHeadMs, clock.nowMs());
       ready.complete(null);
     }
     boolean idleCatchUp = catchUp != null && page.records().isEmpty();
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -201,7 +201,7 @@
     decider.tick();
     // While no decider acts, the leases of running gangs must not lapse: a view takes about 3 s to
     // change, and much longer while the log is out.
-    if (!membership.status().mayAct(clock.nowMs())) {
+    if (!membership.status().mayAct(clock)) {
       membership
           .dutyIsOwnOrDeserted(DUTY)
           .thenAcceptAsync(
@@ -249,9 +249,7 @@
     public Optional<Decider.DeciderLease> lease() {
       ViewLeaseStatus status = membership.status();
       boolean may =
-          status.mayAct(clock.nowMs())
-              && status.epoch() == lastStatus.epoch()
-              && holdsDuty(status.view());
+          status.mayAct(clock) && status.epoch() == lastStatus.epoch() && holdsDuty(status.view());
       return may
           ? Optional.of(
               new Decider.DeciderLease(
--- a/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
@@ -75,6 +75,7 @@
   private boolean retired;
   private boolean pulling;
   private volatile ViewLeaseStatus status = ViewLeaseStatus.NONE;
+  private long skippedMs;
 
   /** Creates the service; {@link #start} begins. */
   public MembershipService(
@@ -96,7 +97,7 @@
     this.lease = new ViewLease(self.id(), PROMISE_MS);
     this.proposer = new ViewProposer(self, SUSPECT_MS);
     metrics.gauge("membership.epoch", () -> () -> status.epoch());
-    metrics.gauge("membership.acting", () -> () -> status.mayAct(clock.nowMs()) ? 1 : 0);
+    metrics.gauge("membership.acting", () -> () -> status.mayAct(clock) ? 1 : 0);
   }
 
   /** Adds a listener; call before {@link #start}. */
@@ -133,8 +134,7 @@
   /** Returns whether this host may act now and has the duty. */
   public boolean holdsDuty(String duty) {
     ViewLeaseStatus current = status;
-    return current.mayAct(clock.nowMs())
-        && current.dutyHolder(duty).map(self::equals).orElse(false);
+    return current.mayAct(clock) && current.dutyHolder(duty).map(self::equals).orElse(false);
   }
 
   /** Returns whether a duty is this host's own, or nobody's that has been heard of lately. */
@@ -153,6 +153,7 @@
   public CompletableFuture<Envelope.Builder> onHeartbeat(Heartbeat heartbeat) {
     return CompletableFuture.supplyAsync(
         () -> {
+          takeNoteOfSuspension();
           Member sender = member(heartbeat.getSender());
           hear(sender);
           if (heartbeat.getNextOffset() > configuration.nextOffset()) {
@@ -198,7 +199,7 @@
     return CompletableFuture.supplyAsync(
             () -> {
               retired = true;
-              status = new ViewLeaseStatus(status.epoch(), status.view(), Long.MIN_VALUE);
+              status = new ViewLeaseStatus(status.epoch(), status.view(), Long.MIN_VALUE, 0);
               List<CompletableFuture<Envelope>> told = new ArrayList<>();
               Envelope.Builder message =
                   Envelope.newBuilder().setRetire(Retire.newBuilder().setSender(identity()));
@@ -247,6 +248,7 @@
     if (retired) {
       return;
     }
+    takeNoteOfSuspension();
     long nowMs = clock.nowMs();
     lease.tick(nowMs);
     if (configuration.sinceHeadMs() < HEARTBEAT_MS * 4) {
@@ -257,12 +259,21 @@
     propose(nowMs);
   }
 
+  private void takeNoteOfSuspension() {
+    long skipped = clock.skippedMs();
+    if (skipped != skippedMs) {
+      skippedMs = skipped;
+      lease.onSuspended();
+    }
+  }
+
   private void publishStatus() {
     if (retired) {
       return;
     }
+    takeNoteOfSuspension();
     long until = lease.actingUntil(clock.nowMs()).orElse(Long.MIN_VALUE);
-    status = new ViewLeaseStatus(lease.epoch(), lease.view(), until);
+    status = new ViewLeaseStatus(lease.epoch(), lease.view(), until, skippedMs);
   }
 
   private void sendHeartbeats() {
@@ -280,9 +291,11 @@
 
   private void sendHeartbeat(String address, Heartbeat heartbeat) {
     long sentMs = clock.nowMs();
+    long skippedAtSending = clock.skippedMs();
     peers
         .send(address, Envelope.newBuilder().setHeartbeat(heartbeat), HEARTBEAT_TIMEOUT_MS)
-        .thenAcceptAsync(reply -> onReply(reply.getHeartbeatReply(), sentMs), stateThread);
+        .thenAcceptAsync(
+            reply -> onReply(reply.getHeartbeatReply(), sentMs, skippedAtSending), stateThread);
   }
 
   private Set<String> heartbeatTargets() {
@@ -297,10 +310,13 @@
     return targets;
   }
 
-  private void onReply(HeartbeatReply reply, long sentMs) {
+  private void onReply(HeartbeatReply reply, long sentMs, long skippedAtSending) {
     Member sender = member(reply.getSender());
     hear(sender);
-    lease.onConfirmation(sender.id(), reply.getEpoch(), reply.getActing(), sentMs);
+    takeNoteOfSuspension();
+    if (skippedAtSending == skippedMs) {
+      lease.onConfirmation(sender.id(), reply.getEpoch(), reply.getActing(), sentMs);
+    }
     publishStatus();
     listeners.forEach(listener -> listener.memberReplied(sender.id(), reply));
     if (reply.getNextOffset() > configuration.nextOffset()) {
--- a/entry/src/main/java/org/wheatwall/entry/membership/ViewLeaseStatus.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/ViewLeaseStatus.java
@@ -4,6 +4,7 @@
 import org.wheatwall.core.common.RendezvousHash;
 import org.wheatwall.core.membership.model.Member;
 import org.wheatwall.core.membership.model.ZoneView;
+import org.wheatwall.entry.common.Clock;
 
 /**
  * What this host may do for its zone, as last computed.
@@ -11,15 +12,17 @@
  * @param epoch epoch of the view, 0 if there is none
  * @param view view in force
  * @param actingUntilMs monotonic time until which this host may act; in the past if it may not
+ * @param skippedMs what its clock had skipped when that was found out
  */
-public record ViewLeaseStatus(long epoch, Optional<ZoneView> view, long actingUntilMs) {
+public record ViewLeaseStatus(
+    long epoch, Optional<ZoneView> view, long actingUntilMs, long skippedMs) {
   /** No view. */
   public static final ViewLeaseStatus NONE =
-      new ViewLeaseStatus(0, Optional.empty(), Long.MIN_VALUE);
+      new ViewLeaseStatus(0, Optional.empty(), Long.MIN_VALUE, 0);
 
-  /** Returns whether this host may act at {@code nowMs}. */
-  public boolean mayAct(long nowMs) {
-    return nowMs < actingUntilMs;
+  /** Returns whether this host may act now; not by what was found out before a suspension. */
+  public boolean mayAct(Clock clock) {
+    return clock.skippedMs() == skippedMs && clock.nowMs() < actingUntilMs;
   }
 
   /** Returns the member that has the duty named {@code duty}. */
--- a/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/SlotService.java
@@ -66,11 +66,7 @@
     this.directory = directory;
     this.permits =
         new SlotPermits(
-            clock,
-            maxDeadlineMs,
-            () -> membership.status().mayAct(clock.nowMs()),
-            this::slots,
-            metrics);
+            clock, maxDeadlineMs, () -> membership.status().mayAct(clock), this::slots, metrics);
     this.borrowedPermits =
         new BorrowedPermits((int) maxDeadlineMs, membership, peers, remoteZones, metrics);
     metrics.gauge(
@@ -114,7 +110,7 @@
   CompletableFuture<Slot> acquire(
       String service, String workspace, int weight, Set<String> avoid, long deadlineMs) {
     ServiceSlots slots = slots(service);
-    boolean mayTake = membership.status().mayAct(clock.nowMs());
+    boolean mayTake = membership.status().mayAct(clock);
     CompletableFuture<Slot> slot = slots.acquire(workspace, weight, avoid, deadlineMs, mayTake);
     if (!slot.isDone()) {
       borrowedPermits.borrow(service, slots);
@@ -124,8 +120,7 @@
 
   /** Does what is due; called every few milliseconds. */
   public void tick() {
-    long nowMs = clock.nowMs();
-    boolean mayTake = membership.status().mayAct(nowMs);
+    boolean mayTake = membership.status().mayAct(clock);
     services.forEach(
         (service, slots) -> {
           slots.expire();
--- a/entry/src/main/java/org/wheatwall/entry/request/StepKeeper.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepKeeper.java
@@ -173,7 +173,7 @@
         status.view().stream()
             .flatMap(view -> RendezvousHash.choose("key/" + key, view.memberIds()).stream())
             .anyMatch(membership.self().id()::equals);
-    if (epoch != status.epoch() || !keeper || !status.mayAct(clock.nowMs())) {
+    if (epoch != status.epoch() || !keeper || !status.mayAct(clock)) {
       return CompletableFuture.completedFuture(reply(StepReply.Leave.REFUSED));
     }
     synchronized (ledger) {
@@ -241,8 +241,7 @@
     if (!covered) {
       return endUnknown(key, grant);
     }
-    if (!membership.status().mayAct(clock.nowMs())
-        || membership.status().epoch() != status.epoch()) {
+    if (!membership.status().mayAct(clock) || membership.status().epoch() != status.epoch()) {
       return release(key, grant);
     }
     granted.mark();
