The boot time's library is unpacked to the folder for temporary files

By default it goes to the home folder, which is read-only on the users' machines: there the clock fell back to the time of day.

--- a/entry/src/main/java/org/wheatwall/entry/common/BootTime.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/BootTime.java
@@ -17,12 +17,20 @@
   private static final long MS_PER_SECOND = 1000;
   private static final long NANOS_PER_MS = 1_000_000;
   private static final int TIMES_BITS = 64;
+  private static final String FOLDER_KEY = "jna.tmpdir";
 
   private BootTime() {}
 
+  private static String temporaryFolder() {
+    return System.getProperty("java.io.tmpdir");
+  }
+
   /** Returns a supplier of milliseconds; empty if the clock cannot be reached here. */
   static Optional<LongSupplier> open() {
     try {
+      // Unpacked there for the time of loading; by default it goes to the home folder, which may be
+      // read-only.
+      System.setProperty(FOLDER_KEY, System.getProperty(FOLDER_KEY, temporaryFolder()));
       if (!Platform.isLinux() || Native.LONG_SIZE * Byte.SIZE != TIMES_BITS) {
         return Optional.empty();
       }
