--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
@@ -43,6 +43,7 @@
   private final Set<String> cancelled = new HashSet<>();
   private final Set<String> crashing = new HashSet<>();
   private int crashingOneIn;
+  private int powerLostAfterOneIn;
 
   BatchSchedule(long seed, Optional<PermitModel> permits) {
     this.seed = seed;
@@ -87,6 +88,30 @@
     }
   }
 
+  /** Takes the power from all hosts at one moment, after one in {@code acceptances}. */
+  void losePowerAfterOneIn(int acceptances) {
+    powerLostAfterOneIn = acceptances;
+  }
+
+  // Within the same instant, or while what follows an acceptance is under way.
+  private void accepted() {
+    if (powerLostAfterOneIn > 0 && time.random().nextInt(powerLostAfterOneIn) == 0) {
+      boolean atOnce = time.random().nextBoolean();
+      time.after(atOnce ? 0 : time.random().nextInt(400), this::losePower);
+    }
+  }
+
+  private void losePower() {
+    hosts.forEach(SimulatedHost::kill);
+    hosts.forEach(host -> time.after(500L + time.random().nextInt(3000), () -> startIfDown(host)));
+  }
+
+  private static void startIfDown(SimulatedHost host) {
+    if (!host.alive()) {
+      host.start();
+    }
+  }
+
   // One after another, so that most hosts see each other at any time.
   void cutHostsOff(int times) {
     long slotMs = FAULTY_MS / times;
@@ -131,7 +156,13 @@
     }
     host.batch()
         .submit(job(id), time.nowMs() + 2000)
-        .whenComplete((done, failure) -> outcomes.put(id, outcome(failure)));
+        .whenComplete(
+            (done, failure) -> {
+              outcomes.put(id, outcome(failure));
+              if (failure == null) {
+                accepted();
+              }
+            });
     if (time.random().nextInt(8) == 0) {
       time.after(200L + time.random().nextInt(3000), () -> cancel(id));
     }
