The soak lets tasks crash workers, shrinks their room and suspends machines

Power lost everywhere was there (all hosts killed). Seeds without it draw as before. The first runs found two faults of the stand-in: it waited for its own thread when a task crashed it, and took starts until its port was closed.

--- a/app/src/main/java/org/wheatwall/app/process/ServeVerb.java
+++ b/app/src/main/java/org/wheatwall/app/process/ServeVerb.java
@@ -13,6 +13,8 @@
 import org.wheatwall.app.command.Verb;
 import org.wheatwall.app.command.VerbOptions;
 import org.wheatwall.core.common.Refusal;
+import org.wheatwall.entry.common.Clock;
+import org.wheatwall.entry.common.MachineClock;
 import org.wheatwall.platform.PlatformHost;
 import org.wheatwall.platform.PlatformSettings;
 import org.wheatwall.wire.settings.SettingsFile;
@@ -24,6 +26,18 @@
   // Hosts have one core; a second loop would only add wake-ups.
   private static final int EVENT_LOOPS = 1;
 
+  private final Clock clock;
+
+  /** Creates the verb for the clocks of this machine. */
+  public ServeVerb() {
+    this(MachineClock.SYSTEM);
+  }
+
+  /** Creates the verb for other clocks. */
+  public ServeVerb(Clock clock) {
+    this.clock = clock;
+  }
+
   @Override
   public String name() {
     return "serve";
@@ -57,7 +71,7 @@
                       LOG.atError().setCause(failure).log("settings-reload-failed");
                       return null;
                     }));
-    PlatformHost host = PlatformHost.start(settings, group);
+    PlatformHost host = PlatformHost.start(settings, group, clock);
     started.complete(host);
     waitForStop(host);
     return DONE;
--- a/app/src/main/java/org/wheatwall/app/soak/DisturbanceKind.java
+++ b/app/src/main/java/org/wheatwall/app/soak/DisturbanceKind.java
@@ -1,5 +1,9 @@
 package org.wheatwall.app.soak;
 
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
 /** What a soak does to the cluster from outside of the processes under test. */
 enum DisturbanceKind {
   /** The store refuses every call. */
@@ -43,7 +47,15 @@
   /** The tasks of a worker stand still. */
   WORKER_STUCK(Scope.WORKER),
   /** The configuration changes several times in a row. */
-  CONFIGURATION_CHANGED(Scope.CONFIGURATION);
+  CONFIGURATION_CHANGED(Scope.CONFIGURATION),
+  /** A worker has less room for some time, whatever runs there. */
+  WORKER_SHRUNK(Scope.WORKER),
+  /** The machine of a host is suspended: its process stands still, and its steady clock with it. */
+  HOST_SUSPENDED(Scope.HOST);
+
+  // Seeds draw from these, and from all others on their own, so that a seed stays what it was.
+  private static final Set<DisturbanceKind> FIRST =
+      EnumSet.range(STORE_BUSY, CONFIGURATION_CHANGED);
 
   /** What a disturbance strikes. */
   enum Scope {
@@ -60,6 +72,16 @@
     this.scope = scope;
   }
 
+  /** Returns the kinds that plans were first drawn from. */
+  static List<DisturbanceKind> first() {
+    return List.copyOf(FIRST);
+  }
+
+  /** Returns the kinds that came later. */
+  static List<DisturbanceKind> later() {
+    return List.copyOf(EnumSet.complementOf(EnumSet.copyOf(FIRST)));
+  }
+
   Scope scope() {
     return scope;
   }
--- a/app/src/main/java/org/wheatwall/app/soak/DisturbancePlan.java
+++ b/app/src/main/java/org/wheatwall/app/soak/DisturbancePlan.java
@@ -53,16 +53,24 @@
     List<Disturbance> drawn = new ArrayList<>();
     int count = Math.max(1, settings.durationMs() / MS_PER_DISTURBANCE);
     for (int i = 0; i < count; i++) {
-      drawSeries(settings, random, drawn);
+      drawSeries(settings, DisturbanceKind.first(), random, drawn);
+    }
+    if (settings.hard()) {
+      SplittableRandom other = new SplittableRandom(~settings.seed());
+      for (int i = 0; i < count / 2; i++) {
+        drawSeries(settings, DisturbanceKind.later(), other, drawn);
+      }
     }
     drawn.sort(Comparator.comparingLong(Disturbance::fromMs));
     return new DisturbancePlan(drawn);
   }
 
   private static void drawSeries(
-      SoakSettings settings, SplittableRandom random, List<Disturbance> drawn) {
-    DisturbanceKind[] kinds = DisturbanceKind.values();
-    DisturbanceKind kind = kinds[random.nextInt(kinds.length)];
+      SoakSettings settings,
+      List<DisturbanceKind> kinds,
+      SplittableRandom random,
+      List<Disturbance> drawn) {
+    DisturbanceKind kind = kinds.get(random.nextInt(kinds.size()));
     int targets =
         kind.scope() == DisturbanceKind.Scope.WORKER ? settings.workers() : settings.hosts();
     int target = random.nextInt(targets);
--- a/app/src/main/java/org/wheatwall/app/soak/Disturber.java
+++ b/app/src/main/java/org/wheatwall/app/soak/Disturber.java
@@ -19,6 +19,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Disturber.class);
   private static final int THREADS = 4;
   private static final int SLOW_MS = 240;
+  private static final int LEAST_ROOM = 2;
   private static final int DELAY_MS = 150;
   private static final double LOST_SHARE = 0.35;
   private static final int LATE_MS = 2500;
@@ -71,11 +72,13 @@
       case STORE_HISTORY_DROPPED -> cluster.store().dropHistory();
       case HOST_KILLED -> host.kill();
       case HOST_PAUSED -> host.signal("STOP");
+      case HOST_SUSPENDED -> host.suspend();
       case HOST_STOPPED -> host.stop();
       case HOST_RELOADED -> host.signal("HUP");
       case ALL_HOSTS_KILLED -> cluster.hosts().forEach(SoakHost::kill);
       case WORKER_CRASHED -> cluster.worker(disturbance.target()).crash();
       case WORKER_STUCK -> cluster.worker(disturbance.target()).setStuck(true);
+      case WORKER_SHRUNK -> cluster.worker(disturbance.target()).resize(LEAST_ROOM);
       case CONFIGURATION_CHANGED -> storm();
       default -> adjust(disturbance);
     }
@@ -89,9 +92,11 @@
     switch (disturbance.kind()) {
       case HOST_KILLED -> host.start();
       case HOST_PAUSED -> host.signal("CONT");
+      case HOST_SUSPENDED -> host.wake();
       case HOST_STOPPED -> host.startAfterStop();
       case ALL_HOSTS_KILLED -> cluster.hosts().forEach(SoakHost::start);
       case WORKER_STUCK -> cluster.worker(disturbance.target()).setStuck(false);
+      case WORKER_SHRUNK -> cluster.worker(disturbance.target()).restoreRoom();
       case STORE_HISTORY_DROPPED, HOST_RELOADED, WORKER_CRASHED, CONFIGURATION_CHANGED -> {
         // These happen in a moment.
       }
--- a/app/src/main/java/org/wheatwall/app/soak/JobFacts.java
+++ b/app/src/main/java/org/wheatwall/app/soak/JobFacts.java
@@ -83,9 +83,13 @@
     return lastState.contains("succeeded");
   }
 
+  boolean failed() {
+    return lastState.contains("failed");
+  }
+
   /** Returns whether the state last told is a final one. */
   boolean ended() {
-    return succeeded() || lastState.contains("failed") || lastState.contains("cancelled");
+    return succeeded() || failed() || lastState.contains("cancelled");
   }
 
   /** Returns when a host first said that the job, accepted before, does not exist. */
--- a/app/src/main/java/org/wheatwall/app/soak/PromiseChecks.java
+++ b/app/src/main/java/org/wheatwall/app/soak/PromiseChecks.java
@@ -12,6 +12,7 @@
   private static final int CANCEL_MS = 4000;
   // A request that comes as the process ends may find its connection closing.
   private static final int CROSSING_MS = 200;
+  private static final int CRASHES_TO_GIVE_UP = 2;
   private static final int CALM_BEFORE_STOP_MS = 4000;
 
   private final DisturbancePlan plan;
@@ -40,7 +41,7 @@
     if (job.refused() && lastStartMs.containsKey(job.id())) {
       note(Promise.REFUSED_NEVER_RUNS, job, "was refused and ran");
     }
-    if (job.accepted() && !job.cancelSent() && !job.succeeded()) {
+    if (job.accepted() && !job.cancelSent() && !endedAsItMay(job)) {
       note(Promise.ACCEPTED_IS_KEPT, job, "is last shown as " + job.lastState());
     }
     if (job.saidGoneAtMs().isPresent()) {
@@ -57,6 +58,20 @@
     }
   }
 
+  // A job that crashes its workers is given up; so may be one under a task of which two crashed.
+  private boolean endedAsItMay(JobFacts job) {
+    boolean metCrashes =
+        ledger.crashesUnder().entrySet().stream()
+            .anyMatch(
+                under ->
+                    under.getKey().jobId().equals(job.id())
+                        && under.getValue() >= CRASHES_TO_GIVE_UP);
+    if (job.plan().crashesWorker()) {
+      return job.failed();
+    }
+    return job.succeeded() || (job.failed() && metCrashes);
+  }
+
   private void checkCancelled(JobFacts job, long cancelledAtMs) {
     long lastMs = lastStartMs.getOrDefault(job.id(), Long.MIN_VALUE);
     if (lastMs > cancelledAtMs + CANCEL_MS) {
--- a/app/src/main/java/org/wheatwall/app/soak/SoakCaller.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakCaller.java
@@ -17,6 +17,7 @@
   private static final int ASKS_BEFORE_NEXT = 30;
   private static final int ONE_CANCELLED_IN = 7;
   private static final int ONE_FAILING_IN = 8;
+  private static final int ONE_CRASHING_IN = 12;
   private static final int MOST_TASKS = 5;
   private static final int MOST_ACCELERATORS = 4;
   private static final int SHORTEST_WORK_MS = 100;
@@ -26,6 +27,8 @@
   private final SoakClient client;
   private final int hosts;
   private final SplittableRandom random;
+  private final SplittableRandom crashing;
+  private final boolean hard;
   private final BooleanSupplier goesOn;
   private final ConcurrentLinkedQueue<JobFacts> jobs = new ConcurrentLinkedQueue<>();
 
@@ -40,6 +43,8 @@
     this.client = client;
     this.hosts = settings.hosts();
     this.random = new SplittableRandom(settings.seed() * 1000 + number);
+    this.crashing = new SplittableRandom(~settings.seed() * 1000 + number);
+    this.hard = settings.hard();
     this.goesOn = goesOn;
   }
 
@@ -80,7 +85,9 @@
             gang ? tasks : 1,
             1 + random.nextInt(MOST_ACCELERATORS),
             failing);
-    return new JobFacts(String.format("%08x%08x", number, index), plan, tasks);
+    boolean crashes = hard && crashing.nextInt(ONE_CRASHING_IN) == 0;
+    TaskPlan drawn = crashes ? plan.crashing() : plan;
+    return new JobFacts(String.format("%08x%08x", number, index), drawn, tasks);
   }
 
   /** Hands a job in, a few times if it is refused or not answered. */
--- a/app/src/main/java/org/wheatwall/app/soak/SoakHost.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakHost.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.wheatwall.app.Main;
 import org.wheatwall.standin.proxy.FaultProxy;
 import org.wheatwall.wire.http.Addresses;
 import org.wheatwall.wire.json.Json;
@@ -32,6 +31,10 @@
   private final FaultProxy storeLink;
   private final Path settings;
   private final File output;
+  private final Path suspensionPath;
+  private final SuspensionFile suspensions;
+  private boolean suspended;
+  private long suspendedSinceNanos;
   private Optional<Process> process = Optional.empty();
   private volatile int life;
 
@@ -45,6 +48,8 @@
           FaultProxy.start(
               group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), store);
       this.settings = folder.resolve("host-" + number + ".json");
+      this.suspensionPath = folder.resolve("host-" + number + ".suspensions");
+      this.suspensions = new SuspensionFile(suspensionPath);
       this.output = folder.resolve("host-" + number + ".log").toFile();
       Files.write(settings, settingsText(listeners));
     } catch (IOException e) {
@@ -77,6 +82,7 @@
 
   /** Starts a process without counting it as another life. */
   synchronized void startQuietly() {
+    endSuspension();
     try {
       process =
           Optional.of(
@@ -108,7 +114,8 @@
 
   /** Sends a signal by name, such as STOP or CONT; does nothing if the process is gone. */
   synchronized void signal(String name) {
-    if (process.filter(Process::isAlive).isEmpty()) {
+    boolean staysSuspended = suspended && name.equals("CONT");
+    if (process.filter(Process::isAlive).isEmpty() || staysSuspended) {
       return;
     }
     try {
@@ -120,6 +127,28 @@
     }
   }
 
+  /** Lets the machine seem suspended until {@link #wake}. */
+  synchronized void suspend() {
+    if (!suspended) {
+      signal("STOP");
+      suspended = true;
+      suspendedSinceNanos = System.nanoTime();
+    }
+  }
+
+  /** Lets it go on; its steady clock has not seen the time since. */
+  synchronized void wake() {
+    endSuspension();
+    signal("CONT");
+  }
+
+  private void endSuspension() {
+    if (suspended) {
+      suspended = false;
+      suspensions.add(System.nanoTime() - suspendedSinceNanos);
+    }
+  }
+
   @Override
   public void close() {
     kill();
@@ -148,8 +177,8 @@
         "-Dlogback.configurationFile=logback-process.xml",
         "-cp",
         System.getProperty("java.class.path"),
-        Main.class.getName(),
-        "serve",
+        SuspendableHost.class.getName(),
+        suspensionPath.toString(),
         "--settings",
         settings.toString());
   }
--- a/app/src/main/java/org/wheatwall/app/soak/SoakSettings.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakSettings.java
@@ -12,10 +12,17 @@
  * @param workers stand-ins of workers
  * @param durationMs time with disturbances, milliseconds
  * @param folder where the processes' settings and output go
+ * @param hard whether tasks crash workers too, room of workers changes, and machines are suspended
  * @param sabotage a fault to put in on purpose; the run has no other disturbances then
  */
 record SoakSettings(
-    long seed, int hosts, int workers, int durationMs, Path folder, Optional<Sabotage> sabotage) {
+    long seed,
+    int hosts,
+    int workers,
+    int durationMs,
+    Path folder,
+    boolean hard,
+    Optional<Sabotage> sabotage) {
   private static final int SHORTEST_MS = 2000;
   private static final int MOST_HOSTS = 100;
   private static final int MOST_WORKERS = 1000;
--- a/app/src/main/java/org/wheatwall/app/soak/SoakVerb.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakVerb.java
@@ -37,12 +37,14 @@
   @Override
   public int run(List<String> arguments, Console console) throws ParseException {
     VerbOptions options =
-        new VerbOptions("soak [--seed N] [--count N] [--seconds N] [--hosts N] [--workers N]")
+        new VerbOptions(
+                "soak [--seed N] [--count N] [--seconds N] [--hosts N] [--workers N] [--hard]")
             .value("seed", "the first seed, default 1")
             .value("count", "how many seeds, default 1")
             .value("seconds", "time with disturbances, default " + DEFAULT_SECONDS)
             .value("hosts", "processes under test, default " + DEFAULT_HOSTS)
             .value("workers", "stand-ins of workers, default " + DEFAULT_WORKERS)
+            .flag("hard", "tasks crash workers, room changes, machines are suspended")
             .value("folder", "where the processes' output goes, default a new one")
             .value("sabotage", "a fault to put in on purpose, one of " + names());
     if (!options.parse(arguments, console)) {
@@ -76,6 +78,7 @@
         options.integer("workers", DEFAULT_WORKERS),
         options.integer("seconds", DEFAULT_SECONDS) * MS_PER_SECOND,
         folder(options, seed),
+        options.has("hard"),
         sabotage(options));
   }
 
--- a/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.standin.proxy.FaultProxy;
@@ -22,6 +23,8 @@
   private static final int CLOCK_STEP_MS = 77_777;
   private static final int FORCED_LEASE_MS = 2000;
   private static final int FORCED_RUN = 99;
+  // A process that a task has crashed is back after some seconds.
+  private static final int DOWN_MS = 2500;
 
   private final int number;
   private final EventLoopGroup group;
@@ -30,6 +33,7 @@
   private final FaultProxy link;
   private final int port;
   private int lives;
+  private boolean closed;
   private TaskWorkerModel model;
   private TaskWorkerStandIn server;
 
@@ -41,7 +45,7 @@
     this.port = begin(0);
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     this.link = FaultProxy.start(group, any, at(port));
-    list();
+    list(ACCELERATORS);
   }
 
   /** Returns the proxy between all hosts and this worker. */
@@ -57,6 +61,33 @@
     }
   }
 
+  /** Has other room from now on, whatever runs, and says so. */
+  synchronized void resize(int accelerators) {
+    TaskWorkerModel current = model;
+    synchronized (current) {
+      current.resize(accelerators, 0, RunClock.steadyMs());
+    }
+    list(accelerators);
+  }
+
+  /** Has all its room again. */
+  void restoreRoom() {
+    resize(ACCELERATORS);
+  }
+
+  private void crashedByTask() {
+    String before = model.id();
+    group.schedule(() -> returnAfter(before), DOWN_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void returnAfter(String before) {
+    if (model.id().equals(before) && !closed) {
+      begin(port);
+      list(ACCELERATORS);
+      store.put(PlatformDocuments.WORKERS_TOPIC, before, new byte[0]);
+    }
+  }
+
   /** Ends without a word; another life comes at the same address. */
   synchronized void crash() {
     TaskWorkerModel before = model;
@@ -65,7 +96,7 @@
     }
     server.close();
     begin(port);
-    list();
+    list(ACCELERATORS);
     store.put(PlatformDocuments.WORKERS_TOPIC, before.id(), new byte[0]);
   }
 
@@ -82,6 +113,7 @@
 
   @Override
   public synchronized void close() {
+    closed = true;
     server.close();
     link.close();
   }
@@ -90,13 +122,13 @@
     String id = "worker-" + number + "-" + ++lives;
     long clockOffsetMs = (long) CLOCK_STEP_MS * number;
     model = new TaskWorkerModel(id, ACCELERATORS, ledger, clockOffsetMs, GANG_WAIT_MS);
-    server = TaskWorkerStandIn.start(group, at(atPort), model);
+    server = TaskWorkerStandIn.start(group, at(atPort), model, this::crashedByTask);
     return server.port();
   }
 
-  private void list() {
+  private void list(int accelerators) {
     String rack = "rack-" + number / WORKERS_PER_RACK;
-    byte[] entry = PlatformDocuments.workerEntry(link.port(), rack, ACCELERATORS);
+    byte[] entry = PlatformDocuments.workerEntry(link.port(), rack, accelerators);
     store.put(PlatformDocuments.WORKERS_TOPIC, model.id(), entry);
   }
 
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
@@ -41,6 +41,7 @@
   private long roomBeforeUntilMs = Long.MIN_VALUE;
   private boolean stuck;
   private boolean crashing;
+  private boolean crashed;
   private Optional<PermitModel> permits = Optional.empty();
 
   private static final class Held {
@@ -121,6 +122,9 @@
 
   /** Starts a run. */
   public OrderAnswer start(StartOrder order, long token, long untilMs, long nowMs) {
+    if (crashed) {
+      return OrderAnswer.NOT_DONE;
+    }
     if (token < highestToken) {
       return OrderAnswer.FENCED;
     }
@@ -157,6 +161,9 @@
 
   /** Stops a run, and bars it from starting. */
   public OrderAnswer stop(StopOrder order, long token, long nowMs) {
+    if (crashed) {
+      return OrderAnswer.NOT_DONE;
+    }
     if (token < highestToken) {
       return OrderAnswer.FENCED;
     }
@@ -217,8 +224,9 @@
     return crashing;
   }
 
-  /** Ends everything without a word, as a crash does. */
+  /** Ends everything without a word, as a crash does; it carries out nothing more. */
   public void crash(long nowMs) {
+    crashed = true;
     for (TaskName task : List.copyOf(held.keySet())) {
       ledger.crashed(task, held.get(task).plan.crashesWorker());
       ledger.ended(nowMs, id, task, held.remove(task).run, EndKind.LAPSED);
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
@@ -30,21 +30,39 @@
   private final EventLoopGroup group;
   private final HttpServer server;
   private final ScheduledFuture<?> ticker;
+  private final Runnable whenCrashed;
   private long tickedMs = System.nanoTime() / 1_000_000;
 
   private TaskWorkerStandIn(
-      EventLoopGroup group, InetSocketAddress address, TaskWorkerModel model) {
+      EventLoopGroup group,
+      InetSocketAddress address,
+      TaskWorkerModel model,
+      Runnable whenCrashed) {
     this.model = model;
     this.group = group;
+    this.whenCrashed = whenCrashed;
     this.server = HttpServer.start(group, address, MAX_BODY, this::handle);
     this.ticker =
         group.next().scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Starts the stand-in. */
+  /** Starts the stand-in of a worker that tasks cannot crash. */
   public static TaskWorkerStandIn start(
       EventLoopGroup group, InetSocketAddress address, TaskWorkerModel model) {
-    return new TaskWorkerStandIn(group, address, model);
+    return new TaskWorkerStandIn(group, address, model, () -> {});
+  }
+
+  /**
+   * Starts the stand-in.
+   *
+   * @param whenCrashed run once a task has crashed it and it takes no calls any more
+   */
+  public static TaskWorkerStandIn start(
+      EventLoopGroup group,
+      InetSocketAddress address,
+      TaskWorkerModel model,
+      Runnable whenCrashed) {
+    return new TaskWorkerStandIn(group, address, model, whenCrashed);
   }
 
   /** Returns the port. */
@@ -65,11 +83,22 @@
   private void tick() {
     synchronized (model) {
       long now = nowMs();
+      if (model.crashing()) {
+        crash(now);
+        return;
+      }
       model.tick(now, now - tickedMs);
       tickedMs = now;
     }
   }
 
+  private void crash(long nowMs) {
+    model.crash(nowMs);
+    ticker.cancel(false);
+    // Closing waits for the group's threads, of which this is one.
+    CompletableFuture.runAsync(server::close).thenRun(whenCrashed);
+  }
+
   private CompletableFuture<HttpReply> handle(HttpCall call) {
     JsonNode body = Json.tree(call.body());
     if (!call.header("X-Expect-Instance").orElse(model.id()).equals(model.id())) {
