What was lost with workers, and what must hold before a start, are classes of their own; silent leaving is no crash

Moved as they were, but for one fault that was read on the way: a worker that had said that it leaves and then fell silent counted as a possible crash once its leases had run out, so that four planned departures could end a job that can be done. LostWorkersTest failed before.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiFunction;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.GroupKey;
@@ -16,9 +15,7 @@
 import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
-import org.wheatwall.core.batch.model.TaskLosses;
 import org.wheatwall.core.job.decision.EndReason;
-import org.wheatwall.core.job.model.ResourceAmount;
 
 /**
  * The course of runs within a term: from the intent over orders and ends to the next run, or to the
@@ -26,23 +23,20 @@
  */
 final class RunLifecycle {
   private static final int ROOM_REPEAT_MS = 100;
-  private static final int MOST_NAMED = 10;
-  // A task that crashes its worker as a rule does so as it begins; one that was reported to be
-  // there
-  // for longer is more likely to be a neighbour of the one that did.
-  private static final int SEEN_AT_WORK_MS = 500;
-  // A task that lasts loses workers to their own faults over days; after such a run it is cleared.
-  private static final int LONG_RUN_MS = 30_000;
   static final String NO_CHECKPOINT = "";
 
   private final TermState term;
+  private final StartChecks startChecks;
+  private final LostRuns losses;
 
   RunLifecycle(TermState term) {
     this.term = term;
+    this.startChecks = new StartChecks(term);
+    this.losses = new LostRuns(term);
   }
 
   void launch(GroupRun run) {
-    Optional<String> obstacle = obstacleTo(run);
+    Optional<String> obstacle = startChecks.obstacleTo(run);
     if (obstacle.isPresent()) {
       stopRun(run, obstacle.get() + " before the start");
       return;
@@ -55,40 +49,12 @@
     term.flushThen(() -> order(run));
   }
 
-  /** Returns why a run cannot start on its workers now, though it was planned there. */
-  private Optional<String> obstacleTo(GroupRun run) {
-    boolean usable =
-        run.workers().stream()
-            .allMatch(id -> term.workers.find(id).filter(WorkerRecord::usable).isPresent());
-    if (!usable) {
-      return Optional.of("a worker was lost");
-    }
-    if (!hasRoom(run)) {
-      return Optional.of("room has shrunk");
-    }
-    return term.permits.cover(run) ? Optional.empty() : Optional.of("a permit lapsed");
-  }
-
-  // Not every worker refuses what it has no room for.
-  private boolean hasRoom(GroupRun run) {
-    return Set.copyOf(run.workers()).stream()
-        .allMatch(worker -> term.workers.hasRoomFor(worker, takenWith(run, worker)));
-  }
-
-  private ResourceAmount takenWith(GroupRun run, String worker) {
-    ResourceAmount taken = run.amountOn(worker);
-    for (GroupRun other : term.runs.on(worker)) {
-      taken = other.launched() && other != run ? taken.plus(other.amountOn(worker)) : taken;
-    }
-    return taken;
-  }
-
   void order(GroupRun run) {
     if (run.stopping() || term.runs.of(run.group()).orElse(null) != run) {
       return;
     }
     // Writing the intent down takes seconds at times; what held before it may not hold any more.
-    Optional<String> obstacle = obstacleTo(run);
+    Optional<String> obstacle = startChecks.obstacleTo(run);
     if (obstacle.isPresent()) {
       stopRun(run, obstacle.get() + " before the order");
       return;
@@ -229,15 +195,6 @@
     return !lasts && state.failures() >= progress.job().maxAttempts();
   }
 
-  private static String counts(GroupState state) {
-    StringBuilder text = new StringBuilder().append(state.failures()).append(" failed");
-    for (TaskLosses losses : state.losses()) {
-      text.append(", task ").append(losses.position()).append(" lost ").append(losses.lost());
-      text.append(" workers, ").append(losses.crashesAtStart()).append(" as it began");
-    }
-    return text.toString();
-  }
-
   void complete(JobRuns progress, GroupKey group, int doneRun) {
     if (progress.closed() || progress.state(group).phase() == GroupPhase.DONE) {
       GroupRun leftOver = term.runs.of(group).orElse(null);
@@ -310,19 +267,10 @@
 
   /** Ends what a worker that is gone may have run. */
   void workerGone(String worker) {
-    endMembersOn(worker, "its worker is gone", (run, member) -> kindOfLoss(worker, run, member));
-  }
-
-  private LossKind kindOfLoss(String worker, GroupRun run, MemberRun member) {
-    WorkerRecord record = term.workers.record(worker);
-    if (!record.endsWithoutNotice()) {
-      return LossKind.LEFT;
-    }
-    // A start without an answer may not have arrived before the crash, and what was being stopped
-    // may have ended.
-    boolean began = member.phase() == MemberRun.Phase.RUNNING && !run.stopping();
-    boolean seen = record.answeredAtMs() - member.sinceMs() >= SEEN_AT_WORK_MS;
-    return began && !seen ? LossKind.CRASH_AT_START : LossKind.POSSIBLE_CRASH;
+    String held = losses.heldBy(worker);
+    endMembersOn(worker, "its worker is gone", (run, member) -> losses.kindOf(worker, run, member));
+    term.workers.remove(worker);
+    term.note(RunEvent.Kind.WORKER_GONE, "", worker, "another process answers there" + held);
   }
 
   private void endMembersOn(
@@ -330,7 +278,9 @@
     for (GroupRun run : term.runs.on(worker)) {
       for (MemberRun member : run.members()) {
         if (member.worker().equals(worker) && !member.ended()) {
-          noteLoss(run, member, kinds.apply(run, member));
+          if (isActive(run)) {
+            losses.note(run, member, kinds.apply(run, member));
+          }
           endMember(run, member, NO_CHECKPOINT);
         }
       }
@@ -338,44 +288,11 @@
     }
   }
 
-  /** Tells what a worker may be running, and for how long, so far as it fits a log line. */
-  String heldBy(String worker) {
-    StringBuilder text = new StringBuilder();
-    int count = 0;
-    for (GroupRun run : term.runs.on(worker)) {
-      for (MemberRun member : run.members()) {
-        boolean held = member.worker().equals(worker) && !member.ended();
-        if (held && member.phase() != MemberRun.Phase.PLANNED && count++ < MOST_NAMED) {
-          text.append(", ").append(run.group().text()).append(" run ").append(run.state().run());
-          text.append(" for ").append(Math.max(0, term.nowMs - member.sinceMs())).append(" ms");
-        }
-      }
-    }
-    return count == 0 ? ", it held nothing" : text.insert(0, ", it held " + count).toString();
-  }
-
-  // No worker is left to tell that a task failed by crashing it. Without this count the task would
-  // be started again for ever, a worker each time.
-  private void noteLoss(GroupRun run, MemberRun member, LossKind kind) {
-    if (!run.launched() || member.phase() == MemberRun.Phase.PLANNED || !isActive(run)) {
-      return;
-    }
-    JobRuns progress = term.jobs.get(run.group().jobId());
-    GroupState state = progress.state(run.group());
-    boolean lasted = term.nowMs - member.sinceMs() >= LONG_RUN_MS;
-    GroupState next =
-        run.step().longRunning() && lasted
-            ? state.lossesForgiven(member.position())
-            : state.lostIn(state.run(), member.position(), kind);
-    run.setState(next);
-    progress.set(run.group(), next);
-  }
-
   void endLapsed() {
     for (String worker : List.copyOf(term.runs.workers())) {
       if (term.workers.record(worker).lapsed(term.nowMs, term.settings.lapseMs())) {
         String reason = "every lease at its worker has run out";
-        endMembersOn(worker, reason, (run, member) -> LossKind.POSSIBLE_CRASH);
+        endMembersOn(worker, reason, (run, member) -> losses.kindOfLapse(worker));
       }
     }
   }
@@ -421,7 +338,7 @@
           RunEvent.Kind.GROUP_INTERRUPTED,
           run.group().jobId(),
           run.group().text(),
-          "run " + state.run() + ", " + counts(state));
+          "run " + state.run() + ", " + LostRuns.counts(state));
     }
     term.submit(progress, run.group());
   }
@@ -433,7 +350,7 @@
         RunEvent.Kind.GROUP_FAILED,
         group.jobId(),
         group.text(),
-        counts(state) + ", of " + progress.job().maxAttempts() + " allowed to fail");
+        LostRuns.counts(state) + ", of " + progress.job().maxAttempts() + " allowed to fail");
     String cause =
         state.lostTooOften() ? " has cost too many workers" : " failed as often as is allowed";
     endJob(progress, BatchState.FAILED, "group " + group.text() + cause);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -191,10 +191,7 @@
   /** Notes that a life of a worker is over: nothing runs there and nothing can start. */
   public void workerGone(String worker, long steadyMs, long dayMs) {
     term.at(steadyMs, dayMs);
-    String held = lifecycle.heldBy(worker);
     lifecycle.workerGone(worker);
-    term.workers.remove(worker);
-    term.note(RunEvent.Kind.WORKER_GONE, "", worker, "another process answers there" + held);
     term.flush();
   }
 
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
@@ -0,0 +1,45 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.Optional;
+import java.util.Set;
+import org.wheatwall.core.job.model.ResourceAmount;
+
+/**
+ * What must hold for a run to start on the workers that it was planned on: looked at before it is
+ * written down and again before it is ordered, as seconds may pass between.
+ */
+final class StartChecks {
+  private final TermState term;
+
+  StartChecks(TermState term) {
+    this.term = term;
+  }
+
+  /** Returns why a run cannot start on its workers now, though it was planned there. */
+  Optional<String> obstacleTo(GroupRun run) {
+    boolean usable =
+        run.workers().stream()
+            .allMatch(id -> term.workers.find(id).filter(WorkerRecord::usable).isPresent());
+    if (!usable) {
+      return Optional.of("a worker was lost");
+    }
+    if (!hasRoom(run)) {
+      return Optional.of("room has shrunk");
+    }
+    return term.permits.cover(run) ? Optional.empty() : Optional.of("a permit lapsed");
+  }
+
+  // Not every worker refuses what it has no room for.
+  private boolean hasRoom(GroupRun run) {
+    return Set.copyOf(run.workers()).stream()
+        .allMatch(worker -> term.workers.hasRoomFor(worker, takenWith(run, worker)));
+  }
+
+  private ResourceAmount takenWith(GroupRun run, String worker) {
+    ResourceAmount taken = run.amountOn(worker);
+    for (GroupRun other : term.runs.on(worker)) {
+      taken = other.launched() && other != run ? taken.plus(other.amountOn(worker)) : taken;
+    }
+    return taken;
+  }
+}
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LostWorkersTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LostWorkersTest.java
@@ -172,6 +172,23 @@
     assertThat(lastState().losses()).isEmpty();
   }
 
+  // Nothing came to its address, so it is only known to be gone once its leases have run out.
+  @Test
+  void aWorkerThatLeftAsPlannedAndFellSilentHasNotCrashed() {
+    accept(job(1, false, 9));
+    String worker = nextWorker();
+    tick(WALL_MS);
+    effects.keepAll();
+    answerStarts(OrderAnswer.DONE);
+    supervisor.listWorker(draining(worker), nowMs);
+    supervisor.leased(worker, nowMs + 1);
+    supervisor.unlistWorker(worker, nowMs);
+    nowMs += 2 * LAPSE_MS;
+    tick(WALL_MS);
+    assertThat(lastState().phase()).isEqualTo(GroupPhase.WAITING);
+    assertThat(lastState().losses()).isEmpty();
+  }
+
   @Test
   void aWorkerWhoseEntryWentWhileItStillAnsweredHasLeft() {
     accept(job(1, false, 9));
