After a suspension or a set clock the log's end is asked for at once

A host whose clocks jumped refused all calls until the reading that waited at the log was answered, up to a second, though only the time of day had been set. LogFollowerTest.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -282,6 +282,7 @@
     int periodMs = holder.busy() ? DECIDER_TICK_MS : TICK_MS;
     tools.timer().after(periodMs, this::tick);
     logAnsweredAtMs = follower.answeredAtMs();
+    follower.confirm();
     intake.expire();
     holder.tick();
     announce();
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
@@ -38,6 +38,7 @@
   private long confirmedAtMs;
   private long confirmedSkippedMs;
   private long answeredAtMs;
+  private boolean confirming;
   private boolean failing;
   private boolean probing;
   private int probeSeries;
@@ -153,6 +154,18 @@
             loop);
   }
 
+  /**
+   * Reads to the log's end now unless that was done since the machine was last suspended, or is
+   * under way: the reading that waits at the log may take a second, and counts no more.
+   */
+  public void confirm() {
+    if (confirming || stopped || !started() || confirmedSkippedMs == clock.skippedMs()) {
+      return;
+    }
+    confirming = true;
+    LoopCallbacks.whenDone(catchUp(), loop, (done, failure) -> confirming = false);
+  }
+
   private void restart(
       Optional<String> afterKey, List<KeyedLog.NewestRecord> read, long end, Moment asked) {
     if (stopped) {
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
@@ -190,4 +190,24 @@
     assertThat(upToDate).isEqualTo(before + 1);
     assertThat(log.lastWaitMs).isGreaterThan(0);
   }
+
+  // The reading that waits at the log is answered up to a second later; callers are refused until
+  // then.
+  @Test
+  void afterASuspensionTheLogsEndIsAskedForAtOnce() {
+    follower.start();
+    log.answer(0);
+    int before = upToDate;
+    follower.confirm();
+    assertThat(log.from).hasSize(2);
+    clock.skippedMs += 600_000;
+    follower.confirm();
+    follower.confirm();
+    assertThat(log.from).hasSize(3);
+    assertThat(log.lastWaitMs).isEqualTo(0);
+    log.answer(0);
+    assertThat(upToDate).isEqualTo(before + 1);
+    follower.confirm();
+    assertThat(log.from).hasSize(3);
+  }
 }
