--- a/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.TaskName;
@@ -77,7 +78,9 @@
 
   private void crashedByTask() {
     String before = model.id();
-    group.schedule(() -> returnAfter(before), DOWN_MS, TimeUnit.MILLISECONDS);
+    // Opening a port waits for a thread of the group, so it is not done on one of them.
+    CompletableFuture.delayedExecutor(DOWN_MS, TimeUnit.MILLISECONDS)
+        .execute(() -> returnAfter(before));
   }
 
   private synchronized void returnAfter(String before) {
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
@@ -224,6 +224,11 @@
     return crashing;
   }
 
+  /** Returns whether it has crashed. */
+  public boolean crashed() {
+    return crashed;
+  }
+
   /** Ends everything without a word, as a crash does; it carries out nothing more. */
   public void crash(long nowMs) {
     crashed = true;
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
@@ -92,6 +92,12 @@
     }
   }
 
+  private boolean isGone() {
+    synchronized (model) {
+      return model.crashed();
+    }
+  }
+
   private void crash(long nowMs) {
     model.crash(nowMs);
     ticker.cancel(false);
@@ -100,6 +106,11 @@
   }
 
   private CompletableFuture<HttpReply> handle(HttpCall call) {
+    if (isGone()) {
+      // A connection may have been opened while the port was being closed; nothing of this life may
+      // answer for the next one.
+      return CompletableFuture.completedFuture(HttpReply.empty(503));
+    }
     JsonNode body = Json.tree(call.body());
     if (!call.header("X-Expect-Instance").orElse(model.id()).equals(model.id())) {
       return CompletableFuture.completedFuture(HttpReply.empty(421));
