A member that another host let join is not left out before it could be heard

What callers saw: while entry hosts of a zone were replaced, all callers waited for 2 s at once (PlannedStopIT, limit 1,400 ms).

Its log: the new host joins in epoch 6 at 49.165 s, is left out again in epoch 7 at 49.34 s and joins again in epoch 8 at 49.41 s.

A host that has not heard a member yet counted its silence from the start of its own process, instead of from the view that brought the member. So each host but the one that proposed the join left the new member out at once if its turn came before the first heartbeat. Silence counts from the first view with the member now.

ViewProposerTest: two of its three tests fail before. Not acted on elsewhere: the hosts of the users' platform know each other by the job log only.

--- a/core/src/main/java/org/wheatwall/core/membership/decision/ViewProposer.java
+++ b/core/src/main/java/org/wheatwall/core/membership/decision/ViewProposer.java
@@ -23,6 +23,7 @@
   private final Member self;
   private final long suspectMs;
   private final Map<String, Long> heardMs = new HashMap<>();
+  private final Map<String, Long> inViewSinceMs = new HashMap<>();
   private final Map<String, Member> joining = new HashMap<>();
   private final Set<String> retired = new HashSet<>();
   private long startedMs = -1;
@@ -66,6 +67,7 @@
     if (startedMs < 0) {
       startedMs = nowMs;
     }
+    current.ifPresent(view -> noteMembers(view, nowMs));
     if (current.isEmpty()) {
       return Optional.of(new ZoneView(Labels.NONE, List.of(self), List.of(), true));
     }
@@ -76,6 +78,12 @@
     return takeOver(view, listedLive, nowMs);
   }
 
+  private void noteMembers(ZoneView view, long nowMs) {
+    List<String> members = view.memberIds();
+    inViewSinceMs.keySet().retainAll(members);
+    members.forEach(id -> inViewSinceMs.putIfAbsent(id, nowMs));
+  }
+
   private Optional<ZoneView> nextOf(ZoneView view, long nowMs) {
     List<Member> next = new ArrayList<>();
     for (Member member : view.members()) {
@@ -131,9 +139,10 @@
     if (retired.contains(memberId)) {
       return false;
     }
-    // A member not heard of since this process started gets the same time to be heard.
-    long heard = heardMs.getOrDefault(memberId, startedMs);
-    return nowMs - heard < suspectMs;
+    // Another host may have let a member join that this one has not heard yet; it gets as long to
+    // be heard as a member that falls silent.
+    long sinceMs = inViewSinceMs.getOrDefault(memberId, startedMs);
+    return nowMs - heardMs.getOrDefault(memberId, sinceMs) < suspectMs;
   }
 
   // One member proposes first, the others only if nothing happens; that spares the log races.
