The kernel's uptime shows a suspension that the time of day hides

A suspension was told by the steady clock and the time of day parting. Both are moved by what happened, so both can agree on the wrong thing.

Some environments show the uptime of another machine. So an uptime that falls behind the steady clock, or runs ahead three times with no word of the time of day, is disregarded for the life of the process.

The simulated hosts show their uptime in steps of 10 ms, as the kernel does. MachineClockTest holds the rest: four new tests.

--- a/app/src/main/java/org/wheatwall/app/soak/SuspendableHost.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SuspendableHost.java
@@ -5,6 +5,7 @@
 import org.apache.commons.cli.ParseException;
 import org.wheatwall.app.command.Console;
 import org.wheatwall.app.process.ServeVerb;
+import org.wheatwall.entry.common.KernelUptime;
 import org.wheatwall.entry.common.MachineClock;
 
 /**
@@ -18,7 +19,10 @@
   public static void main(String[] arguments) throws ParseException {
     SuspensionFile suspensions = new SuspensionFile(Path.of(arguments[0]));
     MachineClock clock =
-        new MachineClock(() -> System.nanoTime() - suspensions.nanos(), System::currentTimeMillis);
+        new MachineClock(
+            () -> System.nanoTime() - suspensions.nanos(),
+            System::currentTimeMillis,
+            KernelUptime.open());
     String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
     System.exit(new ServeVerb(clock).run(Arrays.asList(rest), Console.system()));
   }
--- a/entry/src/main/java/org/wheatwall/entry/common/MachineClock.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/MachineClock.java
@@ -1,5 +1,6 @@
 package org.wheatwall.entry.common;
 
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -8,8 +9,8 @@
  * The clocks of a machine that may be suspended. Meanwhile its steady clock stands still, so that a
  * lease seems to hold for as much longer; the time of day goes on. Where the two do not go
  * together, nothing that was to hold until some time is taken to hold any more. If only the time of
- * day was set, that costs one confirmation. Not seen is a suspension during which the time of day
- * is set back by as much.
+ * day was set, that costs one confirmation. A suspension during which the time of day is set back
+ * by as much shows in the uptime only, on machines that show a process their own.
  *
  * <p>Thread-safe.
  */
@@ -18,7 +19,8 @@
   private static final long NANOS_PER_MS = 1_000_000;
 
   /** The clocks of the machine that this process runs on. */
-  public static final Clock SYSTEM = new MachineClock(System::nanoTime, System::currentTimeMillis);
+  public static final Clock SYSTEM =
+      new MachineClock(System::nanoTime, System::currentTimeMillis, KernelUptime.open());
 
   /**
    * Difference between the clocks from which on it counts, milliseconds. Less is borne by the wait
@@ -35,21 +37,28 @@
 
   private final LongSupplier steadyNanos;
   private final LongSupplier wallMs;
+  private final SuspensionDetector suspensions;
   private long lastSteadyMs;
   private long lastWallMs;
   private long skippedMs;
 
+  /** Creates a clock of a machine that does not show its uptime. */
+  public MachineClock(LongSupplier steadyNanos, LongSupplier wallMs) {
+    this(steadyNanos, wallMs, UptimeClock.NONE);
+  }
+
   /**
    * Creates a clock.
    *
    * @param steadyNanos monotonic time, nanoseconds
    * @param wallMs milliseconds since 1970
    */
-  public MachineClock(LongSupplier steadyNanos, LongSupplier wallMs) {
+  public MachineClock(LongSupplier steadyNanos, LongSupplier wallMs, UptimeClock uptime) {
     this.steadyNanos = steadyNanos;
     this.wallMs = wallMs;
     this.lastSteadyMs = nowMs();
     this.lastWallMs = wallMs();
+    this.suspensions = new SuspensionDetector(uptime, lastSteadyMs);
   }
 
   @Override
@@ -66,14 +75,21 @@
   public synchronized long skippedMs() {
     long steady = nowMs();
     long wall = wallMs();
+    OptionalLong uptime = suspensions.uptimeMs();
     for (int i = 1; i < ATTEMPTS && nowMs() - steady > READ_TOGETHER_MS; i++) {
       steady = nowMs();
       wall = wallMs();
+      uptime = suspensions.uptimeMs();
     }
     long aheadMs = (wall - lastWallMs) - (steady - lastSteadyMs);
-    if (Math.abs(aheadMs) >= NOTICEABLE_MS) {
+    boolean wallJumped = Math.abs(aheadMs) >= NOTICEABLE_MS;
+    long suspendedMs = suspensions.suspendedMs(uptime, steady, wallJumped);
+    if (wallJumped || suspendedMs > 0) {
       skippedMs += LONGEST_LIMIT_MS;
-      LOG.atWarn().addKeyValue("wallAheadMs", aheadMs).log("clocks-jumped");
+      LOG.atWarn()
+          .addKeyValue("wallAheadMs", aheadMs)
+          .addKeyValue("suspendedMs", suspendedMs)
+          .log("clocks-jumped");
     }
     lastSteadyMs = steady;
     lastWallMs = wall;
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -1,6 +1,7 @@
 package org.wheatwall.entry.batch;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.wheatwall.core.batch.decision.TermSettings;
@@ -12,6 +13,7 @@
 /** An entry host in simulated time: it may be killed, frozen and started again. */
 final class SimulatedHost {
   private static final long NANOS_PER_MS = 1_000_000;
+  private static final int UPTIME_STEP_MS = 10;
 
   private final VirtualTime time;
   private final String name;
@@ -64,7 +66,7 @@
 
   void start() {
     int own = ++life;
-    Clock clock = new MachineClock(() -> steadyMs() * NANOS_PER_MS, this::wallMs);
+    Clock clock = new MachineClock(() -> steadyMs() * NANOS_PER_MS, this::wallMs, this::uptimeMs);
     Executor loop = task -> post(own, task);
     LoopTimer timer = (delayMs, task) -> after(delayMs, () -> loop.execute(task));
     BatchSettings settings =
@@ -132,6 +134,11 @@
     return time.nowMs() + wallStepMs;
   }
 
+  // As coarse as the kernel shows it; it goes on over suspensions, and nobody can set it.
+  private OptionalLong uptimeMs() {
+    return OptionalLong.of(time.nowMs() / UPTIME_STEP_MS * UPTIME_STEP_MS);
+  }
+
   // Timers run by the steady clock.
   private void after(long delayMs, Runnable task) {
     long dueMs = steadyMs() + delayMs;
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/common/KernelUptimeTest.java
@@ -0,0 +1,51 @@
+package org.wheatwall.entry.common;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledOnOs;
+import org.junit.jupiter.api.condition.OS;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The kernel's uptime is read as often as asked, and a file of another form is no uptime. */
+final class KernelUptimeTest {
+  private static final int COARSE_MS = 10;
+  private static final int SLACK_MS = 1000;
+
+  @TempDir Path folder;
+
+  @Test
+  @EnabledOnOs(OS.LINUX)
+  void goesTogetherWithTheSteadyClock() throws Exception {
+    KernelUptime uptime = KernelUptime.open();
+    long steady = System.nanoTime();
+    long first = uptime.uptimeMs().orElseThrow();
+    Thread.sleep(50);
+    long passedMs = uptime.uptimeMs().orElseThrow() - first;
+    long steadyMs = (System.nanoTime() - steady) / 1_000_000;
+    assertThat(passedMs).isAtLeast(50 - COARSE_MS);
+    assertThat(passedMs).isLessThan(steadyMs + SLACK_MS);
+  }
+
+  @Test
+  void readsSecondsAndHundredths() throws Exception {
+    Path file = Files.writeString(folder.resolve("uptime"), "350735.47 234388.90\n");
+    KernelUptime uptime = KernelUptime.open(file);
+    assertThat(uptime.uptimeMs()).hasValue(350_735_470L);
+    Files.writeString(file, "350735.58 234388.90\n");
+    assertThat(uptime.uptimeMs()).hasValue(350_735_580L);
+  }
+
+  @Test
+  void nothingIsReadFromAFileOfAnotherForm() throws Exception {
+    Path file = Files.writeString(folder.resolve("uptime"), "up for three days\n");
+    assertThat(KernelUptime.open(file).uptimeMs()).isEmpty();
+  }
+
+  @Test
+  void nothingIsReadWhereThereIsNoSuchFile() {
+    assertThat(KernelUptime.open(folder.resolve("none")).uptimeMs()).isEmpty();
+  }
+}
--- a/entry/src/test/java/org/wheatwall/entry/common/MachineClockTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/common/MachineClockTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.OptionalLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
@@ -12,11 +13,21 @@
 
   private long steadyMs = 5_000;
   private long wallMs = 90_000;
+  private long uptimeMs = 70_000;
   private final MachineClock clock = new MachineClock(() -> steadyMs * NANOS_PER_MS, () -> wallMs);
+  private final MachineClock withUptime =
+      new MachineClock(
+          () -> steadyMs * NANOS_PER_MS, () -> wallMs, () -> OptionalLong.of(uptimeMs));
 
   private void pass(long ms) {
     steadyMs += ms;
     wallMs += ms;
+    uptimeMs += ms;
+  }
+
+  // Steady clock and time of day go together, as the time of day was set back meanwhile.
+  private void suspendUnseen(long ms) {
+    uptimeMs += ms;
   }
 
   @Test
@@ -52,6 +63,53 @@
     assertThat(clock.limitMs()).isLessThan(until);
   }
 
+  // A term was held for as long again, since neither of the other clocks showed the suspension.
+  @Test
+  void uptimeShowsASuspensionThatTheTimeOfDayHides() {
+    long until = withUptime.limitMs() + 60_000;
+    pass(400);
+    assertThat(withUptime.limitMs()).isLessThan(until);
+    suspendUnseen(300);
+    assertThat(withUptime.limitMs()).isGreaterThan(until);
+  }
+
+  @Test
+  void suspensionsThatBothClocksShowAreAllNoticed() {
+    for (int i = 0; i < 2 * SuspensionDetector.MOST_ALONE; i++) {
+      long until = withUptime.limitMs() + 60_000;
+      wallMs += 1000;
+      uptimeMs += 1000;
+      assertThat(withUptime.limitMs()).isGreaterThan(until);
+    }
+    long until = withUptime.limitMs() + 60_000;
+    suspendUnseen(1000);
+    assertThat(withUptime.limitMs()).isGreaterThan(until);
+  }
+
+  // A slower uptime than the steady clock is that of another machine, and says nothing.
+  @Test
+  void uptimeThatFallsBehindIsDisregarded() {
+    long before = withUptime.skippedMs();
+    pass(1000);
+    uptimeMs -= 300;
+    assertThat(withUptime.skippedMs()).isEqualTo(before);
+    suspendUnseen(5000);
+    assertThat(withUptime.skippedMs()).isEqualTo(before);
+  }
+
+  // A host that is shown a faster uptime would otherwise have its term confirmed without end.
+  @Test
+  void uptimeThatRunsAheadByItselfIsDisregardedAfterAFewTimes() {
+    for (int i = 0; i < SuspensionDetector.MOST_ALONE; i++) {
+      long before = withUptime.skippedMs();
+      suspendUnseen(300);
+      assertThat(withUptime.skippedMs()).isGreaterThan(before);
+    }
+    long before = withUptime.skippedMs();
+    suspendUnseen(300);
+    assertThat(withUptime.skippedMs()).isEqualTo(before);
+  }
+
   // The readings of two clocks lie apart when the thread has to wait between them.
   @Test
   void aPauseBetweenTwoReadingsIsNoSuspension() {
