A worker that refuses a start gets the next one after a delay that doubles

What callers would see: a job that could run elsewhere waits while its group is started again and again on one worker that refuses every start at once, each time with a record in the log.

Its process had been ended by a task, still answered reports that were under way, and refused starts (409 without a reason). A worker that is not healthy does the same by the platform's protocol (429 or 503 to a start, with reports as before). The worker held nothing, so it was the best place each time; a start that was refused changed nothing in what was known of the worker. Ruled out: gangs repeated for lack of room (NO_ROOM was not among the answers).

A refused start takes the worker out of use for 100 ms, doubled with each refusal in a row up to 3.2 s, and a start that it takes ends that. Starts that are refused while it is out count once. The line WORKER_REFUSES tells. A start that comes too late is treated alike.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -24,6 +24,7 @@
     WORKER_HEARD,
     WORKER_UNLISTED,
     WORKER_UNREACHABLE,
+    WORKER_REFUSES,
     WORKER_GONE,
     WORKER_SLOW,
     WORKER_AT_SPEED,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -93,6 +93,7 @@
       case DONE -> {
         member.confirm(term.nowMs);
         term.heard(member.worker());
+        term.workers.startTaken(member.worker());
       }
       case NO_ROOM -> {
         if (run.stopping() || member.tries() >= term.settings.roomTries()) {
@@ -115,7 +116,11 @@
         term.unreachable(member.worker(), "no connection could be made");
         refused(run, member, "no connection to " + member.worker());
       }
-      case TOO_LATE, NOT_DONE -> refused(run, member, answer + " at " + member.worker());
+      case TOO_LATE, NOT_DONE -> {
+        // It holds little and answers reports; without a delay it would attract all that waits.
+        term.delayStarts(member.worker(), answer);
+        refused(run, member, answer + " at " + member.worker());
+      }
       case UNKNOWN -> unanswered(run, member);
       case FENCED, WORKER_GONE -> {
         // The caller ends the term, or the worker; there is nothing to do for a single member.
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -292,6 +292,7 @@
       term.submitReady(progress);
     }
     lifecycle.endLapsed();
+    term.dirty |= term.workers.endDelays(steadyMs);
     reports.tick();
     lifecycle.repeatOrders();
     term.permits.tick();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
@@ -21,7 +21,7 @@
         run.workers().stream()
             .allMatch(id -> term.workers.find(id).filter(WorkerRecord::usable).isPresent());
     if (!usable) {
-      return Optional.of("a worker was lost");
+      return Optional.of("a worker is not in use any more");
     }
     if (!hasRoom(run)) {
       return Optional.of("room has shrunk");
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -11,6 +11,7 @@
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.job.decision.Scheduler;
@@ -169,6 +170,15 @@
     effects.decided(new RunEvent(kind, jobId, subject, reason));
   }
 
+  /** Delays further starts at a worker that refused one. */
+  void delayStarts(String worker, OrderAnswer answer) {
+    int delayMs = workers.startRefused(worker, nowMs);
+    if (delayMs > 0) {
+      String reason = answer + ", no further start for " + delayMs + " ms";
+      note(RunEvent.Kind.WORKER_REFUSES, "", worker, reason);
+    }
+  }
+
   /** Notes that a worker does not answer. */
   void unreachable(String worker, String reason) {
     if (workers.suspect(worker)) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerBook.java
@@ -110,6 +110,33 @@
     return fresh;
   }
 
+  /** Notes that a worker refused a start; returns the delay that begins, 0 if one is under way. */
+  int startRefused(String id, long nowMs) {
+    WorkerRecord record = record(id);
+    int delayMs = record.backoff().refused(nowMs);
+    refresh(record);
+    return delayMs;
+  }
+
+  /** Notes that a worker took a start. */
+  void startTaken(String id) {
+    WorkerRecord record = record(id);
+    record.backoff().accepted();
+    refresh(record);
+  }
+
+  /** Ends delays of starts that are over; returns whether there were any. */
+  boolean endDelays(long nowMs) {
+    boolean ended = false;
+    for (WorkerRecord record : workers.values()) {
+      if (record.backoff().endIfOver(nowMs)) {
+        refresh(record);
+        ended = true;
+      }
+    }
+    return ended;
+  }
+
   /**
    * Leaves a slow worker aside, or takes it back; returns whether that changed anything. Most
    * workers stay in use whatever is measured.
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -9,6 +9,7 @@
   private static final int LISTED_LAPSE_FACTOR = 4;
 
   private final String id;
+  private final StartBackoff backoff = new StartBackoff();
   private Optional<WorkerInfo> info = Optional.empty();
   private boolean listed;
   private boolean heard;
@@ -54,7 +55,8 @@
 
   /** Returns whether new work may go there. */
   boolean usable() {
-    return listed && heard && !suspected && !aside && !info.map(WorkerInfo::draining).orElse(true);
+    boolean inUse = listed && heard && !suspected && !aside && !backoff.active();
+    return inUse && !info.map(WorkerInfo::draining).orElse(true);
   }
 
   /** Returns whether it is listed and was not heard, or does not answer any more. */
@@ -67,6 +69,11 @@
     return listed && !heard && !suspected;
   }
 
+  /** Returns the delays of starts that it refuses. */
+  StartBackoff backoff() {
+    return backoff;
+  }
+
   /** Returns whether it is left aside because it is slow. */
   boolean aside() {
     return aside;
