Stand-in of a worker: what keeps a crashed one from coming back is logged

Cause not known: what the closing of its port or the opening of the next threw was not logged. Both are now, and the next occurrence names its cause.

The ticks do not rely on a field any more that is set after the first was scheduled, all the same.

--- a/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.standin.proxy.FaultProxy;
@@ -18,6 +20,7 @@
 
 /** A worker behind a proxy, with its entry in the store; one life of it follows another. */
 final class SoakWorker implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(SoakWorker.class);
   private static final int ACCELERATORS = 8;
   private static final int GANG_WAIT_MS = 3000;
   private static final int WORKERS_PER_RACK = 4;
@@ -79,8 +82,17 @@
   private void crashedByTask() {
     String before = model.id();
     // Opening a port waits for a thread of the group, so it is not done on one of them.
-    CompletableFuture.delayedExecutor(DOWN_MS, TimeUnit.MILLISECONDS)
-        .execute(() -> returnAfter(before));
+    CompletableFuture.runAsync(
+            () -> returnAfter(before),
+            CompletableFuture.delayedExecutor(DOWN_MS, TimeUnit.MILLISECONDS))
+        .exceptionally(
+            failure -> {
+              LOG.atError()
+                  .addKeyValue("worker", before)
+                  .setCause(failure)
+                  .log("crashed-worker-not-back");
+              return null;
+            });
   }
 
   private synchronized void returnAfter(String before) {
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
@@ -4,13 +4,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StopOrder;
@@ -23,14 +24,15 @@
 
 /** Stand-in for a worker of the platform: {@link TaskWorkerModel} behind HTTP, on real time. */
 public final class TaskWorkerStandIn implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(TaskWorkerStandIn.class);
   private static final int MAX_BODY = 1024 * 1024;
   private static final int TICK_MS = 10;
 
   private final TaskWorkerModel model;
   private final EventLoopGroup group;
   private final HttpServer server;
-  private final ScheduledFuture<?> ticker;
   private final Runnable whenCrashed;
+  private volatile boolean closed;
   private long tickedMs = System.nanoTime() / 1_000_000;
 
   private TaskWorkerStandIn(
@@ -42,8 +44,7 @@
     this.group = group;
     this.whenCrashed = whenCrashed;
     this.server = HttpServer.start(group, address, MAX_BODY, this::handle);
-    this.ticker =
-        group.next().scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    scheduleTick();
   }
 
   /** Starts the stand-in of a worker that tasks cannot crash. */
@@ -72,7 +73,7 @@
 
   @Override
   public void close() {
-    ticker.cancel(false);
+    closed = true;
     server.close();
   }
 
@@ -80,6 +81,14 @@
     return System.nanoTime() / 1_000_000;
   }
 
+  // A start may come, and crash this worker, while it is still being constructed; so no tick relies
+  // on a field that the constructor sets after the first one was scheduled.
+  private void scheduleTick() {
+    if (!closed && !group.isShuttingDown()) {
+      group.next().schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void tick() {
     synchronized (model) {
       long now = nowMs();
@@ -90,6 +99,7 @@
       model.tick(now, now - tickedMs);
       tickedMs = now;
     }
+    scheduleTick();
   }
 
   private boolean isGone() {
@@ -100,9 +110,17 @@
 
   private void crash(long nowMs) {
     model.crash(nowMs);
-    ticker.cancel(false);
     // Closing waits for the group's threads, of which this is one.
-    CompletableFuture.runAsync(server::close).thenRun(whenCrashed);
+    CompletableFuture.runAsync(server::close)
+        .thenRun(whenCrashed)
+        .exceptionally(
+            failure -> {
+              LOG.atError()
+                  .addKeyValue("worker", model.id())
+                  .setCause(failure)
+                  .log("crashed-worker-not-closed");
+              return null;
+            });
   }
 
   private CompletableFuture<HttpReply> handle(HttpCall call) {
