Stand-in of a worker: a connection to a crashed one is closed behind its first answer

A connection that was opened while a crashed worker's port was being closed stayed open and answered everything with 503. The host used it beside its connections to the next process at that address, so starts went to the dead process and reports to the living one. The connection of a real process ends with it.

--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerStandIn.java
@@ -126,8 +126,8 @@
   private CompletableFuture<HttpReply> handle(HttpCall call) {
     if (isGone()) {
       // A connection may have been opened while the port was being closed; nothing of this life may
-      // answer for the next one.
-      return CompletableFuture.completedFuture(HttpReply.empty(503));
+      // answer for the next one, and the connection must not go on beside those of the next one.
+      return CompletableFuture.completedFuture(HttpReply.empty(503).with("Connection", "close"));
     }
     JsonNode body = Json.tree(call.body());
     if (!call.header("X-Expect-Instance").orElse(model.id()).equals(model.id())) {
