--- a/entry/src/main/java/org/wheatwall/entry/job/AttemptEnds.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/AttemptEnds.java
@@ -22,15 +22,15 @@
 
   private final GangTable gangs;
   private final JobConfiguration configuration;
-  private final Decider.Outside outside;
+  private final DeciderPorts ports;
   private final Set<String> publishing = new HashSet<>();
   private final Map<String, Integer> failedAttempts = new HashMap<>();
   private final Map<String, Set<String>> blamedHosts = new HashMap<>();
 
-  AttemptEnds(GangTable gangs, JobConfiguration configuration, Decider.Outside outside) {
+  AttemptEnds(GangTable gangs, JobConfiguration configuration, DeciderPorts ports) {
     this.gangs = gangs;
     this.configuration = configuration;
-    this.outside = outside;
+    this.ports = ports;
   }
 
   /** Returns whether the job's result is on its way to the log. */
@@ -102,7 +102,7 @@
     Draft draft =
         Draft.of(
             key, entry.version(), Optional.of(entry.job().withPhase(phase)), Draft.Priority.JOB);
-    outside
+    ports
         .publish(draft)
         .whenComplete(
             (verdict, failure) -> {
--- a/entry/src/main/java/org/wheatwall/entry/job/Decider.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/Decider.java
@@ -4,32 +4,23 @@
 import com.codahale.metrics.Timer;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wheatwall.core.configuration.model.StoredResource;
-import org.wheatwall.core.configuration.model.Verdict;
 import org.wheatwall.core.gang.decision.GangAttempt;
-import org.wheatwall.core.gang.model.TaskReport;
-import org.wheatwall.core.gang.model.WorkerReport;
 import org.wheatwall.core.job.decision.Decision;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
-import org.wheatwall.core.job.model.Job;
-import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.shadow.ShadowRun;
 import org.wheatwall.core.job.shadow.Shadows;
 import org.wheatwall.entry.common.Clock;
-import org.wheatwall.entry.configuration.Draft;
 import org.wheatwall.wire.platform.ListedHost;
-import org.wheatwall.wire.platform.WorkerExchange;
 
 /**
  * Decides and carries out gangs for one availability zone, while this host holds that duty. A new
@@ -37,30 +28,6 @@
  * reach have lapsed. Confined to the decision loop.
  */
 final class Decider {
-  /** What the decider needs from the rest of the entry host. */
-  interface Outside {
-    /** Returns the epoch of this host's lease and until when it holds, if it may decide now. */
-    Optional<DeciderLease> lease();
-
-    /** Sends an exchange; the reply comes back on the decision loop. */
-    CompletableFuture<WorkerReport> exchange(
-        String address, WorkerExchange exchange, long timeoutMs);
-
-    /** Publishes a change; the verdict comes back on the decision loop. */
-    CompletableFuture<Verdict> publish(Draft draft);
-
-    /** Returns the workers of the zone as listed. */
-    List<ListedHost> workers();
-  }
-
-  /**
-   * Leave to decide.
-   *
-   * @param continuous whether this host was the decider of the view before, with none between
-   * @param first whether the zone never had a view before
-   */
-  record DeciderLease(long epoch, long untilMs, boolean continuous, boolean first) {}
-
   /** Stages of being the decider. */
   enum Stage {
     PASSIVE,
@@ -73,7 +40,7 @@
   private static final long FIRST_INVENTORY_MS = 1000;
 
   private final Clock clock;
-  private final Outside outside;
+  private final DeciderPorts ports;
   private final JobConfiguration configuration;
   private final SchedulerSettings schedulerSettings;
   private final WorkerLinks links;
@@ -92,21 +59,21 @@
 
   Decider(
       Clock clock,
-      Outside outside,
+      DeciderPorts ports,
       JobConfiguration configuration,
       SchedulerSettings schedulerSettings,
       int workerMessagesPerSecond,
       MetricRegistry metrics) {
     this.clock = clock;
-    this.outside = outside;
+    this.ports = ports;
     this.configuration = configuration;
     this.schedulerSettings = schedulerSettings;
     this.links = new WorkerLinks(workerMessagesPerSecond);
-    this.ends = new AttemptEnds(gangs, configuration, outside);
+    this.ends = new AttemptEnds(gangs, configuration, ports);
     this.exchanges =
         new WorkerExchanges(
             clock,
-            outside,
+            ports,
             links,
             gangs,
             ends,
@@ -167,7 +134,7 @@
   /** Does what is due. */
   void tick() {
     long nowMs = clock.nowMs();
-    Optional<DeciderLease> now = outside.lease();
+    Optional<DeciderLease> now = ports.lease();
     if (now.isEmpty()) {
       // The lease may come back within the same view; only another epoch ends the duty.
       lease = new DeciderLease(lease.epoch(), Long.MIN_VALUE, false, false);
@@ -223,7 +190,7 @@
     }
     boolean complete = links.allReported();
     configure(Set.of(JobConfiguration.Affected.values()));
-    adoptAttempts(nowMs);
+    new AttemptAdoption(configuration, links, gangs, scheduler, inventory).adoptAll(nowMs);
     stage = Stage.DECIDING;
     List<JobEntry> inOrder = new ArrayList<>(configuration.jobs().values());
     inOrder.sort(java.util.Comparator.comparingLong(JobEntry::version));
@@ -237,45 +204,6 @@
         complete);
   }
 
-  private void adoptAttempts(long nowMs) {
-    long lapsesAtMs = nowMs + links.times().lapseMs(links.times().leaseMs());
-    Map<String, TaskReport> found = new HashMap<>();
-    for (WorkerLink link : links.all()) {
-      link.report().ifPresent(r -> r.tasks().forEach(task -> found.put(task.attemptId(), task)));
-    }
-    for (TaskReport task : found.values()) {
-      JobEntry entry = configuration.jobs().get(task.jobName());
-      boolean wanted = entry != null && !entry.job().phase().isFinal();
-      if (wanted && scheduler.attemptOf(task.jobName()).isEmpty()) {
-        adopt(task, entry, nowMs, lapsesAtMs);
-      }
-    }
-    for (WorkerLink link : links.all()) {
-      link.report()
-          .ifPresent(
-              report ->
-                  gangs
-                      .onHost(link.host())
-                      .forEach(attempt -> attempt.onReport(report, link.askedAtMs())));
-    }
-  }
-
-  private void adopt(TaskReport task, JobEntry entry, long nowMs, long lapsesAtMs) {
-    Placement placement = new Placement(task.hosts());
-    Job job = entry.job();
-    scheduler.adopt(task.attemptId(), task.jobName(), job, entry.seenMs(), placement, nowMs);
-    gangs.add(
-        GangAttempt.adopt(
-            task.attemptId(),
-            task.jobName(),
-            job,
-            placement,
-            links.times(),
-            inventory::seenAtMs,
-            nowMs,
-            lapsesAtMs));
-  }
-
   private void configure(Set<JobConfiguration.Affected> affected) {
     if (affected.contains(JobConfiguration.Affected.WORKSPACES)) {
       scheduler.setWorkspaces(configuration.workspaces());
@@ -313,7 +241,7 @@
   }
 
   private void refreshHosts(long nowMs) {
-    links.refresh(outside.workers(), scheduler.cluster(), gangs.hosts(), nowMs);
+    links.refresh(ports.workers(), scheduler.cluster(), gangs.hosts(), nowMs);
     markHosts();
     scheduler.hostsChanged();
     shadows.forEach(run -> run.hostsChanged(scheduler));
@@ -321,7 +249,7 @@
 
   private void markHosts() {
     Set<String> unusable = new TreeSet<>(configuration.cordoned());
-    for (ListedHost worker : outside.workers()) {
+    for (ListedHost worker : ports.workers()) {
       if (worker.state() == ListedHost.State.LEAVING) {
         unusable.add(worker.name());
       }
@@ -354,24 +282,8 @@
 
   /** Returns why a job waits or how it runs, in words. */
   String explain(String jobName) {
-    JobEntry entry = configuration.jobs().get(jobName);
-    if (entry == null) {
-      return "no such job in this zone";
-    }
-    if (entry.job().phase().isFinal()) {
-      return entry.job().phase().toString();
-    }
-    if (stage != Stage.DECIDING) {
-      return "the decider of the zone is taking the inventory of the workers";
-    }
-    Optional<GangAttempt> attempt = scheduler.attemptOf(jobName).flatMap(gangs::get);
-    if (attempt.isPresent()) {
-      return attempt.get().phase() + " on " + attempt.get().placement().tasksByHost();
-    }
-    return scheduler
-        .reason(jobName)
-        .map(reason -> reason.kind() + ": " + reason.detail())
-        .orElse("about to be looked at");
+    return new JobExplainer(configuration, gangs, scheduler)
+        .explain(jobName, stage == Stage.DECIDING);
   }
 
   /** What the exchanges with workers have to know of this duty, and what they bring about. */
--- a/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/JobPlane.java
@@ -93,7 +93,7 @@
     this.decider =
         new Decider(
             clock,
-            new Surroundings(),
+            new HostPorts(),
             new JobConfiguration(zone),
             new SchedulerSettings(
                 settings.jobs().starvationBoundMs(), defaults.scanLimit(), defaults.startLimit()),
@@ -244,15 +244,15 @@
   }
 
   /** Connects the decider to the rest of the host; replies come back on the loop. */
-  private final class Surroundings implements Decider.Outside {
+  private final class HostPorts implements DeciderPorts {
     @Override
-    public Optional<Decider.DeciderLease> lease() {
+    public Optional<DeciderLease> lease() {
       ViewLeaseStatus status = membership.status();
       boolean may =
           status.mayAct(clock) && status.epoch() == lastStatus.epoch() && holdsDuty(status.view());
       return may
           ? Optional.of(
-              new Decider.DeciderLease(
+              new DeciderLease(
                   status.epoch(),
                   status.actingUntilMs(),
                   continuous,
--- a/entry/src/main/java/org/wheatwall/entry/job/WorkerExchanges.java
+++ b/entry/src/main/java/org/wheatwall/entry/job/WorkerExchanges.java
@@ -19,7 +19,7 @@
   private static final long EXCHANGE_TIMEOUT_MS = 500;
 
   private final Clock clock;
-  private final Decider.Outside outside;
+  private final DeciderPorts ports;
   private final WorkerLinks links;
   private final GangTable gangs;
   private final AttemptEnds ends;
@@ -28,7 +28,7 @@
 
   /** The duty that the exchanges serve. */
   interface Duty {
-    Decider.DeciderLease lease();
+    DeciderLease lease();
 
     /** Returns whether the inventory is over. */
     boolean isDeciding();
@@ -45,14 +45,14 @@
 
   WorkerExchanges(
       Clock clock,
-      Decider.Outside outside,
+      DeciderPorts ports,
       WorkerLinks links,
       GangTable gangs,
       AttemptEnds ends,
       Duty duty,
       Meter counter) {
     this.clock = clock;
-    this.outside = outside;
+    this.ports = ports;
     this.links = links;
     this.gangs = gangs;
     this.ends = ends;
@@ -83,7 +83,7 @@
     long epoch = duty.lease().epoch();
     link.sent(nowMs, links.heartbeatMs());
     counter.mark();
-    outside
+    ports
         .exchange(link.address(), exchange, EXCHANGE_TIMEOUT_MS)
         .whenComplete(
             (report, failure) -> {
--- a/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -16,7 +15,6 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.wheatwall.core.configuration.model.ResourceKey;
 import org.wheatwall.core.configuration.model.ResourceKind;
 import org.wheatwall.core.configuration.model.StoredResource;
 import org.wheatwall.core.membership.decision.ViewLease;
@@ -25,17 +23,12 @@
 import org.wheatwall.core.membership.model.ZoneView;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.configuration.ConfigurationService;
-import org.wheatwall.entry.configuration.Draft;
 import org.wheatwall.entry.platform.HostDirectory;
-import org.wheatwall.wire.json.Json;
-import org.wheatwall.wire.json.LogRecordCodec;
 import org.wheatwall.wire.message.Envelope;
 import org.wheatwall.wire.message.Heartbeat;
 import org.wheatwall.wire.message.HeartbeatReply;
 import org.wheatwall.wire.message.PeerIdentity;
 import org.wheatwall.wire.message.Retire;
-import org.wheatwall.wire.message.SnapshotPage;
-import org.wheatwall.wire.message.SnapshotPull;
 import org.wheatwall.wire.peer.PeerClient;
 import org.wheatwall.wire.platform.ListedHost;
 
@@ -55,7 +48,9 @@
 
   private static final long HEARTBEAT_MS = 250;
   private static final long HEARTBEAT_TIMEOUT_MS = 1000;
-  private static final long LOG_STALE_MS = 3000;
+
+  /** Time without news of the log's end after which it is taken for down. */
+  static final long LOG_STALE_MS = 3000;
 
   private final Member self;
   private final String zone;
@@ -65,15 +60,14 @@
   private final HostDirectory directory;
   private final PeerClient peers;
   private final ViewLease lease;
-  private final ViewProposer proposer;
+  private final ViewProposals proposals;
+  private final PeerCatchUp catchUp;
   private final List<MembershipListener> listeners = new CopyOnWriteArrayList<>();
   private final Map<String, Member> known = new LinkedHashMap<>();
   private final Map<String, Long> heardMs = new LinkedHashMap<>();
   private Supplier<HeartbeatReply.Builder> replyDetails = HeartbeatReply::newBuilder;
   private final Set<String> retiredMembers = ConcurrentHashMap.newKeySet();
-  private boolean proposing;
   private boolean retired;
-  private boolean pulling;
   private volatile ViewLeaseStatus status = ViewLeaseStatus.NONE;
   private long skippedMs;
 
@@ -95,7 +89,9 @@
     this.directory = directory;
     this.peers = peers;
     this.lease = new ViewLease(self.id(), PROMISE_MS);
-    this.proposer = new ViewProposer(self, SUSPECT_MS);
+    ViewProposer proposer = new ViewProposer(self, SUSPECT_MS);
+    this.proposals = new ViewProposals(proposer, zone, configuration, directory, stateThread);
+    this.catchUp = new PeerCatchUp(configuration, peers, stateThread);
     metrics.gauge("membership.epoch", () -> () -> status.epoch());
     metrics.gauge("membership.acting", () -> () -> status.mayAct(clock) ? 1 : 0);
   }
@@ -156,9 +152,7 @@
           takeNoteOfSuspension();
           Member sender = member(heartbeat.getSender());
           hear(sender);
-          if (heartbeat.getNextOffset() > configuration.nextOffset()) {
-            pullIfLogIsDown(sender);
-          }
+          catchUp.heard(sender, heartbeat.getNextOffset());
           // The sender has this view now; waiting for the next regular heartbeat would only keep
           // the zone from acting for that long.
           if (heartbeat.getEpoch() == lease.epoch() && lease.awaits(sender.id())) {
@@ -183,12 +177,12 @@
           String id = member(retire.getSender()).id();
           lease.onRetired(id);
           retiredMembers.add(id);
-          proposer.onRetired(id);
+          proposals.onRetired(id);
           known.remove(id);
           heardMs.remove(id);
           listeners.forEach(listener -> listener.memberRetired(id));
           publishStatus();
-          propose(clock.nowMs());
+          proposals.propose(lease.view(), lease.epoch(), clock.nowMs());
           return Envelope.newBuilder().setRetire(retire);
         },
         stateThread);
@@ -256,7 +250,7 @@
     }
     publishStatus();
     sendHeartbeats();
-    propose(nowMs);
+    proposals.propose(lease.view(), lease.epoch(), nowMs);
   }
 
   private void takeNoteOfSuspension() {
@@ -319,9 +313,7 @@
     }
     publishStatus();
     listeners.forEach(listener -> listener.memberReplied(sender.id(), reply));
-    if (reply.getNextOffset() > configuration.nextOffset()) {
-      pullIfLogIsDown(sender);
-    }
+    catchUp.heard(sender, reply.getNextOffset());
   }
 
   private void hear(Member sender) {
@@ -330,59 +322,13 @@
     }
     known.put(sender.id(), sender);
     heardMs.put(sender.id(), clock.nowMs());
-    proposer.onHeard(sender, clock.nowMs());
+    proposals.onHeard(sender, clock.nowMs());
   }
 
   private boolean isHeard(String memberId) {
     return clock.nowMs() - heardMs.getOrDefault(memberId, Long.MIN_VALUE / 2) < SUSPECT_MS;
   }
 
-  private void propose(long nowMs) {
-    boolean logIsCurrent = configuration.sinceHeadMs() < LOG_STALE_MS;
-    if (proposing || !logIsCurrent) {
-      return;
-    }
-    ResourceKey key = new ResourceKey(ResourceKind.VIEWS, zone);
-    Set<String> live = new HashSet<>();
-    directory.entryHosts().forEach(host -> live.add(host.name()));
-    Optional<ZoneView> proposal = proposer.propose(lease.view(), live, nowMs);
-    if (proposal.isEmpty()) {
-      return;
-    }
-    proposing = true;
-    long base = lease.epoch();
-    configuration
-        .publish(Draft.of(key, base, Optional.of(proposal.get()), Draft.Priority.VIEW))
-        .whenCompleteAsync((verdict, failure) -> proposing = false, stateThread);
-  }
-
-  private void pullIfLogIsDown(Member sender) {
-    if (pulling || configuration.sinceHeadMs() < LOG_STALE_MS) {
-      return;
-    }
-    pulling = true;
-    Envelope.Builder request =
-        Envelope.newBuilder()
-            .setSnapshotPull(SnapshotPull.newBuilder().setNewerThan(configuration.nextOffset()));
-    peers
-        .send(sender.address(), request, HEARTBEAT_TIMEOUT_MS * 3)
-        .whenCompleteAsync(
-            (reply, failure) -> {
-              pulling = false;
-              if (failure == null) {
-                takeSnapshot(reply.getSnapshotPage());
-              }
-            },
-            stateThread);
-  }
-
-  private void takeSnapshot(SnapshotPage page) {
-    if (page.getNextOffset() > configuration.nextOffset()) {
-      configuration.offerSnapshot(
-          LogRecordCodec.readSnapshot(Json.tree(page.getContent().toByteArray())));
-    }
-  }
-
   private static Member member(PeerIdentity identity) {
     return new Member(identity.getName(), identity.getIncarnation(), identity.getAddress());
   }
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/membership/PeerCatchUp.java
@@ -0,0 +1,68 @@
+package org.wheatwall.entry.membership;
+
+import java.util.concurrent.Executor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.entry.configuration.ConfigurationService;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.json.LogRecordCodec;
+import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.SnapshotPage;
+import org.wheatwall.wire.message.SnapshotPull;
+import org.wheatwall.wire.peer.PeerClient;
+
+/**
+ * Takes a newer configuration from another entry host of the zone while the log is down. One
+ * request is under way at a time. Confined to the state thread.
+ */
+final class PeerCatchUp {
+  private static final Logger LOG = LoggerFactory.getLogger(PeerCatchUp.class);
+  private static final long TIMEOUT_MS = 3000;
+
+  private final ConfigurationService configuration;
+  private final PeerClient peers;
+  private final Executor stateThread;
+  private boolean pulling;
+
+  PeerCatchUp(ConfigurationService configuration, PeerClient peers, Executor stateThread) {
+    this.configuration = configuration;
+    this.peers = peers;
+    this.stateThread = stateThread;
+  }
+
+  /** Notes up to which offset of the log another member has read. */
+  void heard(Member member, long nextOffset) {
+    boolean newer = nextOffset > configuration.nextOffset();
+    boolean logIsDown = configuration.sinceHeadMs() >= MembershipService.LOG_STALE_MS;
+    if (newer && logIsDown && !pulling) {
+      pull(member);
+    }
+  }
+
+  private void pull(Member member) {
+    pulling = true;
+    Envelope.Builder request =
+        Envelope.newBuilder()
+            .setSnapshotPull(SnapshotPull.newBuilder().setNewerThan(configuration.nextOffset()));
+    peers
+        .send(member.address(), request, TIMEOUT_MS)
+        .whenCompleteAsync((reply, failure) -> pulled(member, reply, failure), stateThread);
+  }
+
+  private void pulled(Member member, Envelope reply, Throwable failure) {
+    pulling = false;
+    if (failure == null) {
+      take(reply.getSnapshotPage());
+    } else {
+      LOG.info("event=peer-snapshot-failed member={} cause={}", member.id(), failure.toString());
+    }
+  }
+
+  private void take(SnapshotPage page) {
+    if (page.getNextOffset() > configuration.nextOffset()) {
+      configuration.offerSnapshot(
+          LogRecordCodec.readSnapshot(Json.tree(page.getContent().toByteArray())));
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/membership/ViewProposals.java
@@ -0,0 +1,68 @@
+package org.wheatwall.entry.membership;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import org.wheatwall.core.configuration.model.ResourceKey;
+import org.wheatwall.core.configuration.model.ResourceKind;
+import org.wheatwall.core.membership.decision.ViewProposer;
+import org.wheatwall.core.membership.model.Member;
+import org.wheatwall.core.membership.model.ZoneView;
+import org.wheatwall.entry.configuration.ConfigurationService;
+import org.wheatwall.entry.configuration.Draft;
+import org.wheatwall.entry.platform.HostDirectory;
+
+/**
+ * Publishes this host's proposals of new views through the log, one at a time, while the log is
+ * current. Confined to the state thread.
+ */
+final class ViewProposals {
+  private final ViewProposer proposer;
+  private final ResourceKey key;
+  private final ConfigurationService configuration;
+  private final HostDirectory directory;
+  private final Executor stateThread;
+  private boolean proposing;
+
+  ViewProposals(
+      ViewProposer proposer,
+      String zone,
+      ConfigurationService configuration,
+      HostDirectory directory,
+      Executor stateThread) {
+    this.proposer = proposer;
+    this.key = new ResourceKey(ResourceKind.VIEWS, zone);
+    this.configuration = configuration;
+    this.directory = directory;
+    this.stateThread = stateThread;
+  }
+
+  /** Notes a message from another entry host of the zone. */
+  void onHeard(Member member, long nowMs) {
+    proposer.onHeard(member, nowMs);
+  }
+
+  /** Notes that a member stopped for good. */
+  void onRetired(String memberId) {
+    proposer.onRetired(memberId);
+  }
+
+  /** Proposes the view that follows {@code view}, if there is reason to. */
+  void propose(Optional<ZoneView> view, long epoch, long nowMs) {
+    boolean logIsCurrent = configuration.sinceHeadMs() < MembershipService.LOG_STALE_MS;
+    if (proposing || !logIsCurrent) {
+      return;
+    }
+    Set<String> live = new HashSet<>();
+    directory.entryHosts().forEach(host -> live.add(host.name()));
+    proposer.propose(view, live, nowMs).ifPresent(next -> publish(epoch, next));
+  }
+
+  private void publish(long epoch, ZoneView next) {
+    proposing = true;
+    configuration
+        .publish(Draft.of(key, epoch, Optional.of(next), Draft.Priority.VIEW))
+        .whenCompleteAsync((verdict, failure) -> proposing = false, stateThread);
+  }
+}
--- a/entry/src/test/java/org/wheatwall/entry/job/FaultSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/job/FaultSchedule.java
@@ -219,7 +219,7 @@
   }
 
   /** One life of a decider. */
-  private final class Incarnation implements Decider.Outside {
+  private final class Incarnation implements DeciderPorts {
     private final long ownEpoch;
     private final long actsFromMs;
     private final boolean first;
@@ -268,11 +268,11 @@
     }
 
     @Override
-    public Optional<Decider.DeciderLease> lease() {
+    public Optional<DeciderLease> lease() {
       long nowMs = time.nowMs();
       boolean may = nowMs >= actsFromMs && nowMs < leaseUntilMs;
       return may
-          ? Optional.of(new Decider.DeciderLease(ownEpoch, leaseUntilMs, false, first))
+          ? Optional.of(new DeciderLease(ownEpoch, leaseUntilMs, false, first))
           : Optional.empty();
     }
 
