A start without an answer looks at the worker's room again before it is repeated

What callers would see: on a worker that starts whatever it is told, work that runs loses room to a start that counted on room which is gone.

Room was looked at before a run is written down and before its first order, not before an order is repeated.

Change: it is looked at before each repetition, also of one that found no room; if it is gone the run is stopped, as its start may have been carried out.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -138,13 +138,22 @@
   void unanswered(GroupRun run, MemberRun member) {
     member.lostAnswer();
     if (!run.stopping() && member.tries() < term.settings.startTries()) {
-      sendStart(run, member);
+      repeatStart(run, member);
       return;
     }
     term.unreachable(member.worker(), "a start was not answered");
     stopRun(run, "no answer from " + member.worker());
   }
 
+  // The room that it was planned in may have gone since the start was sent before.
+  private void repeatStart(GroupRun run, MemberRun member) {
+    if (startChecks.hasRoomOn(member.worker(), run)) {
+      sendStart(run, member);
+    } else {
+      stopRun(run, "room has shrunk at " + member.worker() + " before the order was repeated");
+    }
+  }
+
   void stopRun(GroupRun run, String reason) {
     if (!run.stopping()) {
       run.markStopping();
@@ -308,7 +317,7 @@
         if (!member.ended() && member.stopDue(term.nowMs, term.settings.stopRepeatMs())) {
           sendStop(run, member);
         } else if (member.startDue(term.nowMs) && !run.stopping()) {
-          sendStart(run, member);
+          repeatStart(run, member);
         }
       }
     }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
@@ -31,8 +31,12 @@
 
   // Not every worker refuses what it has no room for.
   private boolean hasRoom(GroupRun run) {
-    return Set.copyOf(run.workers()).stream()
-        .allMatch(worker -> term.workers.hasRoomFor(worker, takenWith(run, worker)));
+    return Set.copyOf(run.workers()).stream().allMatch(worker -> hasRoomOn(worker, run));
+  }
+
+  /** Returns whether a worker, by its newest word, has room for what runs there and for a run. */
+  boolean hasRoomOn(String worker, GroupRun run) {
+    return term.workers.hasRoomFor(worker, takenWith(run, worker));
   }
 
   private ResourceAmount takenWith(GroupRun run, String worker) {
--- a/core/src/test/java/org/wheatwall/core/batch/decision/ShrunkRoomTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ShrunkRoomTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.EndKind;
+import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.batch.model.WorkerInfo;
@@ -73,6 +74,19 @@
     assertThat(fixture.startedOn()).hasSize(2);
   }
 
+  // The answer to a start was lost, the room shrank, and the start was sent again as it was.
+  @Test
+  void startWithoutAnAnswerLooksAtTheRoomBeforeItIsRepeated() {
+    fixture.listWorker("a", "r1");
+    accept(FIRST, 1, 4);
+    room("a", 3);
+    StartOrder order = fixture.effects.starts.get(0);
+    fixture.supervisor.onStartAnswer(order, OrderAnswer.UNKNOWN, fixture.nowMs, WALL_MS);
+    fixture.decide();
+    assertThat(fixture.effects.starts).hasSize(1);
+    assertThat(fixture.effects.stops).hasSize(1);
+  }
+
   @Test
   void roomThatComesBackIsUsed() {
     fixture.listWorker("a", "r1");
--- a/entry/src/test/java/org/wheatwall/entry/batch/ChangingRoomTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/ChangingRoomTest.java
@@ -12,6 +12,8 @@
  */
 final class ChangingRoomTest {
   private static final int CHANGES = 40;
+  // The room shrank between two tries of a start whose answer was lost.
+  private static final long SEED_OF_A_REPEATED_START = 5089;
 
   @Test
   void noStartTakesAWorkerOverItsRoomUnderRandomFaults() {
@@ -25,4 +27,11 @@
     }
     assertThat(accepted).isGreaterThan(schedules);
   }
+
+  @Test
+  void startThatIsRepeatedDoesNotTakeAWorkerOverItsRoom() {
+    BatchSchedule schedule = new BatchSchedule(SEED_OF_A_REPEATED_START, Optional.empty());
+    schedule.changeRoom(CHANGES);
+    schedule.run();
+  }
 }
