--- a/app/src/main/java/org/wheatwall/app/process/ProgramClasses.java
+++ b/app/src/main/java/org/wheatwall/app/process/ProgramClasses.java
@@ -18,13 +18,19 @@
  * needs it.
  */
 final class ProgramClasses {
+  // With all packages below them.
+  private static final String TREES =
+      "org/wheatwall/(core|entry|platform|wire)"
+          + "|io/netty/(buffer|channel/nio|channel/socket/nio|util/internal)"
+          + "|com/fasterxml/jackson/core"
+          + "|org/slf4j";
+
+  // By themselves: the packages below them hold other transports and protocols.
+  private static final String PACKAGES =
+      "io/netty/(channel|util|util/concurrent|handler/codec|handler/codec/http)";
+
   private static final Pattern OF_A_HOST =
-      Pattern.compile(
-          "(org/wheatwall/(core|entry|platform|wire)"
-              + "|io/netty/(buffer|channel/nio|channel/socket/nio|util/internal)"
-              + "|io/netty/(channel|util|util/concurrent|handler/codec|handler/codec/http)(?=/[^/]*$)"
-              + "|com/fasterxml/jackson/core"
-              + "|org/slf4j)/.*\\.class");
+      Pattern.compile("(" + TREES + ")/.*\\.class|(" + PACKAGES + ")/[^/]*\\.class");
 
   private static final Logger LOG = LoggerFactory.getLogger(ProgramClasses.class);
 
