Tasks that are being stopped do not make their worker look slow

Progress is measured over windows of 0.6 s and more, and a task that is being stopped makes none. So a worker on which room is being made was set aside as slow, and the run for which it was made was given up with the room free.

Tasks that are being stopped are left out of the measure. StoppingTasksTest fails before; a worker whose tasks stand still by themselves is found slow as before.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -84,11 +85,22 @@
 
   private void noteSpeed(String worker, WorkerInventory report) {
     if (leavesSlowAside) {
-      speeds.observe(worker, report, term.nowMs);
+      speeds.observe(worker, withoutStopping(report), term.nowMs);
       setAsideIfSlow(worker);
     }
   }
 
+  // A task that is being stopped makes no progress, however fast its worker is.
+  private WorkerInventory withoutStopping(WorkerInventory report) {
+    List<WorkerInventory.RunningTask> atWork =
+        report.running().stream().filter(task -> !isStopping(task)).toList();
+    return new WorkerInventory(report.clockMs(), atWork, report.ended());
+  }
+
+  private boolean isStopping(WorkerInventory.RunningTask task) {
+    return term.runOf(task.task(), task.run()).filter(GroupRun::stopping).isPresent();
+  }
+
   /** Takes back the workers of which nothing was measured for a while. */
   void tick() {
     term.workers.aside().forEach(this::setAsideIfSlow);
