Lines and figures that tell what a waiting job waits for

Operators could not tell from the logs why a job stood still: only explain knew, while somebody asked a living decider. Now GROUP_WAITS names a group after 3 s, then ever more seldom, five jobs a second at most: the reason, how many others wait for the same, and how many workers are usable or not, and why not. New kinds of reasons tell room that is kept for urgent work, or for a job that goes first, from room that is missing. Figures: groups waiting, the longest wait, workers usable and listed, how long a look at the queue takes, how late the decision loop is; look-was-long and loop-late from 250 ms. A start that is withdrawn names the worker and its state.

LongWaitsTest: four tests. No decision changes.

--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/LongWaits.java
@@ -0,0 +1,162 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.job.model.WaitReason;
+import org.wheatwall.core.job.policy.QueuedJob;
+
+/**
+ * Tells operators which groups of tasks have waited for long, what for, and how many others wait
+ * for the same. The number of lines is bounded: each group is named ever more seldom, one group of
+ * a job at a time, and only some at once.
+ */
+final class LongWaits {
+  private static final int LOOK_EACH_MS = 1000;
+  private static final int LONG_WAIT_MS = 3000;
+  private static final int MOST_NAMED_AT_ONCE = 5;
+
+  private final TermState term;
+  private final Map<String, Wait> waits = new HashMap<>();
+  private WaitSummary summary = WaitSummary.NONE;
+  private long lookedAtMs = Long.MIN_VALUE / 2;
+
+  /** Since when a group waits, and after how long it is named next. */
+  private static final class Wait {
+    private final long sinceMs;
+    private long nameAfterMs = LONG_WAIT_MS;
+
+    private Wait(long sinceMs) {
+      this.sinceMs = sinceMs;
+    }
+  }
+
+  LongWaits(TermState term) {
+    this.term = term;
+  }
+
+  /** Notes that a group waits from now on. */
+  void began(GroupKey group) {
+    waits.put(group.text(), new Wait(term.nowMs));
+  }
+
+  /** Returns how long a group has waited, milliseconds; 0 if it is not known to wait. */
+  long waitedMs(GroupKey group) {
+    Wait wait = waits.get(group.text());
+    return wait == null ? 0 : term.nowMs - wait.sinceMs;
+  }
+
+  /** Returns what was found at the last look. */
+  WaitSummary summary() {
+    return summary;
+  }
+
+  /** Looks at what waits, now and then, and names what has waited for long. */
+  void tick() {
+    if (term.nowMs - lookedAtMs < LOOK_EACH_MS) {
+      return;
+    }
+    lookedAtMs = term.nowMs;
+    Set<String> waiting =
+        term.scheduler.waiting().stream().map(QueuedJob::name).collect(Collectors.toSet());
+    waits.keySet().retainAll(waiting);
+    summary = summarize();
+    nameLongest();
+  }
+
+  private WaitSummary summarize() {
+    long longestMs = 0;
+    for (Wait wait : waits.values()) {
+      longestMs = Math.max(longestMs, term.nowMs - wait.sinceMs);
+    }
+    int listed = 0;
+    int usable = 0;
+    for (WorkerRecord record : term.workers.all()) {
+      listed += record.listed() ? 1 : 0;
+      usable += record.usable() ? 1 : 0;
+    }
+    return new WaitSummary(waits.size(), longestMs, usable, listed);
+  }
+
+  private void nameLongest() {
+    List<Map.Entry<String, Wait>> due = new ArrayList<>();
+    for (Map.Entry<String, Wait> entry : waits.entrySet()) {
+      if (term.nowMs - entry.getValue().sinceMs >= entry.getValue().nameAfterMs) {
+        due.add(entry);
+      }
+    }
+    if (due.isEmpty()) {
+      return;
+    }
+    due.sort(Comparator.comparingLong(entry -> entry.getValue().sinceMs));
+    Map<WaitReason.Kind, Integer> counts = countByKind();
+    String workers = workersByState();
+    Set<String> named = new HashSet<>();
+    for (Map.Entry<String, Wait> entry : due) {
+      GroupKey group = GroupKey.parse(entry.getKey()).orElseThrow();
+      if (named.size() < MOST_NAMED_AT_ONCE && named.add(group.jobId())) {
+        name(group, entry.getValue(), counts, workers);
+      }
+    }
+  }
+
+  private Map<WaitReason.Kind, Integer> countByKind() {
+    Map<WaitReason.Kind, Integer> counts = new EnumMap<>(WaitReason.Kind.class);
+    for (String name : waits.keySet()) {
+      term.scheduler.reasonKind(name).ifPresent(kind -> counts.merge(kind, 1, Integer::sum));
+    }
+    return counts;
+  }
+
+  private void name(
+      GroupKey group, Wait wait, Map<WaitReason.Kind, Integer> counts, String workers) {
+    long waitedMs = term.nowMs - wait.sinceMs;
+    wait.nameAfterMs = 2 * waitedMs;
+    WaitReason reason =
+        term.scheduler
+            .reason(group.text())
+            .orElse(new WaitReason(WaitReason.Kind.QUEUED, "not looked at"));
+    int others = Math.max(0, counts.getOrDefault(reason.kind(), 1) - 1);
+    String permits =
+        Optional.ofNullable(term.jobs.get(group.jobId()))
+            .flatMap(progress -> term.permits.explain(progress.job(), group))
+            .map(text -> ", " + text)
+            .orElse("");
+    term.note(
+        RunEvent.Kind.GROUP_WAITS,
+        group.jobId(),
+        group.text(),
+        "for "
+            + waitedMs
+            + " ms: "
+            + reason.kind()
+            + ", "
+            + reason.detail()
+            + permits
+            + "; "
+            + others
+            + " of "
+            + waits.size()
+            + " groups wait for the same; "
+            + workers);
+  }
+
+  private String workersByState() {
+    Map<WorkerState, Integer> counts = new EnumMap<>(WorkerState.class);
+    for (WorkerRecord record : term.workers.all()) {
+      counts.merge(record.state(), 1, Integer::sum);
+    }
+    return "workers "
+        + counts.entrySet().stream()
+            .map(entry -> entry.getValue() + " " + entry.getKey().text())
+            .collect(Collectors.joining(", "));
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -14,6 +14,7 @@
     GROUP_DONE,
     GROUP_INTERRUPTED,
     GROUP_FAILED,
+    GROUP_WAITS,
     RUN_STOPPING,
     RUN_HELD_UP,
     END_PASSED_OVER,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -342,9 +342,15 @@
     lifecycle.repeatOrders();
     unanswered.tick();
     term.permits.tick();
+    term.waits.tick();
     term.flush();
   }
 
+  /** Returns how many groups wait, as of the last second. */
+  public WaitSummary waits() {
+    return term.waits.summary();
+  }
+
   /** Returns whether the queue is to be looked at: something changed, or it is time to. */
   public boolean wantsDecision(long steadyMs) {
     boolean due = term.dirty || steadyMs - decidedAtMs >= DECIDE_AT_LEAST_EVERY_MS;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
@@ -17,11 +17,12 @@
 
   /** Returns why a run cannot start on its workers now, though it was planned there. */
   Optional<String> obstacleTo(GroupRun run) {
-    boolean usable =
-        run.workers().stream()
-            .allMatch(id -> term.workers.find(id).filter(WorkerRecord::usable).isPresent());
-    if (!usable) {
-      return Optional.of("a worker is not in use any more");
+    for (String worker : run.workers()) {
+      WorkerState state =
+          term.workers.find(worker).map(WorkerRecord::state).orElse(WorkerState.UNLISTED);
+      if (state != WorkerState.USABLE) {
+        return Optional.of("worker " + worker + " is " + state.text());
+      }
     }
     if (!hasRoom(run)) {
       return Optional.of("room has shrunk");
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -33,6 +33,7 @@
   final Set<JobRuns> recurring = new LinkedHashSet<>();
   final RunIndex runs = new RunIndex();
   final PermitRounds permits = new PermitRounds(this);
+  final LongWaits waits = new LongWaits(this);
   final Map<GroupKey, Set<String>> avoided = new HashMap<>();
   final Set<String> endedJobs = new LinkedHashSet<>();
   final List<LogEntry> outgoing = new ArrayList<>();
@@ -119,6 +120,7 @@
   void submit(JobRuns progress, GroupKey group) {
     progress.noteSubmitted(group);
     permits.join(progress.job(), group);
+    waits.began(group);
     scheduler.submit(group.text(), describe(progress, group), progress.submittedAtMs());
     dirty = true;
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -57,8 +57,27 @@
 
   /** Returns whether new work may go there. */
   boolean usable() {
-    boolean inUse = listed && heard && !suspected && !aside && !backoff.active();
-    return inUse && !info.map(WorkerInfo::draining).orElse(true);
+    return state() == WorkerState.USABLE;
+  }
+
+  /** Returns whether new work may go there, or the first reason against it. */
+  WorkerState state() {
+    if (!listed) {
+      return WorkerState.UNLISTED;
+    }
+    if (info.map(WorkerInfo::draining).orElse(true)) {
+      return WorkerState.LEAVING;
+    }
+    if (!heard) {
+      return WorkerState.NOT_HEARD;
+    }
+    if (suspected) {
+      return WorkerState.SUSPECTED;
+    }
+    if (backoff.active()) {
+      return WorkerState.STARTS_DELAYED;
+    }
+    return aside ? WorkerState.ASIDE : WorkerState.USABLE;
   }
 
   /** Returns whether it is listed and was not heard, or does not answer any more. */
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerState.java
@@ -0,0 +1,23 @@
+package org.wheatwall.core.batch.decision;
+
+/** Whether new work may go to a worker, and why not. */
+enum WorkerState {
+  USABLE("usable"),
+  UNLISTED("unlisted"),
+  LEAVING("leaving"),
+  NOT_HEARD("not heard"),
+  SUSPECTED("without an answer"),
+  STARTS_DELAYED("delayed after refusals"),
+  ASIDE("left aside as slow");
+
+  private final String text;
+
+  WorkerState(String text) {
+    this.text = text;
+  }
+
+  /** Returns the state as operators read it. */
+  String text() {
+    return text;
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
@@ -98,8 +98,9 @@
       return;
     }
     PolicyTable.Entry policy = tables.policies.of(job.job());
-    if (!place(job, policy) && !reclaim(job)) {
-      block(job, policy);
+    Optional<WaitReason> obstacle = place(job, policy);
+    if (obstacle.isPresent() && !reclaim(job)) {
+      block(job, policy, obstacle.get());
     }
   }
 
@@ -148,31 +149,48 @@
     return Optional.of(new WaitReason(kind, detail));
   }
 
-  private boolean place(QueuedJob job, PolicyTable.Entry policy) {
+  // Starts a job where there is room; returns why not if it was not started.
+  private Optional<WaitReason> place(QueuedJob job, PolicyTable.Entry policy) {
     GangNeed need = GangNeed.of(job.job());
     boolean overtakes = blockedPolicies.contains(policy.name());
-    if (noRoom.contains(need) || (overtakes && policy.policy().backfill() == Backfill.NONE)) {
-      return false;
+    if (overtakes && policy.policy().backfill() == Backfill.NONE) {
+      return wait(WaitReason.Kind.KEPT_FOR_EARLIER_JOB, "the policy lets no job overtake");
+    }
+    if (noRoom.contains(need)) {
+      return noFreePlace();
     }
     Optional<Placement> place = propose(job.job(), policy);
     if (place.isEmpty()) {
       noRoom.add(need);
-      return false;
+      return noFreePlace();
     }
     BackfillWindow window = windows.get(policy.name());
     if (tables.urgentRoom.isTakenBy(job, tables.cluster, nowMs)) {
-      return false;
+      return wait(
+          WaitReason.Kind.KEPT_FOR_URGENT_WORK, tables.cluster.freeAccelerators() + " are free");
     }
     if (window != null
         && window.isDelayedBy(job.job(), place.get(), job.expectedSeconds(), nowMs)) {
-      return false;
+      return wait(
+          WaitReason.Kind.KEPT_FOR_EARLIER_JOB, "its start is expected to delay that of another");
     }
-    boolean began = start(job, place.get(), List.of());
-    if (began && window != null) {
+    if (!start(job, place.get(), List.of())) {
+      return wait(
+          WaitReason.Kind.WOULD_BREAK_GUARANTEE,
+          "work that is not preemptible would sit on capacity that a guarantee needs");
+    }
+    if (window != null) {
       windows.put(
           policy.name(), window.after(job.job(), place.get(), job.expectedSeconds(), nowMs));
     }
-    return began;
+    return Optional.empty();
+  }
+
+  private Optional<WaitReason> noFreePlace() {
+    return wait(
+        WaitReason.Kind.NO_FREE_CAPACITY,
+        tables.cluster.freeAccelerators()
+            + " accelerators free in the zone, not in a fitting place");
   }
 
   // A policy that fails or proposes what cannot be counts as one that found no place.
@@ -206,11 +224,6 @@
     if (job.reclaimable()) {
       tables.cluster.hold(attemptId, place, job);
     } else if (!tables.plan.admit(attemptId, place, job.taskAmount(), job.shape())) {
-      tables.reasons.put(
-          queued.name(),
-          new WaitReason(
-              WaitReason.Kind.WOULD_BREAK_GUARANTEE,
-              "work that is not preemptible would sit on capacity that a guarantee needs"));
       return false;
     } else {
       tables.cluster.noteOptions(attemptId, job);
@@ -231,17 +244,8 @@
     return true;
   }
 
-  private void block(QueuedJob job, PolicyTable.Entry policy) {
-    WaitReason known = tables.reasons.get(job.name());
-    if (known == null || known.kind() != WaitReason.Kind.WOULD_BREAK_GUARANTEE) {
-      tables.reasons.put(
-          job.name(),
-          new WaitReason(
-              WaitReason.Kind.NO_FREE_CAPACITY,
-              tables.cluster.freeAccelerators()
-                  + " accelerators free in the zone, not in a fitting"
-                  + " place"));
-    }
+  private void block(QueuedJob job, PolicyTable.Entry policy, WaitReason reason) {
+    tables.reasons.put(job.name(), reason);
     if (blockedPolicies.add(policy.name()) && policy.policy().backfill() == Backfill.RESERVING) {
       RoomForecast.earliest(job.job(), tables.cluster, tables.running.values(), nowMs)
           .ifPresent(window -> windows.put(policy.name(), window));
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -239,6 +239,11 @@
     health.jobProgressed(job);
   }
 
+  /** Returns the kind of reason for which a job waits, empty if it is not waiting. */
+  public Optional<WaitReason.Kind> reasonKind(String jobName) {
+    return Optional.ofNullable(tables.reasons.get(jobName)).map(WaitReason::kind);
+  }
+
   /** Returns why a job waits, empty if it is not waiting. */
   public Optional<WaitReason> reason(String jobName) {
     Optional<WaitReason> reason = Optional.ofNullable(tables.reasons.get(jobName));
--- a/core/src/main/java/org/wheatwall/core/job/model/WaitReason.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/WaitReason.java
@@ -12,6 +12,10 @@
     QUEUED,
     /** Enough capacity exists but is in use. */
     NO_FREE_CAPACITY,
+    /** The room that it would take is kept for urgent work. */
+    KEPT_FOR_URGENT_WORK,
+    /** The room that it would take is kept for a job that goes before it. */
+    KEPT_FOR_EARLIER_JOB,
     /** No set of hosts in the zone could ever hold the gang. */
     NEVER_FITS,
     /** The workspace holds its whole quota. */
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LongWaitsTest.java
@@ -0,0 +1,66 @@
+package org.wheatwall.core.batch.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Operators read what a group waits for that is not started for long, without asking for it. */
+final class LongWaitsTest {
+  private static final int JOBS = 12;
+
+  private final SupervisorFixture fixture = new SupervisorFixture();
+
+  private List<RunEvent> notes() {
+    return fixture.effects.events.stream()
+        .filter(event -> event.kind() == RunEvent.Kind.GROUP_WAITS)
+        .toList();
+  }
+
+  private void submitToFullWorkers(int jobs) {
+    fixture.listWorker("a", "r");
+    fixture.accept(SupervisorFixture.job(SupervisorFixture.tasks(1, 8)));
+    for (int i = 0; i < jobs; i++) {
+      String id = String.format("%016x", i + 1);
+      fixture.accept(SupervisorFixture.job(id, SupervisorFixture.tasks(1, 8)));
+    }
+  }
+
+  @Test
+  void groupThatWaitsIsNamedEverMoreSeldom() {
+    submitToFullWorkers(1);
+    fixture.pass(2900);
+    assertThat(notes()).isEmpty();
+    fixture.pass(17_100);
+    assertThat(notes()).hasSize(3);
+    assertThat(notes().get(0).subject()).isEqualTo("0000000000000001.0.0.0");
+    assertThat(notes().get(0).reason()).contains("NO_FREE_CAPACITY, 0 accelerators free");
+  }
+
+  @Test
+  void lineTellsHowManyOthersWaitForTheSameAndTheStateOfWorkers() {
+    submitToFullWorkers(JOBS);
+    fixture.supervisor.listWorker(SupervisorFixture.info("silent", "r"), fixture.nowMs);
+    fixture.pass(5000);
+    assertThat(notes().get(0).reason()).contains("11 of 12 groups wait for the same");
+    assertThat(notes().get(0).reason()).contains("workers 1 usable, 1 not heard");
+  }
+
+  @Test
+  void onlySomeGroupsAreNamedAtOnce() {
+    submitToFullWorkers(JOBS);
+    fixture.pass(4000);
+    assertThat(notes()).hasSize(5);
+  }
+
+  @Test
+  void summaryCountsWhatWaitsAndWhichWorkersAreUsable() {
+    submitToFullWorkers(JOBS);
+    fixture.pass(4000);
+    WaitSummary summary = fixture.supervisor.waits();
+    assertThat(summary.groups()).isEqualTo(JOBS);
+    assertThat(summary.longestMs()).isAtLeast(3000L);
+    assertThat(summary.usableWorkers()).isEqualTo(1);
+    assertThat(summary.listedWorkers()).isEqualTo(1);
+  }
+}
--- a/core/src/test/java/org/wheatwall/core/batch/decision/SupervisorFixture.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/SupervisorFixture.java
@@ -62,10 +62,13 @@
         HostSharing.ORDINARY);
   }
 
-  void listWorker(String id, String rack, WorkerInventory.RunningTask... running) {
+  static WorkerInfo info(String id, String rack) {
     ResourceAmount capacity = new ResourceAmount(1000, 100, WORKER_ACCELERATORS);
-    supervisor.listWorker(
-        new WorkerInfo(id, "127.0.0.1:1", "s", "z", rack, Set.of(), capacity, false), nowMs);
+    return new WorkerInfo(id, "127.0.0.1:1", "s", "z", rack, Set.of(), capacity, false);
+  }
+
+  void listWorker(String id, String rack, WorkerInventory.RunningTask... running) {
+    supervisor.listWorker(info(id, rack), nowMs);
     supervisor.onReport(
         id, new WorkerInventory(nowMs, List.of(running), List.of()), nowMs, nowMs, WALL_MS);
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -2,6 +2,7 @@
 
 import static org.wheatwall.entry.batch.DecisionLog.field;
 
+import com.codahale.metrics.Histogram;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -42,6 +43,9 @@
         WorkerWatch.Listener,
         WorkerOrders.Term,
         PermitDesk.Listener {
+  // Reports and renewals wait behind a look at the queue.
+  private static final int LONG_LOOK_MS = 250;
+
   /** Name under which deciders append; the store refuses all but the latest term's. */
   static final String PRODUCER = "decider";
 
@@ -55,6 +59,7 @@
   private final PermitDesk permits;
   private final Runnable onLost;
   private final DecisionPace pace = new DecisionPace();
+  private final Histogram lookMs;
   private boolean wakeIsSet;
   private long skippedMs;
   private boolean ended;
@@ -81,6 +86,7 @@
     this.term = rule.term();
     this.skippedMs = tools.clock().skippedMs();
     this.onLost = onLost;
+    this.lookMs = tools.metrics().histogram("batch.look-ms");
     this.writer =
         new LogWriter(
             ports.log(),
@@ -335,13 +341,28 @@
     long waitMs = pace.waitMs(nowMs);
     if (waitMs <= 0) {
       supervisor.decide(nowMs, tools.clock().wallMs());
-      pace.looked(nowMs, tools.clock().nowMs());
+      looked(nowMs, tools.clock().nowMs());
     } else if (!wakeIsSet) {
       wakeIsSet = true;
       tools.timer().after(waitMs, this::wake);
     }
   }
 
+  private void looked(long beganMs, long endedMs) {
+    pace.looked(beganMs, endedMs);
+    long tookMs = endedMs - beganMs;
+    lookMs.update(tookMs);
+    if (tookMs >= LONG_LOOK_MS) {
+      tools
+          .decisions()
+          .note(
+              "look-was-long",
+              field("tookMs", tookMs),
+              field("waiting", supervisor.scheduler().waiting().size()),
+              field("term", term));
+    }
+  }
+
   private void wake() {
     wakeIsSet = false;
     decideSoon();
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -13,6 +13,7 @@
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.TermRule;
+import org.wheatwall.core.batch.decision.WaitSummary;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.LogContent;
@@ -59,6 +60,8 @@
   private final EndWatch ends;
   private boolean announcing;
   private volatile long logAnsweredAtMs;
+  private volatile WaitSummary waits = WaitSummary.NONE;
+  private final LoopLag loopLag;
 
   /**
    * Creates the plane; {@link #start} begins.
@@ -101,6 +104,11 @@
     metrics.gauge("batch.term.held", () -> rule::term);
     metrics.gauge("batch.peers.known", () -> () -> roster.peers().size());
     metrics.gauge("batch.log.position", () -> follower::position);
+    metrics.gauge("batch.groups.waiting", () -> () -> waits.groups());
+    metrics.gauge("batch.groups.longest-wait-ms", () -> () -> waits.longestMs());
+    metrics.gauge("batch.workers.usable", () -> () -> waits.usableWorkers());
+    metrics.gauge("batch.workers.listed", () -> () -> waits.listedWorkers());
+    this.loopLag = new LoopLag(clock, decisions, metrics.histogram("batch.loop-late-ms"));
     metrics.gauge("log.lines.left-out", () -> decisions::leftOut);
   }
 
@@ -280,11 +288,13 @@
 
   private void tick() {
     int periodMs = holder.busy() ? DECIDER_TICK_MS : TICK_MS;
+    loopLag.ticked(periodMs);
     tools.timer().after(periodMs, this::tick);
     logAnsweredAtMs = follower.answeredAtMs();
     follower.confirm();
     intake.expire();
     holder.tick();
+    waits = holder.waits();
     announce();
   }
 
--- /dev/null
+++ b/entry/src/main/java/org/wheatwall/entry/batch/LoopLag.java
@@ -0,0 +1,44 @@
+package org.wheatwall.entry.batch;
+
+import static org.wheatwall.entry.batch.DecisionLog.field;
+
+import com.codahale.metrics.Histogram;
+import org.wheatwall.entry.common.Clock;
+
+/**
+ * Measures how late the decision loop gets to what is due. A host whose loop is late takes answers
+ * and renewals for late that came in time.
+ *
+ * <p>Not thread-safe; the decision loop owns it.
+ */
+final class LoopLag {
+  // As late as a worker's answer may be before it gets no new work.
+  private static final int LATE_MS = 250;
+
+  private final Clock clock;
+  private final DecisionLog decisions;
+  private final Histogram lateMs;
+  private long dueMs;
+
+  LoopLag(Clock clock, DecisionLog decisions, Histogram lateMs) {
+    this.clock = clock;
+    this.decisions = decisions;
+    this.lateMs = lateMs;
+    this.dueMs = Long.MAX_VALUE;
+  }
+
+  /**
+   * Notes a regular task of the loop.
+   *
+   * @param nextMs when it is due again, milliseconds from now
+   */
+  void ticked(int nextMs) {
+    long nowMs = clock.nowMs();
+    long behindMs = Math.max(0, nowMs - dueMs);
+    lateMs.update(behindMs);
+    if (behindMs >= LATE_MS) {
+      decisions.note("loop-late", field("lateMs", behindMs));
+    }
+    dueMs = nowMs + nextMs;
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.TermRule;
+import org.wheatwall.core.batch.decision.WaitSummary;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
@@ -138,6 +139,11 @@
     }
   }
 
+  /** Returns how many groups wait; none while another host decides. */
+  WaitSummary waits() {
+    return decider.map(current -> current.supervisor().waits()).orElse(WaitSummary.NONE);
+  }
+
   void setRules(SchedulingRules next) {
     rules = next;
     decider.ifPresent(current -> current.setRules(rules));
