--- a/core/src/test/java/org/wheatwall/core/batch/decision/SupervisorFixture.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/SupervisorFixture.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.OrderAnswer;
 import org.wheatwall.core.batch.model.StartOrder;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.WorkerInfo;
@@ -82,6 +83,20 @@
     supervisor.adopt(table, nowMs, WALL_MS);
   }
 
+  /** Has every start answered that was ordered so far. */
+  void answerStarts(OrderAnswer answer) {
+    for (StartOrder order : List.copyOf(effects.starts)) {
+      supervisor.onStartAnswer(order, answer, nowMs, WALL_MS);
+    }
+  }
+
+  /** Takes in the report of a worker on which nothing runs any more. */
+  void report(String worker, WorkerInventory.EndedTask... ended) {
+    nowMs += TICK_MS;
+    WorkerInventory inventory = new WorkerInventory(nowMs, List.of(), List.of(ended));
+    supervisor.onReport(worker, inventory, nowMs - 1, nowMs, WALL_MS);
+  }
+
   /** Lets time pass, a tick after the other. */
   void pass(int ms) {
     for (int passed = 0; passed < ms; passed += TICK_MS) {
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/job/decision/IdleCapacityTest.java
@@ -0,0 +1,205 @@
+package org.wheatwall.core.job.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.common.Labels;
+import org.wheatwall.core.common.Mechanisms;
+import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.HostSharing;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobOptions;
+import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.PolicyAlgorithm;
+import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.core.job.model.WorkerHost;
+
+/** Work that could run is not left waiting beside idle hosts, whatever else waits. */
+final class IdleCapacityTest {
+  private static final int HOSTS = 240;
+  private static final int HOSTS_A_RACK = 12;
+  private static final int ACCELERATORS = 8;
+  private static final int PROCESSORS = 32_000;
+  // An accelerator counts as much as eight processor cores.
+  private static final int PROCESSORS_PER_ACCELERATOR = 8000;
+  private static final int STARVATION_MS = 600_000;
+  private static final int SCAN_LIMIT = 500;
+  private static final int START_LIMIT = 64;
+  private static final int ROOM_PERCENT = 45;
+  private static final int PASS_EACH_MS = 250;
+  private static final int LONGEST_WAIT_MS = 3000;
+
+  private final Scheduler scheduler =
+      new Scheduler(
+          new SchedulerSettings(
+              STARVATION_MS,
+              SCAN_LIMIT,
+              START_LIMIT,
+              HostHealthSettings.SHORT_JOBS,
+              ROOM_PERCENT,
+              Mechanisms.ALL));
+  private final List<String> hosts = new ArrayList<>();
+  private long nowMs = 1_000_000;
+
+  IdleCapacityTest() {
+    scheduler.setPolicies(
+        Map.of(
+            "batch",
+            new PolicySpec(Labels.NONE, PolicyAlgorithm.PRIORITY_FIRST, "", 0, 0, 0, false)));
+    for (int i = 0; i < HOSTS; i++) {
+      String name = "worker-" + i;
+      hosts.add(name);
+      scheduler
+          .cluster()
+          .add(
+              new WorkerHost(
+                  name,
+                  "zone",
+                  "rack-" + i / HOSTS_A_RACK,
+                  new ResourceAmount(PROCESSORS, 131_072, ACCELERATORS)));
+    }
+  }
+
+  private static Job job(ResourceAmount amount, boolean urgent, JobOptions options) {
+    return new Job(
+        Labels.NONE,
+        "workspace",
+        "zone",
+        Optional.empty(),
+        1,
+        amount,
+        Adjacency.ANY,
+        60,
+        true,
+        urgent,
+        JobPhase.SUBMITTED,
+        options);
+  }
+
+  private static JobOptions options(int priority, Set<String> hostLabels) {
+    return new JobOptions(
+        priority,
+        hostLabels,
+        Optional.empty(),
+        Optional.empty(),
+        0,
+        false,
+        Set.of(),
+        HostSharing.ORDINARY,
+        Optional.empty(),
+        false);
+  }
+
+  private void submit(String name, int count, Job job) {
+    for (int i = 0; i < count; i++) {
+      scheduler.submit(name + "-" + i, job, nowMs);
+    }
+  }
+
+  private int waiting(String name) {
+    return (int)
+        scheduler.waiting().stream().filter(queued -> queued.name().startsWith(name)).count();
+  }
+
+  private void pass(int ms) {
+    for (int passed = 0; passed < ms; passed += PASS_EACH_MS) {
+      scheduler.decide(nowMs);
+      nowMs += PASS_EACH_MS;
+    }
+  }
+
+  private static ResourceAmount accelerators(int count) {
+    return new ResourceAmount(1000, 100, count);
+  }
+
+  @Test
+  void workThatNoHostCouldRunDoesNotHideWorkThatFits() {
+    Job nowhere = job(accelerators(1), false, options(0, Set.of("missing")));
+    submit("nowhere", 2 * SCAN_LIMIT, nowhere);
+    submit("small", 10, job(accelerators(1), false, options(1, Set.of())));
+    pass(LONGEST_WAIT_MS);
+    assertThat(waiting("small")).isEqualTo(0);
+  }
+
+  @Test
+  void wideWorkDoesNotHideSmallWorkThatFitsBesideIt() {
+    submit("one-a-host", HOSTS, job(new ResourceAmount(20_000, 100, 1), false, JobOptions.NONE));
+    pass(LONGEST_WAIT_MS);
+    submit("whole-host", 2 * SCAN_LIMIT, job(accelerators(8), false, options(0, Set.of())));
+    submit("small", 10, job(accelerators(1), false, options(1, Set.of())));
+    pass(LONGEST_WAIT_MS);
+    assertThat(waiting("small")).isEqualTo(0);
+  }
+
+  @Test
+  void workOfManyDifferentShapesThatDoesNotFitHidesNothingForLong() {
+    for (int i = 0; i < 4 * SCAN_LIMIT; i++) {
+      Job nowhere = job(accelerators(1), false, options(0, Set.of("missing-" + i)));
+      submit("nowhere-" + i, 1, nowhere);
+    }
+    submit("small", 10, job(accelerators(1), false, options(1, Set.of())));
+    pass(LONGEST_WAIT_MS);
+    assertThat(waiting("small")).isEqualTo(0);
+  }
+
+  /** Wide work takes few processors beside its accelerators; half of the latter is less in all. */
+  @Test
+  void roomForUrgentWorkKeepsNothingWaitingWhileLessThanHalfOfTheCapacityIsInUse() {
+    submit("wide", 2000, job(new ResourceAmount(2800, 100, 1), false, JobOptions.NONE));
+    passWithUrgentWork(LONGEST_WAIT_MS);
+    checkHalfIsInUse();
+  }
+
+  @Test
+  void hostsThatMayNotBeUsedDoNotCountAsRoomThatIsTaken() {
+    for (int unusable : List.of(12, 24, 60, 100)) {
+      hosts.subList(0, unusable).forEach(host -> scheduler.setHostAvailable(host, false));
+      submit("other-" + unusable, 600, job(accelerators(8), false, JobOptions.NONE));
+      passWithUrgentWork(LONGEST_WAIT_MS);
+      checkHalfIsInUse();
+    }
+  }
+
+  @Test
+  void roomForUrgentWorkIsGivenUpSoonOnceNoneComes() {
+    submit("other", 400, job(accelerators(8), false, JobOptions.NONE));
+    passWithUrgentWork(LONGEST_WAIT_MS);
+    pass(LONGEST_WAIT_MS);
+    assertThat(waiting("other")).isAtMost(400 - HOSTS + 10);
+  }
+
+  private void passWithUrgentWork(int ms) {
+    for (int passed = 0; passed < ms; passed += PASS_EACH_MS) {
+      submit("urgent-" + nowMs, 1, job(accelerators(1), true, JobOptions.NONE));
+      pass(PASS_EACH_MS);
+    }
+  }
+
+  private void checkHalfIsInUse() {
+    long used = 0;
+    long all = 0;
+    for (HostState host : scheduler.cluster().hosts()) {
+      ResourceAmount held = ResourceAmount.ZERO;
+      for (String attempt : host.attempts()) {
+        held = held.plus(host.held(attempt));
+      }
+      used += weight(held);
+      all += weight(host.host().capacity());
+    }
+    boolean allUsableTaken = scheduler.cluster().freeAccelerators() < ACCELERATORS;
+    assertWithMessage("in use: " + used + " of " + all)
+        .that(2 * used >= all || allUsableTaken)
+        .isTrue();
+  }
+
+  private static long weight(ResourceAmount amount) {
+    return amount.processors() + (long) PROCESSORS_PER_ACCELERATOR * amount.accelerators();
+  }
+}
