Work that fits nowhere no longer hides work that fits

Callers saw accepted jobs stand beside idle workers. A look at the queue ended after 500 jobs, whether or not they could start: 1,000 groups that no worker could run, or whole-host groups where one accelerator of each host was taken, kept 10 groups that fit from being looked at for as long as they waited (IdleCapacityTest, 3 of its 6 tests).

The limit now counts searches for a place. Jobs that need the same share what was found during a look, also that nothing can be stopped for them, so most of a long queue costs no search; half of the searches go to the head, the rest to where the look before left off, so each job is reached however many differ.

Ruled out: no limit at all, as many different needs would make a look as long as before. The test repeats looks that left off, as the supervisor does.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -412,6 +412,7 @@
         plan(start);
       }
     }
+    term.dirty |= term.scheduler.leftOff();
   }
 
   private void plan(Decision.Start start) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
@@ -30,11 +30,10 @@
   private final SchedulerSettings settings;
   private final long nowMs;
   private final List<Decision> decisions = new ArrayList<>();
-  private final Set<GangNeed> noRoom = new HashSet<>();
-  private final Map<GangNeed, Boolean> fitsEmptyZone = new HashMap<>();
+  private final Map<GangNeed, Findings> findings = new HashMap<>();
   private final Set<String> blockedPolicies = new HashSet<>();
   private final Map<String, BackfillWindow> windows = new HashMap<>();
-  private int scanned;
+  private int searches;
   private int started;
 
   QueuePass(SchedulerTables tables, SchedulerSettings settings, long nowMs) {
@@ -43,20 +42,35 @@
     this.nowMs = nowMs;
   }
 
-  /** Looks at the queue in its order, as far as the limits allow, and returns what to do. */
+  /**
+   * Looks at the queue in its order, as far as the limits allow, and returns what to do. What is
+   * known to have no place costs nothing. Half of the searches go to the jobs at the head, the rest
+   * to where the pass before left off, so that each job is reached however many have no place.
+   */
   List<Decision> run() {
     if (!tables.cluster.anyUsable()) {
+      tables.leftOff = false;
       return decisions;
     }
-    for (QueuedJob job : inOrder()) {
-      if (scanned >= settings.scanLimit() || started >= settings.startLimit()) {
-        break;
-      }
-      look(job);
-    }
+    List<QueuedJob> jobs = inOrder();
+    int position = look(jobs, 0, settings.scanLimit() / 2);
+    int from = tables.resumeAt < jobs.size() ? Math.max(position, tables.resumeAt) : position;
+    position = look(jobs, from, settings.scanLimit());
+    tables.leftOff = position < jobs.size();
+    tables.resumeAt = tables.leftOff ? position : 0;
     return decisions;
   }
 
+  // Returns the position of the first job that was not looked at.
+  private int look(List<QueuedJob> jobs, int from, int searchLimit) {
+    int position = from;
+    while (position < jobs.size() && searches < searchLimit && started < settings.startLimit()) {
+      look(jobs.get(position));
+      position++;
+    }
+    return position;
+  }
+
   private List<QueuedJob> inOrder() {
     record Ranked(QueuedJob job, double rank) {}
 
@@ -90,31 +104,35 @@
   }
 
   private void look(QueuedJob queued) {
-    scanned++;
     QueuedJob job = relaxed(queued);
-    Optional<WaitReason> barrier = barrier(job);
+    Findings found = findingsFor(job.job());
+    Optional<WaitReason> barrier = barrier(job, found);
     if (barrier.isPresent()) {
       tables.reasons.put(job.name(), barrier.get());
       return;
     }
     PolicyTable.Entry policy = tables.policies.of(job.job());
-    Optional<WaitReason> obstacle = place(job, policy);
-    if (obstacle.isPresent() && !reclaim(job)) {
+    Optional<WaitReason> obstacle = place(job, policy, found);
+    if (obstacle.isPresent() && !reclaim(job, found)) {
       block(job, policy, obstacle.get());
     }
   }
 
+  private Findings findingsFor(Job job) {
+    return findings.computeIfAbsent(GangNeed.of(job), need -> new Findings());
+  }
+
   // What a job prefers gives way once no host of the zone could meet it, even if all were empty.
   private QueuedJob relaxed(QueuedJob queued) {
     Job job = queued.job();
-    if (!job.options().hasPreferences() || fitsEmptyZone(job)) {
+    if (!job.options().hasPreferences() || fitsEmptyZone(job, findingsFor(job))) {
       return queued;
     }
     Job plain = job.withOptions(job.options().withoutPreferences());
     return new QueuedJob(queued.name(), plain, queued.submittedAtMs(), queued.expectedSeconds());
   }
 
-  private Optional<WaitReason> barrier(QueuedJob job) {
+  private Optional<WaitReason> barrier(QueuedJob job, Findings found) {
     Workspace workspace = tables.workspaces.get(job.job().workspace());
     int used = tables.usedByWorkspace.getOrDefault(job.job().workspace(), 0);
     boolean limited = workspace != null && workspace.acceleratorQuota() > 0;
@@ -124,12 +142,15 @@
     if (job.job().shape().isPresent()) {
       return shapeBarrier(job.job());
     }
-    return fitsEmptyZone(job.job()) ? Optional.empty() : Optional.of(NEVER_FITS);
+    return fitsEmptyZone(job.job(), found) ? Optional.empty() : Optional.of(NEVER_FITS);
   }
 
-  private boolean fitsEmptyZone(Job job) {
-    return fitsEmptyZone.computeIfAbsent(
-        GangNeed.of(job), need -> NeverFits.fits(job, tables.cluster));
+  private boolean fitsEmptyZone(Job job, Findings found) {
+    if (found.fitsEmptyZone.isEmpty()) {
+      searches++;
+      found.fitsEmptyZone = Optional.of(NeverFits.fits(job, tables.cluster));
+    }
+    return found.fitsEmptyZone.get();
   }
 
   private Optional<WaitReason> shapeBarrier(Job job) {
@@ -150,18 +171,18 @@
   }
 
   // Starts a job where there is room; returns why not if it was not started.
-  private Optional<WaitReason> place(QueuedJob job, PolicyTable.Entry policy) {
-    GangNeed need = GangNeed.of(job.job());
+  private Optional<WaitReason> place(QueuedJob job, PolicyTable.Entry policy, Findings found) {
     boolean overtakes = blockedPolicies.contains(policy.name());
     if (overtakes && policy.policy().backfill() == Backfill.NONE) {
       return wait(WaitReason.Kind.KEPT_FOR_EARLIER_JOB, "the policy lets no job overtake");
     }
-    if (noRoom.contains(need)) {
+    if (found.noRoom) {
       return noFreePlace();
     }
+    searches++;
     Optional<Placement> place = propose(job.job(), policy);
     if (place.isEmpty()) {
-      noRoom.add(need);
+      found.noRoom = true;
       return noFreePlace();
     }
     BackfillWindow window = windows.get(policy.name());
@@ -209,13 +230,26 @@
     return place;
   }
 
-  private boolean reclaim(QueuedJob job) {
+  private boolean reclaim(QueuedJob job, Findings found) {
     boolean starved = isStarved(job);
     if (job.job().shape().isEmpty() && !job.job().urgent() && !starved) {
       return false;
     }
+    // What may be stopped for other jobs depends on more than their need.
+    boolean alike = job.job().urgent() && job.job().shape().isEmpty();
+    boolean guaranteed = tables.guarantees.covers(job.job());
+    if (alike && found.hasNothingToReclaim(guaranteed)) {
+      return false;
+    }
+    searches++;
     Optional<Reclaimer.Reclaim> reclaim = tables.reclaimer.find(job, nowMs);
-    return reclaim.isPresent() && start(job, reclaim.get().placement(), reclaim.get().victims());
+    if (reclaim.isEmpty()) {
+      found.foundNothingToReclaim(alike, guaranteed);
+      return false;
+    }
+    // What is stopped for one job may leave room for others.
+    findings.values().forEach(Findings::forgetReclaims);
+    return start(job, reclaim.get().placement(), reclaim.get().victims());
   }
 
   private boolean start(QueuedJob queued, Placement place, List<RunningAttempt> victims) {
@@ -259,4 +293,26 @@
       return new GangNeed(job.tasks(), job.taskAmount(), job.adjacency(), job.options());
     }
   }
+
+  /** What this look has found out for gangs that need the same; room only gets less during it. */
+  private static final class Findings {
+    private Optional<Boolean> fitsEmptyZone = Optional.empty();
+    private boolean noRoom;
+    private boolean nothingToReclaim;
+    private boolean nothingToReclaimIfGuaranteed;
+
+    private boolean hasNothingToReclaim(boolean guaranteed) {
+      return guaranteed ? nothingToReclaimIfGuaranteed : nothingToReclaim;
+    }
+
+    private void foundNothingToReclaim(boolean alike, boolean guaranteed) {
+      nothingToReclaim |= alike && !guaranteed;
+      nothingToReclaimIfGuaranteed |= alike && guaranteed;
+    }
+
+    private void forgetReclaims() {
+      nothingToReclaim = false;
+      nothingToReclaimIfGuaranteed = false;
+    }
+  }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -296,6 +296,11 @@
     return new QueuePass(tables, settings, nowMs).run();
   }
 
+  /** Returns whether the last look at the queue ended by its limits, so that another is due. */
+  public boolean leftOff() {
+    return tables.leftOff;
+  }
+
   private boolean quarantines() {
     return settings.mechanisms().on(Mechanism.QUARANTINE);
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
@@ -9,7 +9,7 @@
  *
  * @param starvationBoundMs waiting time after which a job may reclaim work that started after it
  *     was submitted
- * @param scanLimit jobs looked at in one pass
+ * @param scanLimit searches for a place in one pass; jobs that are alike share one
  * @param startLimit jobs started in one pass
  * @param health when a host counts as failing
  * @param urgentHeadroomPercent share of all accelerators that other work leaves free while urgent
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerTables.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerTables.java
@@ -27,6 +27,9 @@
   PolicyTable policies;
   String attemptPrefix = "0";
   long attemptCounter;
+  // Position in the queue at which the last look left off, 0 if it reached the end.
+  int resumeAt;
+  boolean leftOff;
   long invalidProposals;
 
   SchedulerTables(SchedulerSettings settings) {
--- a/core/src/test/java/org/wheatwall/core/job/decision/IdleCapacityTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/IdleCapacityTest.java
@@ -34,6 +34,7 @@
   private static final int START_LIMIT = 64;
   private static final int ROOM_PERCENT = 45;
   private static final int PASS_EACH_MS = 250;
+  private static final int LOOKS_AT_ONCE = 3;
   private static final int LONGEST_WAIT_MS = 3000;
 
   private final Scheduler scheduler =
@@ -110,11 +111,19 @@
 
   private void pass(int ms) {
     for (int passed = 0; passed < ms; passed += PASS_EACH_MS) {
-      scheduler.decide(nowMs);
+      look();
       nowMs += PASS_EACH_MS;
     }
   }
 
+  // A look that its limits have ended is followed by others.
+  private void look() {
+    scheduler.decide(nowMs);
+    for (int i = 0; i < LOOKS_AT_ONCE && scheduler.leftOff(); i++) {
+      scheduler.decide(nowMs);
+    }
+  }
+
   private static ResourceAmount accelerators(int count) {
     return new ResourceAmount(1000, 100, count);
   }
