Room for urgent work keeps nothing waiting beside mostly idle workers

Cause, three parts of one rule: the room was a share of all accelerators, also of workers that may not be used, while free ones were counted on usable workers only; "half in use" was judged by accelerators alone, though work with few processors then holds less than half of the capacity; and urgent work was expected for 10 s, whether it had come ten times a second or every five. IdleCapacityTest fails without (34 to 36% of the capacity in use, other work waiting).

Now the room is a share of the usable accelerators; nothing waits while less than half of the capacity of all workers is held, accelerators weighing twice as much as processors; and urgent work is expected for eight times its usual gap, 2 to 10 s.

UrgentRoomTest: its half-used host now holds half of its processors as well, as it stands for half of the capacity; the bounds are unchanged.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -39,6 +39,7 @@
   private final NavigableMap<Integer, NavigableSet<RackState>> racksByFree = new TreeMap<>();
   private int totalAccelerators;
   private int freeAccelerators;
+  private final CapacityInUse capacityInUse = new CapacityInUse();
   private int nextIndex;
 
   private record Held(
@@ -86,6 +87,7 @@
     RackState rack = racks.computeIfAbsent(host.rack(), name -> new RackState(name, nextIndex++));
     rack.hosts().add(state);
     totalAccelerators += host.capacity().accelerators();
+    capacityInUse.add(state);
     indexHost(state);
     adjustRack(rack, state.free().accelerators());
     // The list of hosts lags: a host that comes back may still run what it ran before.
@@ -105,6 +107,7 @@
     }
     RackState rack = racks.get(state.host().rack());
     unindexHost(state);
+    capacityInUse.remove(state);
     rack.hosts().remove(state);
     adjustRack(rack, -state.free().accelerators());
     totalAccelerators -= state.host().capacity().accelerators();
@@ -279,6 +282,11 @@
     return totalAccelerators;
   }
 
+  /** Returns how much of the hosts' capacity is held. */
+  CapacityInUse capacityInUse() {
+    return capacityInUse;
+  }
+
   /** Returns the accelerators that are free on usable hosts. */
   public int freeAccelerators() {
     return freeAccelerators;
@@ -319,7 +327,9 @@
     }
     int before = host.free().accelerators();
     unindexHost(host);
+    capacityInUse.remove(host);
     action.accept(host);
+    capacityInUse.add(host);
     indexHost(host);
     int difference = host.free().accelerators() - before;
     if (difference != 0) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -61,6 +61,11 @@
     return usable;
   }
 
+  /** Returns what attempts hold here. */
+  ResourceAmount used() {
+    return used;
+  }
+
   /** Returns what is not held by any attempt; nothing on a host that may not be used. */
   public ResourceAmount free() {
     return usable ? host.capacity().minus(used) : ResourceAmount.ZERO;
--- a/core/src/main/java/org/wheatwall/core/job/decision/UrgentRoom.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/UrgentRoom.java
@@ -8,29 +8,28 @@
 
 /**
  * Room that other work leaves free while urgent work comes. Without it urgent work has to stop
- * something first, which takes it 0.6 s (half of 609 stops) and throws work away; other work that
- * waits has time for that, as long as its objective is far off. Work that has to begin now to be
- * done within its objective takes the room all the same, but not once it is late anyway.
+ * something first, which takes time and throws work away; other work that waits has time for that,
+ * as long as its objective is far off. Work that has to begin now to be done within its objective
+ * takes the room all the same, but not once it is late anyway.
+ *
+ * <p>The room is a share of the hosts that may be used, and nothing has to wait while less than
+ * half of the capacity is in use.
  */
 final class UrgentRoom {
-  // Urgent work is expected while some came within this time.
-  private static final int URGENT_MEMORY_MS = 10_000;
-  // Work later than this is late whatever it is given. Where all work was late, it took the room
-  // all
-  // the same and was stopped for urgent work over and over: 411 to 596 stops a play instead of 226
-  // to
-  // 296, and gangs of the middle class starved (three plays each).
+  // Work later than this is late whatever it is given; if all late work took the room, it would be
+  // stopped for urgent work over and over.
   private static final int LATE_ANYWAY_MS = 2000;
   private static final int MS_PER_SECOND = 1000;
+  private static final int PERCENT = 100;
 
   private final int percent;
   private final Map<String, Objective> objectives = new HashMap<>();
-  private long lastUrgentMs = Long.MIN_VALUE / 2;
+  private final ArrivalGaps urgentWork = new ArrivalGaps();
 
   /**
    * Creates the rule.
    *
-   * @param percent share of all accelerators that is left free
+   * @param percent share of the usable accelerators that is left free
    */
   UrgentRoom(int percent) {
     this.percent = percent;
@@ -44,22 +43,19 @@
 
   /** Notes that urgent work was submitted. */
   void urgentCame(long atMs) {
-    lastUrgentMs = Math.max(lastUrgentMs, atMs);
+    urgentWork.arrived(atMs);
   }
 
   /** Returns whether a job has to wait because it would take the room. */
   boolean isTakenBy(QueuedJob queued, Cluster cluster, long nowMs) {
     Job job = queued.job();
     boolean exempt = job.urgent() || job.shape().isPresent() || job.totalAccelerators() == 0;
-    if (exempt || nowMs - lastUrgentMs >= URGENT_MEMORY_MS) {
-      return false;
-    }
-    // With less than half in use nothing has to wait: urgent work finds room beside it.
-    if (cluster.freeAccelerators() * 2 > cluster.totalAccelerators()) {
+    if (exempt || !urgentWork.isExpected(nowMs) || cluster.capacityInUse().lessThanHalf()) {
       return false;
     }
     int left = cluster.freeAccelerators() - job.totalAccelerators();
-    return left * 100 < cluster.totalAccelerators() * percent && !isPressed(queued, nowMs);
+    int kept = cluster.capacityInUse().usableAccelerators() * percent;
+    return left * PERCENT < kept && !isPressed(queued, nowMs);
   }
 
   private boolean isPressed(QueuedJob queued, long nowMs) {
