A group does not wait without end for the place that it prefers

Callers would see a job stand beside idle workers. A gang was kept to one rack as long as some rack would hold it by all listed workers, but placed on usable ones: with a worker of each rack suspected, leaving or unlisted it was placed nowhere.

After 2 s beside mostly idle workers a group takes any place. While half of the capacity is in use it waits on, as a place comes free soon and a task takes three times as long away from its data.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
@@ -39,19 +39,16 @@
   /**
    * Returns the scheduler's view of a group.
    *
-   * @param avoided workers on which the group failed before
    * @param permitted the only workers that may run it; all if empty
    * @param suspect whether a worker crashed as one of its tasks began
-   * @param oneRack whether it is to be kept in one rack
    */
   static Job of(
       BatchJob job,
-      StepSpec step,
       GroupKey group,
-      Set<String> avoided,
+      PlacePreferences preferences,
       Optional<Set<String>> permitted,
-      boolean suspect,
-      boolean oneRack) {
+      boolean suspect) {
+    StepSpec step = job.steps().get(group.step());
     int tasks = step.tasksInGroup();
     long rounded = ((long) step.estimateMs() + MS_PER_SECOND / 2) / MS_PER_SECOND;
     int seconds = (int) Math.max(1, Math.min(Job.MAX_SECONDS, rounded));
@@ -66,11 +63,11 @@
         new JobOptions(
             job.priority(),
             hostLabels,
-            step.dataRack().map(Names::nameOf),
+            preferences.dataRack().map(Names::nameOf),
             spread,
             step.spreadLimit(),
             step.checkpointing(),
-            avoided,
+            preferences.avoided(),
             step.sharing(),
             permitted,
             suspect);
@@ -81,7 +78,7 @@
         Optional.empty(),
         tasks,
         step.taskAmount(),
-        oneRack ? Adjacency.SAME_RACK : Adjacency.ANY,
+        preferences.oneRack() ? Adjacency.SAME_RACK : Adjacency.ANY,
         seconds,
         !step.longRunning(),
         job.urgent(),
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -400,7 +400,7 @@
   private void decide() {
     noteFirstDecision();
     term.dirty = false;
-    term.describeGangsAgain();
+    term.describeWhatChanged();
     decidedAtMs = term.nowMs;
     paces.takeChanges();
     for (Decision decision : term.scheduler.decide(term.nowMs)) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -34,6 +34,7 @@
   final RunIndex runs = new RunIndex();
   final PermitRounds permits = new PermitRounds(this);
   final LongWaits waits = new LongWaits(this);
+  final PreferredPlaces places = new PreferredPlaces(this);
   final Map<GroupKey, Set<String>> avoided = new HashMap<>();
   final Set<String> endedJobs = new LinkedHashSet<>();
   final List<LogEntry> outgoing = new ArrayList<>();
@@ -85,19 +86,29 @@
   }
 
   Job describe(JobRuns progress, GroupKey group) {
-    StepSpec step = progress.job().steps().get(group.step());
-    Set<String> avoid = avoided.getOrDefault(group, Set.of());
     BatchJob job = progress.job();
+    PlacePreferences preferences =
+        places.givenUp(group) ? PlacePreferences.NONE : preferences(job, group);
+    boolean suspect = progress.state(group).suspect();
+    return GroupJobs.of(job, group, preferences, permits.permittedWorkers(job, group), suspect);
+  }
+
+  private PlacePreferences preferences(BatchJob job, GroupKey group) {
+    StepSpec step = job.steps().get(group.step());
     boolean oneRack =
         step.sameRack()
             && workers.someRackHolds(step, job.service(), permits.rackWorkers(job, group));
-    boolean suspect = progress.state(group).suspect();
-    return GroupJobs.of(
-        job, step, group, avoid, permits.permittedWorkers(job, group), suspect, oneRack);
+    return new PlacePreferences(avoided.getOrDefault(group, Set.of()), step.dataRack(), oneRack);
+  }
+
+  /** Describes waiting groups anew whose place is another one by now. */
+  void describeWhatChanged() {
+    describeGangsAgain();
+    places.giveUpWhereIdle();
   }
 
   /** Describes waiting gangs anew once other workers are known, whose racks may hold others. */
-  void describeGangsAgain() {
+  private void describeGangsAgain() {
     if (describedWith == workers.version()) {
       return;
     }
@@ -121,6 +132,7 @@
     progress.noteSubmitted(group);
     permits.join(progress.job(), group);
     waits.began(group);
+    places.began(group);
     scheduler.submit(group.text(), describe(progress, group), progress.submittedAtMs());
     dirty = true;
   }
@@ -157,6 +169,7 @@
       jobs.remove(id);
       recurring.remove(progress);
       avoided.keySet().removeAll(progress.submitted());
+      progress.submitted().forEach(places::forget);
     }
   }
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -296,6 +296,11 @@
     return new QueuePass(tables, settings, nowMs).run();
   }
 
+  /** Returns whether less than half of the hosts' capacity is held. */
+  public boolean lessThanHalfInUse() {
+    return tables.cluster.capacityInUse().lessThanHalf();
+  }
+
   /** Returns whether the last look at the queue ended by its limits, so that another is due. */
   public boolean leftOff() {
     return tables.leftOff;
