Room is kept for a job only on hosts that may run it

The room kept for the first job that waits (backfill window) counted all hosts: a job that asks for a label, whose few hosts were taken, kept as much free on hosts that it may not use, and a gang of 64 whole hosts was not started beside 64 idle ones. The forecast now counts hosts that may run the job. IdleCapacityTest, roomForWorkThatWaits..., failed before (1 waiting, 0 expected).

--- a/core/src/main/java/org/wheatwall/core/job/decision/RoomForecast.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RoomForecast.java
@@ -13,6 +13,7 @@
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.Placement;
+import org.wheatwall.core.job.model.ResourceAmount;
 
 /**
  * When there will be room for a job, judged by the expected ends of what runs. Looks at each
@@ -21,6 +22,7 @@
 final class RoomForecast {
   private static final String EVERYWHERE = "";
 
+  private final Job job;
   private final Cluster cluster;
   private final boolean byRack;
   private final long nowMs;
@@ -36,24 +38,29 @@
   /** Accelerators that an attempt is expected to give back. */
   private record Release(double atMs, int accelerators) {}
 
-  private RoomForecast(Cluster cluster, boolean byRack, long nowMs) {
+  private RoomForecast(Job job, Cluster cluster, long nowMs) {
+    this.job = job;
     this.cluster = cluster;
-    this.byRack = byRack;
+    this.byRack = job.adjacency() != Adjacency.ANY;
     this.nowMs = nowMs;
   }
 
   /** Returns the earliest window for {@code job}; empty if no area will ever have room. */
   static Optional<BackfillWindow> earliest(
       Job job, Cluster cluster, Collection<RunningAttempt> running, long nowMs) {
-    RoomForecast forecast = new RoomForecast(cluster, job.adjacency() != Adjacency.ANY, nowMs);
+    RoomForecast forecast = new RoomForecast(job, cluster, nowMs);
     cluster.hosts().forEach(forecast::addHost);
     running.forEach(forecast::addAttempt);
     return forecast.areas.values().stream()
-        .flatMap(area -> forecast.window(job, area).stream())
+        .flatMap(area -> forecast.window(area).stream())
         .min(Comparator.comparingDouble(BackfillWindow::startMs));
   }
 
+  // A host that may not run the job counts neither as free nor as kept for it.
   private void addHost(HostState host) {
+    if (host.roomFor(job, host.host().capacity()).equals(ResourceAmount.ZERO)) {
+      return;
+    }
     Area area = areas.computeIfAbsent(nameOf(host), name -> new Area());
     area.hosts.add(host.name());
     area.free += host.free().accelerators();
@@ -66,6 +73,7 @@
       cluster
           .host(name)
           .map(host -> areas.get(nameOf(host)))
+          .filter(area -> area.hosts.contains(name))
           .ifPresent(area -> tasks.merge(area, 1, Integer::sum));
     }
     int each = attempt.job().taskAmount().accelerators();
@@ -77,7 +85,7 @@
     return byRack ? host.host().rack() : EVERYWHERE;
   }
 
-  private Optional<BackfillWindow> window(Job job, Area area) {
+  private Optional<BackfillWindow> window(Area area) {
     int need = job.totalAccelerators();
     int free = area.free;
     double startMs = nowMs;
--- a/core/src/test/java/org/wheatwall/core/job/decision/IdleCapacityTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/IdleCapacityTest.java
@@ -25,6 +25,7 @@
 final class IdleCapacityTest {
   private static final int HOSTS = 240;
   private static final int HOSTS_A_RACK = 12;
+  private static final int LARGE_GANG = 64;
   private static final int ACCELERATORS = 8;
   private static final int PROCESSORS = 32_000;
   // An accelerator counts as much as eight processor cores.
@@ -84,6 +85,22 @@
         options);
   }
 
+  private static Job gang(int tasks, Job task) {
+    return new Job(
+        task.labels(),
+        task.workspace(),
+        task.zone(),
+        Optional.empty(),
+        tasks,
+        task.taskAmount(),
+        Adjacency.ANY,
+        task.declaredSeconds(),
+        true,
+        false,
+        JobPhase.SUBMITTED,
+        task.options());
+  }
+
   private static JobOptions options(int priority, Set<String> hostLabels) {
     return new JobOptions(
         priority,
@@ -158,6 +175,24 @@
     assertThat(waiting("small")).isEqualTo(0);
   }
 
+  @Test
+  void roomForWorkThatWaitsIsKeptOnlyOnHostsThatMayRunIt() {
+    List<String> special = hosts.subList(0, HOSTS_A_RACK);
+    hosts
+        .subList(HOSTS_A_RACK + LARGE_GANG, HOSTS)
+        .forEach(host -> scheduler.setHostAvailable(host, false));
+    Labels labels = new Labels(Map.of("special", "special"));
+    special.forEach(host -> scheduler.cluster().setLabels(host, labels));
+    Job onSpecial = job(accelerators(8), false, options(0, Set.of("special")));
+    submit("running", HOSTS_A_RACK, onSpecial);
+    pass(PASS_EACH_MS);
+    submit("ahead", 1, gang(HOSTS_A_RACK, onSpecial));
+    submit("large", 1, gang(LARGE_GANG, job(accelerators(8), false, JobOptions.NONE)));
+    pass(LONGEST_WAIT_MS);
+    assertThat(waiting("ahead")).isEqualTo(1);
+    assertThat(waiting("large")).isEqualTo(0);
+  }
+
   /** Wide work takes few processors beside its accelerators; half of the latter is less in all. */
   @Test
   void roomForUrgentWorkKeepsNothingWaitingWhileLessThanHalfOfTheCapacityIsInUse() {
