Room for urgent work is kept over a time in which none could come

While the job log cannot be written the queue is not looked at and no job is accepted. Urgent work then seemed to have ended after 2 s, other work took the room in the first look, and the callers that came back waited for stops. Such a time counts no more. IdleCapacityTest, roomForUrgentWorkIsKeptOver..., failed before (162 waiting, 269 expected).

--- a/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
@@ -52,6 +52,7 @@
       tables.leftOff = false;
       return decisions;
     }
+    tables.urgentRoom.looked(nowMs);
     List<QueuedJob> jobs = inOrder();
     int position = look(jobs, 0, settings.scanLimit() / 2);
     int from = tables.resumeAt < jobs.size() ? Math.max(position, tables.resumeAt) : position;
