The account of a run tells what stood still, and why

wheatwall account told what the time of jobs went into and passed over the newer lines: an operator had to sum up GROUP_WAITS, RUN_HELD_UP, END_PASSED_OVER, look-was-long and loop-late by hand. Now short tables follow the present ones, each only if there are such lines: long waits by reason (groups named, most at once, longest, fewest usable workers), runs held up by worker, from the stop to the end, ends that were passed over, long looks and late loops by host. A line's host is the word before its brace, else the name of its file.

--- a/app/src/main/java/org/wheatwall/app/account/AccountVerb.java
+++ b/app/src/main/java/org/wheatwall/app/account/AccountVerb.java
@@ -39,6 +39,7 @@
     account.table().forEach(console::out);
     console.out("");
     account.stops().forEach(console::out);
+    new Standstills(files.lines()).tables().forEach(table -> tell(table, console));
     tellUnreadable(files.unreadable(), console);
     if (options.has("csv")) {
       OutputFiles.write(options.required("csv"), account.csv());
@@ -49,6 +50,11 @@
     return DONE;
   }
 
+  private static void tell(List<String> table, Console console) {
+    console.out("");
+    table.forEach(console::out);
+  }
+
   private static void tellUnreadable(List<String> places, Console console) {
     if (!places.isEmpty()) {
       List<String> first = places.subList(0, Math.min(NAMED_AT_MOST, places.size()));
--- a/app/src/main/java/org/wheatwall/app/account/LogFiles.java
+++ b/app/src/main/java/org/wheatwall/app/account/LogFiles.java
@@ -44,20 +44,20 @@
       int number = 0;
       for (String text = reader.readLine(); text != null; text = reader.readLine()) {
         number++;
-        take(text, file + ":" + number);
+        take(text, file, number);
       }
     } catch (IOException | UncheckedIOException e) {
       throw Refusal.invalid(file + " cannot be read: " + e.getMessage(), "name a readable file");
     }
   }
 
-  private void take(String text, String place) {
-    LogLine.parse(text)
+  private void take(String text, Path file, int number) {
+    LogLine.parse(text, String.valueOf(file.getFileName()))
         .ifPresentOrElse(
             lines::add,
             () -> {
               if (text.contains("{")) {
-                unreadable.add(place);
+                unreadable.add(file + ":" + number);
               }
             });
   }
--- a/app/src/main/java/org/wheatwall/app/account/LogLine.java
+++ b/app/src/main/java/org/wheatwall/app/account/LogLine.java
@@ -6,16 +6,21 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * One line that an entry host wrote about a decision.
  *
+ * @param host the host that wrote it
  * @param atMs time of day on the host's clock, milliseconds since 1970
  * @param event what happened
  * @param fields inputs and outcome
  */
-record LogLine(long atMs, String event, Map<String, String> fields) {
+record LogLine(String host, long atMs, String event, Map<String, String> fields) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
+  // The last word that is no mere number, such as a time.
+  private static final Pattern HOST_BEFORE_BRACE = Pattern.compile("(\\S*[A-Za-z]\\S*)\\s*$");
 
   LogLine {
     fields = Map.copyOf(fields);
@@ -36,10 +41,12 @@
   }
 
   /**
-   * Reads a line; what stands before its first brace, such as a time or a host, is passed over.
-   * Empty if it holds no object with a time and an event.
+   * Reads a line; before its first brace may stand a time and the host's name. Empty if it holds no
+   * object with a time and an event.
+   *
+   * @param file stands for the host if the line does not name it
    */
-  static Optional<LogLine> parse(String text) {
+  static Optional<LogLine> parse(String text, String file) {
     int brace = text.indexOf('{');
     if (brace < 0) {
       return Optional.empty();
@@ -48,18 +55,25 @@
       JsonNode body = MAPPER.readTree(text.substring(brace));
       boolean whole =
           body.path("timestamp").isNumber() && body.path("formattedMessage").isTextual();
-      return whole ? Optional.of(read(body)) : Optional.empty();
+      return whole
+          ? Optional.of(read(host(text.substring(0, brace), file), body))
+          : Optional.empty();
     } catch (JsonProcessingException e) {
       return Optional.empty();
     }
   }
 
-  private static LogLine read(JsonNode body) {
+  private static String host(String prefix, String file) {
+    Matcher named = HOST_BEFORE_BRACE.matcher(prefix);
+    return named.find() ? named.group(1) : file;
+  }
+
+  private static LogLine read(String host, JsonNode body) {
     Map<String, String> fields = new HashMap<>();
     for (JsonNode pair : body.path("kvpList")) {
       pair.properties().forEach(entry -> fields.put(entry.getKey(), entry.getValue().asText()));
     }
     return new LogLine(
-        body.path("timestamp").asLong(), body.path("formattedMessage").asText(), fields);
+        host, body.path("timestamp").asLong(), body.path("formattedMessage").asText(), fields);
   }
 }
--- a/app/src/test/java/org/wheatwall/app/account/AccountTest.java
+++ b/app/src/test/java/org/wheatwall/app/account/AccountTest.java
@@ -71,7 +71,7 @@
 
   private Map<TimeUse, Long> uses() {
     List<LogLine> read = new ArrayList<>();
-    lines.forEach(text -> read.add(LogLine.parse(text).orElseThrow()));
+    lines.forEach(text -> read.add(LogLine.parse(text, "host.log").orElseThrow()));
     read.sort(Comparator.comparingLong(LogLine::atMs));
     Account account = new Account(read);
     JobStory job = account.jobs().iterator().next();
