The soak finds accepted jobs that stand still beside room

The soak only held that they end at some time. Now, from 14 s after the last disturbance, a job that is not cancelled, has work left and nothing running for 3 s is a violation, while less than half of the accelerators are in use and what it needs is free twice over. It is judged by the workers' ledger alone.

SoakIT was not run.

--- a/app/src/main/java/org/wheatwall/app/soak/Promise.java
+++ b/app/src/main/java/org/wheatwall/app/soak/Promise.java
@@ -19,5 +19,10 @@
   /** A caller with a known key and an existing queue is never told otherwise. */
   CALLER_IS_KNOWN,
   /** Some time after the last disturbance a small job succeeds again. */
-  RECOVERS
+  RECOVERS,
+  /**
+   * Some time after that no accepted job has nothing running for 3 s beside twice the room that it
+   * needs, while less than half of all room is in use.
+   */
+  STARTS_WHERE_ROOM_IS
 }
--- /dev/null
+++ b/app/src/main/java/org/wheatwall/app/soak/RunningTasks.java
@@ -0,0 +1,66 @@
+package org.wheatwall.app.soak;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.wheatwall.core.batch.model.EndKind;
+import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.standin.task.TaskLedger;
+
+/** What runs on workers at one moment, and which tasks are done, by all events until then. */
+final class RunningTasks {
+  private final Map<String, Integer> acceleratorsByJob = new HashMap<>();
+  private final Map<String, Set<TaskName>> runningByJob = new HashMap<>();
+  private final Map<String, Set<TaskName>> doneByJob = new HashMap<>();
+  private final Map<String, Long> changedMsByJob = new HashMap<>();
+  private final Map<String, Integer> takenByWorker = new HashMap<>();
+
+  RunningTasks(Collection<JobFacts> jobs, Collection<TaskLedger.Event> events) {
+    jobs.forEach(job -> acceleratorsByJob.put(job.id(), job.plan().accelerators()));
+    events.forEach(this::take);
+  }
+
+  private void take(TaskLedger.Event event) {
+    String job = event.task().jobId();
+    changedMsByJob.merge(job, event.atMs(), Math::max);
+    int accelerators = acceleratorsByJob.getOrDefault(job, 0);
+    Set<TaskName> running = runningByJob.computeIfAbsent(job, id -> new HashSet<>());
+    if (event.isStart()) {
+      running.add(event.task());
+      takenByWorker.merge(event.worker(), accelerators, Integer::sum);
+      return;
+    }
+    running.remove(event.task());
+    takenByWorker.merge(event.worker(), -accelerators, Integer::sum);
+    if (event.what().equals(EndKind.DONE.toString())) {
+      doneByJob.computeIfAbsent(job, id -> new HashSet<>()).add(event.task());
+    }
+  }
+
+  /** Returns whether a task of the job runs. */
+  boolean any(JobFacts job) {
+    return !runningByJob.getOrDefault(job.id(), Set.of()).isEmpty();
+  }
+
+  /** Returns when a task of the job last began or ended, 0 if none did. */
+  long changedMs(JobFacts job) {
+    return changedMsByJob.getOrDefault(job.id(), 0L);
+  }
+
+  /** Returns how many tasks of the job are done. */
+  int done(JobFacts job) {
+    return doneByJob.getOrDefault(job.id(), Set.of()).size();
+  }
+
+  /** Returns the accelerators that are in use, of all workers. */
+  int accelerators() {
+    return takenByWorker.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  /** Returns the accelerators in use of each worker that is used. */
+  Collection<Integer> acceleratorsByWorker() {
+    return takenByWorker.values().stream().filter(taken -> taken > 0).toList();
+  }
+}
--- a/app/src/main/java/org/wheatwall/app/soak/SoakRun.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakRun.java
@@ -13,6 +13,8 @@
   private static final int RECOVERY_MS = 15_000;
   // Workers that could not be reached are waited for, and what lapsed runs once more.
   private static final int DRAIN_MS = 45_000;
+  // Leases of workers that were lost last have run out, and what they held has begun elsewhere.
+  private static final int CALM_MS = 14_000;
   private static final int ASK_EACH_MS = 100;
   private static final int JOIN_MS = 30_000;
 
@@ -56,7 +58,7 @@
           .ifPresent(violations::add);
       goesOn.set(false);
       joinThreads();
-      drain();
+      drain(cluster, violations);
       violations.addAll(probe.violations());
       return check(cluster, violations);
     }
@@ -96,19 +98,35 @@
     }
   }
 
-  private void drain() {
+  private void drain(SoakCluster cluster, List<Violation> violations) {
+    StandingJobs standing = new StandingJobs(settings.workers(), SoakWorker.ACCELERATORS);
+    long calmFromMs = plan.startMs() + settings.durationMs() + CALM_MS;
     long untilMs = clock.nowMs() + DRAIN_MS;
-    while (clock.nowMs() < untilMs && askOpenJobs() > 0) {
+    Runnable look =
+        () -> {
+          if (clock.nowMs() >= calmFromMs) {
+            standing.look(jobs(), cluster.ledger().events(), RunClock.steadyMs());
+          }
+        };
+    while (clock.nowMs() < untilMs && askOpenJobs(look) > 0) {
       Pause.ms(ASK_EACH_MS);
     }
+    standing
+        .found()
+        .forEach(text -> violations.add(new Violation(Promise.STARTS_WHERE_ROOM_IS, text)));
   }
 
-  private int askOpenJobs() {
+  private List<JobFacts> jobs() {
+    return callers.stream().flatMap(caller -> caller.jobs().stream()).toList();
+  }
+
+  private int askOpenJobs(Runnable afterEach) {
     int open = 0;
     for (SoakCaller caller : callers) {
       for (JobFacts job : caller.jobs()) {
         if (job.accepted() && !job.ended()) {
           caller.ask(job);
+          afterEach.run();
           open += job.ended() ? 0 : 1;
         }
       }
@@ -119,7 +137,7 @@
   private SoakResult check(SoakCluster cluster, List<Violation> violations) {
     PromiseChecks checks = new PromiseChecks(clock, plan, cluster.ledger());
     checks.checkWorkers();
-    List<JobFacts> jobs = callers.stream().flatMap(caller -> caller.jobs().stream()).toList();
+    List<JobFacts> jobs = jobs();
     jobs.forEach(checks::checkJob);
     clients.forEach(client -> checks.checkPlannedStops(client.answers()));
     violations.addAll(checks.found());
--- a/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
+++ b/app/src/main/java/org/wheatwall/app/soak/SoakWorker.java
@@ -21,7 +21,10 @@
 /** A worker behind a proxy, with its entry in the store; one life of it follows another. */
 final class SoakWorker implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(SoakWorker.class);
-  private static final int ACCELERATORS = 8;
+
+  /** The accelerators of each worker, while nothing takes some away. */
+  static final int ACCELERATORS = 8;
+
   private static final int GANG_WAIT_MS = 3000;
   private static final int WORKERS_PER_RACK = 4;
   private static final int CLOCK_STEP_MS = 77_777;
--- a/app/src/test/java/org/wheatwall/app/soak/SoakIT.java
+++ b/app/src/test/java/org/wheatwall/app/soak/SoakIT.java
@@ -59,7 +59,7 @@
     System.out.println(sabotage + " " + result.line());
     assertWithMessage("%s", result.violations())
         .that(result.violations().stream().map(Violation::promise).toList())
-        .contains(sabotage.broken());
+        .containsAtLeastElementsIn(sabotage.broken());
   }
 
   /** Returns the seeds that ever failed; the rest of a line tells the cause. */
