--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/DeafDeciderTest.java
@@ -0,0 +1,109 @@
+package org.wheatwall.entry.batch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.job.model.HostSharing;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.standin.task.TaskPlan;
+
+/**
+ * A decider that reached the log and no workers held the term for as long as that lasted, and
+ * nothing started, though every other host could have decided.
+ */
+final class DeafDeciderTest {
+  private static final int HOSTS = 4;
+  private static final int WORKERS = 8;
+  private static final int ACCELERATORS = 8;
+  private static final int LEASE_MS = 6000;
+  private static final int WORK_MS = 500;
+  private static final int JOBS = 2 * WORKERS;
+  private static final int LONG_CUT_MS = 30_000;
+  private static final int SOON_MS = 10_000;
+
+  private final VirtualTime time = new VirtualTime(11);
+  private final SimulatedStore store = new SimulatedStore(time);
+  private final SimulatedWorkers workers =
+      new SimulatedWorkers(time, WORKERS, ACCELERATORS, Optional.empty(), store::confirmedAtMs);
+  private final SimulatedPeers peers = new SimulatedPeers(time);
+  private final List<SimulatedHost> hosts = new ArrayList<>();
+
+  @BeforeEach
+  void start() {
+    for (int i = 0; i < HOSTS; i++) {
+      hosts.add(new SimulatedHost(time, "host-" + i, store, workers, peers, LEASE_MS, Set.of()));
+    }
+    hosts.forEach(SimulatedHost::start);
+    time.runFor(3000);
+  }
+
+  private SimulatedHost holder() {
+    return hosts.stream().max(Comparator.comparingLong(store::confirmedAtMs)).orElseThrow();
+  }
+
+  private SimulatedHost otherThan(SimulatedHost host) {
+    return hosts.stream().filter(other -> other != host).findFirst().orElseThrow();
+  }
+
+  private void submitJobs(SimulatedHost host) {
+    for (int i = 0; i < JOBS; i++) {
+      host.batch().submit(job(String.format("%016x", i + 1)), time.nowMs() + 2000);
+    }
+  }
+
+  private BatchJob job(String id) {
+    StepSpec step =
+        new StepSpec(
+            1,
+            new ResourceAmount(1000, 100, ACCELERATORS),
+            WORK_MS,
+            List.of(),
+            false,
+            false,
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false,
+            HostSharing.ORDINARY);
+    return new BatchJob(
+        id,
+        "queue",
+        "service",
+        "workspace",
+        new TaskPlan(WORK_MS, 1, ACCELERATORS, 0).text(),
+        List.of(step),
+        Optional.empty(),
+        1,
+        4,
+        time.nowMs());
+  }
+
+  private long started() {
+    return workers.ledger().events().stream().filter(event -> event.isStart()).count();
+  }
+
+  @Test
+  void jobsStartSoonThoughTheDeciderReachesNoWorker() {
+    SimulatedHost deaf = holder();
+    workers.setCutOff(deaf, true);
+    submitJobs(otherThan(deaf));
+    long cutMs = time.nowMs();
+    while (started() < JOBS && time.nowMs() - cutMs < LONG_CUT_MS) {
+      time.runFor(100);
+    }
+    long waitedMs = time.nowMs() - cutMs;
+    assertWithMessage("jobs started after " + waitedMs + " ms").that(started()).isEqualTo(JOBS);
+    assertThat(waitedMs).isAtMost(SOON_MS);
+    assertThat(workers.ledger().violations()).isEmpty();
+  }
+}
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
@@ -75,7 +75,7 @@
     int index = workers.indexOf(worker);
     TaskWorkerModel receiver = workers.process(index);
     boolean lost = workers.drawLost();
-    if (workers.isCut(index)) {
+    if (workers.isCut(index, host)) {
       time.after(ORDER_TIMEOUT_MS, () -> answer.complete(OrderAnswer.UNKNOWN));
       return answer;
     }
@@ -116,7 +116,7 @@
     CompletableFuture<WorkerInventory> answer = new CompletableFuture<>();
     int index = workers.indexOf(worker);
     long deadline = time.nowMs() + call.waitMs();
-    if (workers.isCut(index)) {
+    if (workers.isCut(index, host)) {
       time.after(call.waitMs() + REPORT_SLACK_MS, () -> silent(answer));
       return answer;
     }
@@ -139,7 +139,7 @@
       time.after(1, () -> silent(answer));
       return;
     }
-    if (workers.isCut(index)) {
+    if (workers.isCut(index, host)) {
       time.after(REPORT_SLACK_MS, () -> silent(answer));
       return;
     }
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -42,6 +42,7 @@
   private final List<TaskWorkerModel> workers = new ArrayList<>();
   private final List<WorkerInfo> infos = new ArrayList<>();
   private final Set<Integer> cut = new HashSet<>();
+  private final Set<SimulatedHost> hostsCutOff = new HashSet<>();
   private final Set<Integer> down = new HashSet<>();
   private final Set<Integer> lapsed = new HashSet<>();
   private final Map<SimulatedHost, WorkerDirectory.Listener> listeners = new HashMap<>();
@@ -97,6 +98,15 @@
     }
   }
 
+  /** Cuts the paths between a host and all workers. */
+  void setCutOff(SimulatedHost host, boolean next) {
+    if (next) {
+      hostsCutOff.add(host);
+    } else {
+      hostsCutOff.remove(host);
+    }
+  }
+
   void setStuck(int index, boolean next) {
     workers.get(index).setStuck(next);
   }
@@ -297,8 +307,8 @@
     return workers.get(index);
   }
 
-  boolean isCut(int index) {
-    return cut.contains(index);
+  boolean isCut(int index, SimulatedHost host) {
+    return cut.contains(index) || hostsCutOff.contains(host);
   }
 
   boolean isDown(int index) {
