One decision that fails leaves the others of its look as they are

Groups stood still beside free workers for the rest of a term: a stop or start that failed ended the loop over the decisions of a look, and the scheduler counted the groups behind it as running. It happens without any fault of the network: urgent work stops a run that was not ordered yet, that stop ends its job since the last failure allowed had been heard of, and the next start of the same look is of that job (NullPointerException, FailedDecisionTest). A closed job of which something still runs was even started anew.

Now QueueDecisions carries each decision out by itself, ends the attempt of a start whose job is over or that cannot be planned, so that its room is free and its group waits again, and names the failure as DECISION_FAILED. It takes over what RunSupervisor did.

--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/QueueDecisions.java
@@ -0,0 +1,103 @@
+package org.wheatwall.core.batch.decision;
+
+import java.util.List;
+import java.util.Optional;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupPhase;
+import org.wheatwall.core.job.decision.Decision;
+import org.wheatwall.core.job.decision.EndReason;
+
+/**
+ * Carries out what a look at the queue has decided. The scheduler counts all of it as done, so one
+ * decision that cannot be carried out must not keep those behind it from being.
+ */
+final class QueueDecisions {
+  private final TermState term;
+  private final RunLifecycle lifecycle;
+
+  QueueDecisions(TermState term, RunLifecycle lifecycle) {
+    this.term = term;
+    this.lifecycle = lifecycle;
+  }
+
+  void carryOut(List<Decision> decisions) {
+    for (Decision decision : decisions) {
+      try {
+        carryOut(decision);
+      } catch (RuntimeException failure) {
+        failed(decision, failure);
+      }
+    }
+  }
+
+  private void carryOut(Decision decision) {
+    if (decision instanceof Decision.Stop stop) {
+      term.runs
+          .ofAttempt(stop.attemptId())
+          .ifPresent(victim -> lifecycle.stopRun(victim, stop.reason()));
+    } else if (decision instanceof Decision.Start start) {
+      start(start);
+    }
+  }
+
+  private void start(Decision.Start start) {
+    GroupKey group = GroupKey.parse(start.jobName()).orElseThrow();
+    Optional<JobRuns> open = openJob(group);
+    if (open.isPresent()) {
+      plan(start, group, open.get());
+    } else {
+      // A stop before it in the same look has ended its job.
+      endAttempt(start);
+    }
+  }
+
+  private Optional<JobRuns> openJob(GroupKey group) {
+    return Optional.ofNullable(term.jobs.get(group.jobId())).filter(progress -> !progress.closed());
+  }
+
+  private void plan(Decision.Start start, GroupKey group, JobRuns progress) {
+    List<String> victims =
+        start.victims().stream().filter(id -> term.runs.ofAttempt(id).isPresent()).toList();
+    GroupRun run =
+        GroupRun.planned(
+            group,
+            progress.job(),
+            start.attemptId(),
+            progress.state(group),
+            start.placement().hosts(),
+            victims);
+    term.runs.add(run);
+    if (!run.waitsForVictims()) {
+      lifecycle.launch(run);
+    }
+  }
+
+  private void endAttempt(Decision.Start start) {
+    term.scheduler.attemptEnded(start.attemptId(), EndReason.INTERRUPTED, term.nowMs);
+    term.dirty = true;
+  }
+
+  private void failed(Decision decision, RuntimeException failure) {
+    if (decision instanceof Decision.Start start) {
+      note(start.jobName(), failure);
+      if (term.runs.ofAttempt(start.attemptId()).isEmpty()) {
+        endAttempt(start);
+        GroupKey.parse(start.jobName()).ifPresent(this::waitAgain);
+      }
+    } else if (decision instanceof Decision.Stop stop) {
+      String victim = term.runs.ofAttempt(stop.attemptId()).map(r -> r.group().text()).orElse("");
+      note(victim, failure);
+    }
+  }
+
+  private void waitAgain(GroupKey group) {
+    openJob(group)
+        .filter(progress -> progress.state(group).phase() == GroupPhase.WAITING)
+        .ifPresent(progress -> term.submit(progress, group));
+  }
+
+  private void note(String groupText, RuntimeException failure) {
+    String jobId = GroupKey.parse(groupText).map(GroupKey::jobId).orElse("");
+    term.note(RunEvent.Kind.DECISION_FAILED, jobId, groupText, String.valueOf(failure));
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -15,6 +15,7 @@
     GROUP_INTERRUPTED,
     GROUP_FAILED,
     GROUP_WAITS,
+    DECISION_FAILED,
     RUN_STOPPING,
     RUN_HELD_UP,
     END_PASSED_OVER,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -21,7 +21,6 @@
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.core.batch.model.WorkerLife;
 import org.wheatwall.core.common.Names;
-import org.wheatwall.core.job.decision.Decision;
 import org.wheatwall.core.job.decision.HostPaces;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
@@ -49,6 +48,7 @@
   private final UnansweredStarts unanswered;
   private final FirstReports firstReports;
   private final WorkerPaces paces;
+  private final QueueDecisions decisions;
   private long decidedAtMs;
   private boolean decided;
   private long sweptAtMs;
@@ -94,6 +94,7 @@
     this.unanswered = new UnansweredStarts(term);
     this.restarts = new WorkerRestarts(term, lifecycle, unanswered);
     this.firstReports = new FirstReports(term.workers, startMs);
+    this.decisions = new QueueDecisions(term, lifecycle);
     this.sweptAtMs = startMs;
   }
 
@@ -403,34 +404,7 @@
     term.describeGangsAgain();
     decidedAtMs = term.nowMs;
     paces.takeChanges();
-    for (Decision decision : term.scheduler.decide(term.nowMs)) {
-      if (decision instanceof Decision.Stop stop) {
-        term.runs
-            .ofAttempt(stop.attemptId())
-            .ifPresent(victim -> lifecycle.stopRun(victim, stop.reason()));
-      } else if (decision instanceof Decision.Start start) {
-        plan(start);
-      }
-    }
-  }
-
-  private void plan(Decision.Start start) {
-    GroupKey group = GroupKey.parse(start.jobName()).orElseThrow();
-    JobRuns progress = term.jobs.get(group.jobId());
-    List<String> victims =
-        start.victims().stream().filter(id -> term.runs.ofAttempt(id).isPresent()).toList();
-    GroupRun run =
-        GroupRun.planned(
-            group,
-            progress.job(),
-            start.attemptId(),
-            progress.state(group),
-            start.placement().hosts(),
-            victims);
-    term.runs.add(run);
-    if (!run.waitsForVictims()) {
-      lifecycle.launch(run);
-    }
+    decisions.carryOut(term.scheduler.decide(term.nowMs));
   }
 
   /**
