Urgent work waits for a second at most for what is stopped for it

Urgent groups stood still for up to 26.7 s while a worker that had become free was not used: a run is planned on the room of what is stopped for it and waited for the end of that stop, and a stop at a worker that does not answer ends with its leases, four times their length while it is listed.

PendingStarts gives such a run up after 1 s, a little more than stops take where workers answer. Nothing of it was written down or ordered, so its group just waits again and takes any free room, or the same place if there is none: what is stopping costs nothing more to wait for, so nothing further is stopped. Time is counted by ticks, 0.25 s a tick at most, so that a look that takes long or a term that may not act does not count.

Evidence: SlowVictimsTest failed three of four, passes; the fourth shows that without other room nothing further is stopped and the run starts once the stop is over.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/QueueDecisions.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/QueueDecisions.java
@@ -14,10 +14,12 @@
 final class QueueDecisions {
   private final TermState term;
   private final RunLifecycle lifecycle;
+  private final PendingStarts pending;
 
-  QueueDecisions(TermState term, RunLifecycle lifecycle) {
+  QueueDecisions(TermState term, RunLifecycle lifecycle, PendingStarts pending) {
     this.term = term;
     this.lifecycle = lifecycle;
+    this.pending = pending;
   }
 
   void carryOut(List<Decision> decisions) {
@@ -67,6 +69,7 @@
             start.placement().hosts(),
             victims);
     term.runs.add(run);
+    pending.add(run);
     if (!run.waitsForVictims()) {
       lifecycle.launch(run);
     }
@@ -80,6 +83,7 @@
   private void failed(Decision decision, RuntimeException failure) {
     if (decision instanceof Decision.Start start) {
       note(start.jobName(), failure);
+      // A run that was planned is ended like any other that is not ordered.
       if (term.runs.ofAttempt(start.attemptId()).isEmpty()) {
         endAttempt(start);
         GroupKey.parse(start.jobName()).ifPresent(this::waitAgain);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -48,6 +48,7 @@
   private final UnansweredStarts unanswered;
   private final FirstReports firstReports;
   private final WorkerPaces paces;
+  private final PendingStarts pending;
   private final QueueDecisions decisions;
   private long decidedAtMs;
   private boolean decided;
@@ -94,7 +95,8 @@
     this.unanswered = new UnansweredStarts(term);
     this.restarts = new WorkerRestarts(term, lifecycle, unanswered);
     this.firstReports = new FirstReports(term.workers, startMs);
-    this.decisions = new QueueDecisions(term, lifecycle);
+    this.pending = new PendingStarts(term, lifecycle);
+    this.decisions = new QueueDecisions(term, lifecycle, pending);
     this.sweptAtMs = startMs;
   }
 
@@ -341,6 +343,7 @@
     term.dirty |= term.workers.endDelays(steadyMs);
     reports.tick();
     lifecycle.repeatOrders();
+    pending.tick();
     unanswered.tick();
     term.permits.tick();
     term.waits.tick();
