A run that is written down and not ordered is logged and ended

A group stood still for the rest of a term if what is done once its record is kept failed: that runs inside a CompletableFuture, which keeps the failure to itself, so nothing was logged, the run was never ordered, and only runs that are being stopped were looked at.

Now LoopCallbacks.run throws such a failure again inside the loop, which logs it with its stack, and PendingStarts ends a run that was not ordered 2.5 s after it was written down, longer than a term may act without a confirmed record. No order for it went out, and the late callback finds another run in its place, so none does later (UnorderedRunTest); the next run has the next number. A decider that was busy for seconds loses no start by it, as only time in which it ticked counts.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -142,6 +142,11 @@
     launched = true;
   }
 
+  /** Returns whether an order for one of its tasks was sent, by this decider or an earlier one. */
+  boolean ordered() {
+    return members.stream().anyMatch(member -> member.phase() != MemberRun.Phase.PLANNED);
+  }
+
   boolean stopping() {
     return stopping;
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/PendingStarts.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/PendingStarts.java
@@ -5,21 +5,31 @@
 import java.util.Map;
 
 /**
- * Runs that wait for the end of what is stopped for them. One that waits for too long is given up,
- * and its group waits again, for any room that there is by then.
+ * Runs that were decided on and not ordered yet: they wait for the end of what is stopped for them,
+ * or for their record to be kept. One that waits for too long is given up, and its group waits
+ * again, for any room that there is by then.
  */
 final class PendingStarts {
   /** The longest wait for what is stopped, milliseconds; stops take up to 0.9 s at the users. */
   static final int LONGEST_FOR_VICTIMS_MS = 1000;
 
+  /** The longest wait for a record, milliseconds; a term may not act for that long without one. */
+  static final int LONGEST_FOR_RECORD_MS = 2500;
+
   // After a look that took long, or while the term could not act, answers are not taken in yet.
   private static final int MOST_COUNTED_A_TICK_MS = 250;
 
   private final TermState term;
   private final RunLifecycle lifecycle;
-  private final Map<GroupRun, Long> waits = new LinkedHashMap<>();
+  private final Map<GroupRun, Wait> waits = new LinkedHashMap<>();
   private long tickedAtMs;
 
+  /** How long a run has waited, before or after it was written down. */
+  private static final class Wait {
+    private boolean launched;
+    private long waitedMs;
+  }
+
   PendingStarts(TermState term, RunLifecycle lifecycle) {
     this.term = term;
     this.lifecycle = lifecycle;
@@ -28,7 +38,7 @@
 
   /** Adds a run that was decided on. */
   void add(GroupRun run) {
-    waits.put(run, 0L);
+    waits.put(run, new Wait());
   }
 
   /** Gives up what has waited for too long. */
@@ -39,20 +49,26 @@
     for (GroupRun run : List.copyOf(waits.keySet())) {
       // The end of one run may end the job of another.
       if (isPending(run)) {
-        count(run, passedMs);
+        count(run, waits.get(run), passedMs);
       }
     }
   }
 
   private boolean isPending(GroupRun run) {
     boolean current = term.runs.of(run.group()).orElse(null) == run;
-    return current && !run.stopping() && !run.launched();
+    return current && !run.stopping() && !run.ordered();
   }
 
-  private void count(GroupRun run, long passedMs) {
-    long waitedMs = waits.merge(run, passedMs, Long::sum);
-    if (waitedMs >= LONGEST_FOR_VICTIMS_MS) {
-      lifecycle.stopRun(run, "what it waits for has not ended after " + waitedMs + " ms");
+  private void count(GroupRun run, Wait wait, long passedMs) {
+    if (wait.launched != run.launched()) {
+      wait.launched = run.launched();
+      wait.waitedMs = 0;
+    }
+    wait.waitedMs += passedMs;
+    if (run.launched() && wait.waitedMs >= LONGEST_FOR_RECORD_MS) {
+      lifecycle.stopRun(run, "not ordered " + wait.waitedMs + " ms after it was written down");
+    } else if (!run.launched() && wait.waitedMs >= LONGEST_FOR_VICTIMS_MS) {
+      lifecycle.stopRun(run, "what it waits for has not ended after " + wait.waitedMs + " ms");
     }
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -29,6 +29,7 @@
 import org.wheatwall.entry.batch.permit.PermitDesk;
 import org.wheatwall.entry.batch.worker.WorkerDirectory;
 import org.wheatwall.entry.batch.worker.WorkerWatch;
+import org.wheatwall.entry.common.LoopCallbacks;
 import org.wheatwall.wire.batch.JobLogCodec;
 
 /**
@@ -217,7 +218,7 @@
 
   private void runKept(Runnable whenKept) {
     if (!ended) {
-      whenKept.run();
+      LoopCallbacks.run(tools.loop(), whenKept);
     }
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/common/LoopCallbacks.java
+++ b/entry/src/main/java/org/wheatwall/entry/common/LoopCallbacks.java
@@ -16,4 +16,19 @@
       CompletableFuture<T> future, Executor loop, BiConsumer<T, Throwable> callback) {
     future.whenComplete((result, failure) -> loop.execute(() -> callback.accept(result, failure)));
   }
+
+  /**
+   * Runs {@code callback} now, on the loop. If it throws, that is thrown again inside the loop,
+   * which logs it; the future that calls this would keep it to itself.
+   */
+  public static void run(Executor loop, Runnable callback) {
+    try {
+      callback.run();
+    } catch (RuntimeException failure) {
+      loop.execute(
+          () -> {
+            throw failure;
+          });
+    }
+  }
 }
