A run ends with its leases if its worker fell silent right after an answer

A group stood still for the rest of a term, named by RUN_HELD_UP: its run was being stopped at a worker that answered no more, and its leases never counted as run out. They count only if a lease was sent after the last answer. The call that follows an answer goes out in the same millisecond, and further ones extend no lease once the worker has been silent for 2 s: on a busy loop the first of them comes later than that.

A lease that was sent in the millisecond of the answer counts as sent after it. The time that has to pass since the last lease is the same as before, so every lease has run out.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -142,7 +142,8 @@
    */
   boolean lapsed(long nowMs, long lapseMs) {
     long waitMs = listed ? LISTED_LAPSE_FACTOR * lapseMs : lapseMs;
-    return answeredAtMs < leasedAtMs && nowMs - leasedAtMs > waitMs;
+    // The next call, with its lease, often goes out in the millisecond of an answer.
+    return answeredAtMs <= leasedAtMs && nowMs - leasedAtMs > waitMs;
   }
 
   /** Returns when it last answered, the smallest value if it never did. */
