A decider that reaches few workers hands the term over

Nothing started, for as long as it lasted, while the holder of the term reached the log and no workers: it renewed its term, so no other host claimed it, though the others reached the workers (DeafDeciderTest: none of 16 jobs within the 30 s that were played).

Now, if work waits, more than half of the listed workers have been silent for 3 s and none was newly heard for 1 s (ReachRule), the holder hands the term over as for a planned stop and leaves claims to others for 2 s. The record of the hand-over is the last that it writes, and it gives no order from the moment at which it is decided, so the successor finds what it finds after any planned stop. A holder that came by a hand-over does not do so for 15 s: if no host reaches the workers, the term must not go round.

Evidence: DeafDeciderTest passes (16 of 16 jobs within 10 s; three changes at most in 30 s if no host reaches a worker, and all jobs start after that); BatchFaultTest with 500 schedules each, and CrashingTasksTest, RestartedWorkersTest, ChangingRoomTest, SuspendedHostsTest, PowerLossTest and SetClocksTest as they are. Not played on a fleet.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -48,6 +48,7 @@
   private final UnansweredStarts unanswered;
   private final FirstReports firstReports;
   private final WorkerPaces paces;
+  private final ReachRule reach;
   private final PendingStarts pending;
   private final QueueDecisions decisions;
   private long decidedAtMs;
@@ -95,6 +96,7 @@
     this.unanswered = new UnansweredStarts(term);
     this.restarts = new WorkerRestarts(term, lifecycle, unanswered);
     this.firstReports = new FirstReports(term.workers, startMs);
+    this.reach = new ReachRule(term);
     this.pending = new PendingStarts(term, lifecycle);
     this.decisions = new QueueDecisions(term, lifecycle, pending);
     this.sweptAtMs = startMs;
@@ -344,12 +346,18 @@
     reports.tick();
     lifecycle.repeatOrders();
     pending.tick();
+    reach.tick();
     unanswered.tick();
     term.permits.tick();
     term.waits.tick();
     term.flush();
   }
 
+  /** Returns whether work waits and most workers have been silent for some time. */
+  public boolean reachesTooFew() {
+    return reach.reachesTooFew();
+  }
+
   /** Returns how many groups wait, as of the last second. */
   public WaitSummary waits() {
     return term.waits.summary();
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -32,6 +32,10 @@
 final class TermHolder implements JobReplica.Listener {
   // Each takes two calls of some milliseconds; more would not fit between two ticks.
   private static final int CLAIM_REPEATS = 5;
+  // Others claim as soon as they have read of the hand-over; if there is none, nobody decides.
+  private static final int LEFT_TO_OTHERS_MS = 2000;
+  // If no host reaches most workers, the term must not go round without a rest.
+  private static final int HAND_OVERS_APART_MS = 15_000;
 
   private final BatchSettings settings;
   private final ProcessLife process;
@@ -47,6 +51,9 @@
   private boolean claiming;
   private int claimRepeats;
   private boolean stopping;
+  private long leftToOthersUntilMs = Long.MIN_VALUE;
+  private boolean claimsHandedOver;
+  private long wonAtMs;
   // The term that the last claim would give; none once it was said not to be acted on, so that a
   // claim of which the answer was lost stays unused.
   private OptionalLong claimedTerm = OptionalLong.empty();
@@ -95,6 +102,7 @@
     claimRepeats = 0;
     decider.ifPresent(current -> current.tick(replica.table()));
     decider.ifPresent(this::dropHostsThatAreGone);
+    decider.ifPresent(this::handOverIfDeaf);
     renewIfDue();
     if (mayClaimSoon() && settings.mechanisms().on(Mechanism.HOLDER_QUESTIONS)) {
       watch.look();
@@ -155,9 +163,24 @@
     if (decider.isEmpty()) {
       return CompletableFuture.completedFuture(null);
     }
-    decider.get().stopOrders();
-    return decider
-        .get()
+    return handOver(decider.get());
+  }
+
+  // Another host may reach the workers that this one does not.
+  private void handOverIfDeaf(BatchDecider current) {
+    long nowMs = tools.clock().nowMs();
+    boolean early = claimsHandedOver && nowMs - wonAtMs < HAND_OVERS_APART_MS;
+    if (early || current.ended() || !current.supervisor().reachesTooFew()) {
+      return;
+    }
+    tools.decisions().note("workers-not-reached", field("term", rule.term()));
+    leftToOthersUntilMs = nowMs + LEFT_TO_OTHERS_MS;
+    handOver(current);
+  }
+
+  private CompletableFuture<Void> handOver(BatchDecider current) {
+    current.stopOrders();
+    return current
         .write(termEntry(rule.term(), true))
         .handle(
             (done, failure) -> {
@@ -227,7 +250,8 @@
   }
 
   private boolean mayClaimSoon() {
-    return !stopping && follower.started() && !follower.failing();
+    boolean leftToOthers = tools.clock().nowMs() < leftToOthersUntilMs;
+    return !stopping && !leftToOthers && follower.started() && !follower.failing();
   }
 
   private boolean mayClaim() {
@@ -241,6 +265,7 @@
   private void claim(long position) {
     rule.claimSent(tools.clock().nowMs(), tools.clock().limitMs());
     claimedTerm = OptionalLong.of(JobTable.termOfClaim(position));
+    claimsHandedOver = replica.table().term().filter(LogContent.Term::released).isPresent();
     LogEntry entry = termEntry(0, false);
     KeyedRecord record = new KeyedRecord(entry.key().text(), JobLogCodec.value(entry));
     KeyedLog.AppendCall call =
@@ -282,6 +307,7 @@
       return;
     }
     rule.won(term);
+    wonAtMs = tools.clock().nowMs();
     tools
         .decisions()
         .note(
--- a/entry/src/test/java/org/wheatwall/entry/batch/DeafDeciderTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/DeafDeciderTest.java
@@ -29,6 +29,7 @@
   private static final int JOBS = 2 * WORKERS;
   private static final int LONG_CUT_MS = 30_000;
   private static final int SOON_MS = 10_000;
+  private static final int MOST_CHANGES = 3;
 
   private final VirtualTime time = new VirtualTime(11);
   private final SimulatedStore store = new SimulatedStore(time);
@@ -106,4 +107,22 @@
     assertThat(waitedMs).isAtMost(SOON_MS);
     assertThat(workers.ledger().violations()).isEmpty();
   }
+
+  @Test
+  void theTermSeldomChangesHandsIfNoHostReachesTheWorkers() {
+    hosts.forEach(host -> workers.setCutOff(host, true));
+    submitJobs(hosts.get(0));
+    SimulatedHost before = holder();
+    int changes = 0;
+    for (int passedMs = 0; passedMs < LONG_CUT_MS; passedMs += 100) {
+      time.runFor(100);
+      changes += holder() == before ? 0 : 1;
+      before = holder();
+    }
+    assertThat(changes).isAtMost(MOST_CHANGES);
+    hosts.forEach(host -> workers.setCutOff(host, false));
+    time.runFor(LONG_CUT_MS);
+    assertThat(started()).isAtLeast(JOBS);
+    assertThat(workers.ledger().violations()).isEmpty();
+  }
 }
