--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -21,7 +21,6 @@
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.core.batch.model.WorkerLife;
 import org.wheatwall.core.common.Names;
-import org.wheatwall.core.job.decision.Decision;
 import org.wheatwall.core.job.decision.HostPaces;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
@@ -49,6 +48,9 @@
   private final UnansweredStarts unanswered;
   private final FirstReports firstReports;
   private final WorkerPaces paces;
+  private final ReachRule reach;
+  private final PendingStarts pending;
+  private final QueueDecisions decisions;
   private long decidedAtMs;
   private boolean decided;
   private long sweptAtMs;
@@ -94,6 +96,9 @@
     this.unanswered = new UnansweredStarts(term);
     this.restarts = new WorkerRestarts(term, lifecycle, unanswered);
     this.firstReports = new FirstReports(term.workers, startMs);
+    this.reach = new ReachRule(term);
+    this.pending = new PendingStarts(term, lifecycle);
+    this.decisions = new QueueDecisions(term, lifecycle, pending);
     this.sweptAtMs = startMs;
   }
 
@@ -340,12 +345,19 @@
     term.dirty |= term.workers.endDelays(steadyMs);
     reports.tick();
     lifecycle.repeatOrders();
+    pending.tick();
+    reach.tick();
     unanswered.tick();
     term.permits.tick();
     term.waits.tick();
     term.flush();
   }
 
+  /** Returns whether work waits and most workers have been silent for some time. */
+  public boolean reachesTooFew() {
+    return reach.reachesTooFew();
+  }
+
   /** Returns how many groups wait, as of the last second. */
   public WaitSummary waits() {
     return term.waits.summary();
@@ -403,37 +415,10 @@
     term.describeWhatChanged();
     decidedAtMs = term.nowMs;
     paces.takeChanges();
-    for (Decision decision : term.scheduler.decide(term.nowMs)) {
-      if (decision instanceof Decision.Stop stop) {
-        term.runs
-            .ofAttempt(stop.attemptId())
-            .ifPresent(victim -> lifecycle.stopRun(victim, stop.reason()));
-      } else if (decision instanceof Decision.Start start) {
-        plan(start);
-      }
-    }
+    decisions.carryOut(term.scheduler.decide(term.nowMs));
     term.dirty |= term.scheduler.leftOff();
   }
 
-  private void plan(Decision.Start start) {
-    GroupKey group = GroupKey.parse(start.jobName()).orElseThrow();
-    JobRuns progress = term.jobs.get(group.jobId());
-    List<String> victims =
-        start.victims().stream().filter(id -> term.runs.ofAttempt(id).isPresent()).toList();
-    GroupRun run =
-        GroupRun.planned(
-            group,
-            progress.job(),
-            start.attemptId(),
-            progress.state(group),
-            start.placement().hosts(),
-            victims);
-    term.runs.add(run);
-    if (!run.waitsForVictims()) {
-      lifecycle.launch(run);
-    }
-  }
-
   /**
    * Takes in the report of a worker.
    *
