Failing: jobs stand beside idle workers while looks at the queue are long

Callers see a job that stays queued for seconds though most workers are idle.

SlowProcessorsTest plays 80 workers and 4 hosts in simulated time.

--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -1,12 +1,14 @@
 package org.wheatwall.entry.batch;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.common.Mechanisms;
+import org.wheatwall.entry.batch.worker.WorkerDirectory;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.MachineClock;
 
@@ -22,6 +24,8 @@
   private final SimulatedPeers peers;
   private final int leaseMs;
   private final Set<String> permitQueues;
+  private Optional<SimulatedProcessor.Speed> speed = Optional.empty();
+  private Optional<SimulatedProcessor> processor = Optional.empty();
   private BatchHost batch;
   private int life;
   private long frozenUntilMs;
@@ -64,10 +68,17 @@
     return batch != null;
   }
 
+  /** Gives the processes that start from now on a processor on which all they do takes time. */
+  void setSpeed(SimulatedProcessor.Speed next) {
+    speed = Optional.of(next);
+  }
+
   void start() {
     int own = ++life;
-    Clock clock = new MachineClock(() -> steadyMs() * NANOS_PER_MS, this::wallMs, this::uptimeMs);
-    Executor loop = task -> post(own, task);
+    processor = speed.map(known -> new SimulatedProcessor(time, known, this::frozenMs));
+    Clock machine = new MachineClock(() -> steadyMs() * NANOS_PER_MS, this::wallMs, this::uptimeMs);
+    Clock clock = processor.map(busy -> busy.clockOver(machine)).orElse(machine);
+    Executor loop = processor.<Executor>map(busy -> busy).orElse(task -> post(own, task));
     LoopTimer timer = (delayMs, task) -> after(delayMs, () -> loop.execute(task));
     BatchSettings settings =
         new BatchSettings(
@@ -87,7 +98,7 @@
             new BatchPorts(
                 store.viewOf(this),
                 workers.portOf(this),
-                workers.directoryOf(this),
+                directory(loop),
                 workers.permitsOf(this),
                 peers.portOf(this)),
             loop,
@@ -99,8 +110,15 @@
     batch.setRules(SchedulingRules.ofPermitQueues(permitQueues));
   }
 
+  // A decider on a processor of its own is told of workers on its loop.
+  private WorkerDirectory directory(Executor loop) {
+    WorkerDirectory direct = workers.directoryOf(this);
+    return processor.isPresent() ? new LoopedDirectory(direct, loop) : direct;
+  }
+
   void kill() {
     life++;
+    processor.ifPresent(SimulatedProcessor::stop);
     batch = null;
     workers.directoryOf(this).close();
   }
@@ -124,6 +142,10 @@
     time.after(lastsMs, () -> wallStepMs = 0);
   }
 
+  private long frozenMs() {
+    return Math.max(0, frozenUntilMs - time.nowMs());
+  }
+
   // While it is suspended, its steady clock shows the moment at which that began.
   private long steadyMs() {
     long ahead = Math.max(0, suspendedUntilMs - time.nowMs());
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -25,9 +25,11 @@
 /** Workers in simulated time: orders that are lost, late or overtaken, cuts, crashes, restarts. */
 final class SimulatedWorkers {
   private static final int TICK_MS = 10;
+  private static final Set<String> LABELS = Set.of("a");
   private static final int ORDER_TIMEOUT_MS = 400;
   private static final int GANG_WAIT_MS = 3000;
-  private static final int HOSTS_A_RACK = 4;
+  private static final int LEAST_A_RACK = 4;
+  private static final int MOST_RACKS = 5;
   private static final int LONGEST_HOLD_UP_MS = 4000;
   private static final int MOST_DECIDE_MS = 60;
   private static final int LONGEST_DOWN_MS = 7000;
@@ -39,6 +41,7 @@
   private final VirtualTime time;
   private final TaskLedger ledger = new TaskLedger();
   private final int accelerators;
+  private final int aRack;
   private final List<TaskWorkerModel> workers = new ArrayList<>();
   private final List<WorkerInfo> infos = new ArrayList<>();
   private final Set<Integer> cut = new HashSet<>();
@@ -69,6 +72,7 @@
     this.confirmedAtMs = confirmedAtMs;
     this.permits = permits;
     this.accelerators = accelerators;
+    this.aRack = Math.max(LEAST_A_RACK, (count + MOST_RACKS - 1) / MOST_RACKS);
     for (int i = 0; i < count; i++) {
       workers.add(null);
       infos.add(null);
@@ -202,18 +206,23 @@
     infos.set(index, info(index, model, accelerators));
   }
 
-  private static WorkerInfo info(int index, TaskWorkerModel model, int accelerators) {
+  private WorkerInfo info(int index, TaskWorkerModel model, int accelerators) {
     return new WorkerInfo(
         WorkerLife.bornAt(model.id(), model.bornMs()).name(),
         "127.0.0.1:" + (1000 + index),
         "service",
         "zone",
-        "rack" + index / HOSTS_A_RACK,
-        Set.of("a"),
+        rackOf(index),
+        LABELS,
         new ResourceAmount(32_000, 64_000, accelerators),
         false);
   }
 
+  /** Returns in which rack a worker is. */
+  String rackOf(int index) {
+    return "rack" + index / aRack;
+  }
+
   private void tick() {
     for (int i = 0; i < workers.size(); i++) {
       workers.get(i).tick(time.nowMs(), TICK_MS);
@@ -301,6 +310,16 @@
     return cut.contains(index);
   }
 
+  /** Returns whether a worker is up, reached and listed. */
+  boolean serves(int index) {
+    return !cut.contains(index) && !down.contains(index) && !lapsed.contains(index);
+  }
+
+  /** Returns whether workers carry a label. */
+  static boolean carry(String label) {
+    return LABELS.contains(label);
+  }
+
   boolean isDown(int index) {
     return down.contains(index);
   }
--- /dev/null
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SlowCluster.java
@@ -0,0 +1,137 @@
+package org.wheatwall.entry.batch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.job.model.HostSharing;
+import org.wheatwall.core.job.model.ResourceAmount;
+import org.wheatwall.standin.task.TaskPlan;
+
+/** Many workers and jobs, and hosts on which each look at a long queue takes time. */
+final class SlowCluster {
+  private static final int HOSTS = 4;
+  private static final int WORKERS = 80;
+  private static final int ACCELERATORS = 8;
+  private static final int LEASE_MS = 6000;
+  private static final int ANSWER_WITHIN_MS = 5000;
+
+  private final long seed;
+  private final VirtualTime time;
+  private final SimulatedStore store;
+  private final SimulatedWorkers workers;
+  private final LostJobsCheck check;
+  private final List<SimulatedHost> hosts = new ArrayList<>();
+  private int jobs;
+
+  /**
+   * Creates a cluster that is down.
+   *
+   * @param costs what work takes on its hosts
+   */
+  SlowCluster(long seed, SimulatedProcessor.Costs costs) {
+    this.seed = seed;
+    time = new VirtualTime(seed);
+    store = new SimulatedStore(time);
+    workers =
+        new SimulatedWorkers(time, WORKERS, ACCELERATORS, Optional.empty(), store::confirmedAtMs);
+    check = new LostJobsCheck(time, workers);
+    SimulatedPeers peers = new SimulatedPeers(time);
+    SimulatedProcessor.Speed speed = new SimulatedProcessor.Speed(costs, check::waitingTasks);
+    for (int i = 0; i < HOSTS; i++) {
+      SimulatedHost host =
+          new SimulatedHost(time, "host-" + i, store, workers, peers, LEASE_MS, Set.of());
+      host.setSpeed(speed);
+      hosts.add(host);
+    }
+  }
+
+  void start() {
+    hosts.forEach(SimulatedHost::start);
+  }
+
+  /** Lets each call to the store take up to twice some time. */
+  void setStoreLatencyMs(int ms) {
+    store.setLatencyMs(ms);
+  }
+
+  /** Sends a job of one task at some time from now. */
+  void submitLater(long delayMs, int workMs) {
+    time.after(delayMs, () -> submit(job(workMs, Optional.empty())));
+  }
+
+  /** Sends a job that no worker can run at some time from now. */
+  void submitHopelessLater(long delayMs) {
+    time.after(delayMs, () -> submit(job(1, Optional.of("label of no worker"))));
+  }
+
+  private void submit(BatchJob job) {
+    SimulatedHost host = hosts.get(time.random().nextInt(HOSTS));
+    if (!host.alive()) {
+      return;
+    }
+    host.batch()
+        .submit(job, time.nowMs() + ANSWER_WITHIN_MS)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure == null) {
+                check.accepted(job);
+              }
+            });
+  }
+
+  private BatchJob job(int workMs, Optional<String> label) {
+    TaskPlan plan = new TaskPlan(workMs, 1, 1, 0);
+    StepSpec step =
+        new StepSpec(
+            1,
+            new ResourceAmount(1000, 100, 1),
+            workMs,
+            List.of(),
+            false,
+            false,
+            false,
+            label,
+            Optional.empty(),
+            0,
+            false,
+            HostSharing.ORDINARY);
+    return new BatchJob(
+        String.format("%016x", seed * 100_000 + jobs++),
+        "queue",
+        "service",
+        "workspace",
+        plan.text(),
+        List.of(step),
+        Optional.empty(),
+        1,
+        4,
+        time.nowMs());
+  }
+
+  void runFor(long ms) {
+    time.runFor(ms);
+  }
+
+  /** Runs on, and looks for jobs that stand meanwhile though they need not. */
+  void watchFor(long ms) {
+    check.lookFor(ms);
+    time.runFor(ms);
+  }
+
+  /** Returns which jobs stood though they need not have. */
+  List<String> lost() {
+    return check.lost();
+  }
+
+  /** Returns how many tasks wait. */
+  int waitingTasks() {
+    return check.waitingTasks();
+  }
+
+  List<String> violations() {
+    return workers.ledger().violations();
+  }
+}
--- a/entry/src/test/java/org/wheatwall/entry/batch/VirtualTime.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/VirtualTime.java
@@ -35,9 +35,14 @@
     long end = nowMs + ms;
     while (!events.isEmpty() && events.peek().atMs() <= end) {
       Event event = events.poll();
-      nowMs = event.atMs();
+      nowMs = Math.max(nowMs, event.atMs());
       event.task().run();
     }
-    nowMs = end;
+    nowMs = Math.max(nowMs, end);
+  }
+
+  /** Lets time pass inside an event, as one that takes long; what is due meanwhile happens. */
+  void spend(long ms) {
+    runFor(ms);
   }
 }
--- a/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskWorkerModel.java
@@ -91,6 +91,16 @@
     return bornMs;
   }
 
+  /** Returns how many accelerators it has. */
+  public int accelerators() {
+    return accelerators;
+  }
+
+  /** Returns how many accelerators its tasks take. */
+  public int acceleratorsInUse() {
+    return held.values().stream().mapToInt(entry -> entry.plan.accelerators()).sum();
+  }
+
   /** Returns the worker's clock. */
   public long clockMs(long nowMs) {
     return nowMs + clockOffsetMs;
@@ -159,7 +169,7 @@
       return OrderAnswer.NO_PERMIT;
     }
     TaskPlan plan = TaskPlan.parse(order.specification());
-    int needed = used() + plan.accelerators();
+    int needed = acceleratorsInUse() + plan.accelerators();
     if (guards && needed > accelerators) {
       return OrderAnswer.NO_ROOM;
     }
@@ -284,10 +294,6 @@
     ledger.ended(nowMs, id, task, entry.run, kind);
   }
 
-  private int used() {
-    return held.values().stream().mapToInt(entry -> entry.plan.accelerators()).sum();
-  }
-
   private static int percent(Held entry) {
     return (int) Math.min(PERCENT, entry.workedMs * PERCENT / Math.max(1, entry.plan.workMs()));
   }
