Failing: a weak host wins the term at once, and a late loop doubts living workers

Without the fault: the claim counts its delay from when the holder may be asked; late answers are looked for after those that wait for the loop.

--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WatchFixture.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WatchFixture.java
@@ -1,6 +1,8 @@
 package org.wheatwall.entry.batch.worker;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -28,6 +30,8 @@
   final Effects effects = new Effects();
   final SetClock clock = new SetClock();
   private final List<Runnable> timers = new ArrayList<>();
+  private final Deque<Runnable> loopTasks = new ArrayDeque<>();
+  private boolean loopHeld;
   final RunSupervisor supervisor =
       new RunSupervisor(
           SupervisorSettings.of(LEASE_MS, 60_000), SchedulerSettings.DEFAULT, effects, TERM, 0, 0);
@@ -38,13 +42,14 @@
           TERM,
           LEASE_MS,
           true,
-          Runnable::run,
+          this::onLoop,
           (ms, task) -> timers.add(task),
           clock,
           new Holder());
 
   /** Keeps records at once, or when the test says so. */
   final class Effects implements RunEffects {
+    final List<RunEvent> decided = new ArrayList<>();
     private final List<Runnable> unkept = new ArrayList<>();
     private boolean logHeld;
 
@@ -87,7 +92,9 @@
     public void askPermits(PermitQuestion question) {}
 
     @Override
-    public void decided(RunEvent event) {}
+    public void decided(RunEvent event) {
+      decided.add(event);
+    }
   }
 
   private static final class Holder implements WorkerWatch.Listener {
@@ -166,6 +173,28 @@
     }
   }
 
+  private void onLoop(Runnable task) {
+    if (loopHeld) {
+      loopTasks.add(task);
+    } else {
+      task.run();
+    }
+  }
+
+  /** Lets the loop's tasks wait, as while one of them takes long. */
+  void holdLoop() {
+    loopHeld = true;
+  }
+
+  /** Runs a task and then what waits for the loop, in the order in which it came. */
+  void runLoop(Runnable first) {
+    first.run();
+    while (!loopTasks.isEmpty()) {
+      loopTasks.remove().run();
+    }
+    loopHeld = false;
+  }
+
   /** Runs what was to be done later. */
   void runTimers() {
     List<Runnable> due = List.copyOf(timers);
