A weak host yields to strong ones also when the holder has resigned

Callers waited longer after a take-over: a killed decider's process is back within a second and says that it holds no term, and then all hosts claimed at once. The delay of weak hosts counts from the last record and was over by then. Now the delay counts from the time at which the holder may be asked. WeakHostYieldsTest failed before (1,750 instead of 2,200 ms).

--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
@@ -80,7 +80,8 @@
     boolean ownEarlierLife =
         latest.get().address().equals(address) && !latest.get().life().equals(life);
     boolean gone = sign == HolderSign.SILENT && quietMs >= settings.goneMs();
-    return ownEarlierLife || sign == HolderSign.RESIGNED || gone || quietMs >= settings.silenceMs();
+    boolean resigned = sign == HolderSign.RESIGNED && quietMs >= settings.askMs();
+    return ownEarlierLife || resigned || gone || quietMs >= settings.silenceMs();
   }
 
   /**
