A decider that was too busy to write does not give its term up

Jobs stood for 3 s and more beside idle workers, and the term went from host to host each 2 s. A decider gives its term up when another host asks and nothing of it was confirmed for 1.2 s: the other can read the log, so this one must be cut off from it. But a decider whose look at the queue takes 0.8 s has often sent nothing that could be confirmed: the question came meanwhile, and is answered before the renewal that the look held up. The next decider has the same queue to look at.

Now a term is given up only if a call to the log has been without an answer for 0.6 s as well, which is what a host that is cut off has by then.

The test with looks of 1 s still fails: the holder does not answer within 0.4 s, so it counts as gone after 1.25 s.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -46,6 +46,10 @@
   // Reports and renewals wait behind a look at the queue.
   private static final int LONG_LOOK_MS = 250;
 
+  // A renewal goes out 0.5 to 0.6 s after the record before it, and a term may be given up 1.2 s
+  // after that.
+  private static final int LOG_SILENT_MS = 600;
+
   /** Name under which deciders append; the store refuses all but the latest term's. */
   static final String PRODUCER = "decider";
 
@@ -140,6 +144,11 @@
     return writer.idle();
   }
 
+  /** Returns whether the log has not answered this decider for some time, though it was called. */
+  boolean logSilent() {
+    return writer.waitsFor(LOG_SILENT_MS);
+  }
+
   /** Writes a record of the term itself. */
   CompletableFuture<Void> write(LogEntry entry) {
     return append(List.of(entry));
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -109,15 +109,16 @@
 
   /**
    * Returns whether this host acts on a term, as another asks that has read no record of it for a
-   * while. If the log has confirmed nothing here either, the term is given up: the other can reach
-   * the log.
+   * while. If the log does not answer here either, the term is given up: the other can reach the
+   * log. A host that was too busy to write has no answer to miss, and keeps the term.
    */
   boolean actsOn(long term) {
     if (!rule.holds() || rule.term() != term) {
       disown(term);
       return false;
     }
-    if (!stopping && rule.unconfirmed(tools.clock().limitMs())) {
+    boolean unconfirmed = rule.unconfirmed(tools.clock().limitMs());
+    if (!stopping && unconfirmed && decider.filter(BatchDecider::logSilent).isPresent()) {
       lose("nothing was confirmed, and another host can read the log");
       disown(term);
       return false;
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -40,6 +40,8 @@
   private boolean mayHaveArrived;
   // When what is under way was first sent in a call that may have had an effect, as limit time.
   private long firstSentMs;
+  // When what is under way was taken up, as limit time.
+  private long takenUpMs;
   private boolean closed;
   private int backoffMs = FIRST_BACKOFF_MS;
 
@@ -116,6 +118,11 @@
     return queue.isEmpty() && inFlight.isEmpty();
   }
 
+  /** Returns whether something has been under way for some time, with repeats and all. */
+  public boolean waitsFor(int ms) {
+    return !inFlight.isEmpty() && clock.limitMs() - takenUpMs >= ms;
+  }
+
   /** Fails everything whose deadline has passed; what was sent may still be appended. */
   public void expire() {
     long now = clock.nowMs();
@@ -183,6 +190,7 @@
     mayHaveArrived = false;
     backoffMs = FIRST_BACKOFF_MS;
     firstSentMs = clock.limitMs();
+    takenUpMs = firstSentMs;
     send();
   }
 
