--- a/entry/src/test/java/org/wheatwall/entry/batch/SlowProcessorsTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SlowProcessorsTest.java
@@ -13,8 +13,10 @@
   private static final int WAITING = 400;
   private static final int STORE_MS = 4;
   private static final int BUSY_STORE_MS = 60;
-  // A look at all that waits takes 8 ms, 0.8 s and 1 s.
+  private static final int SLOW_STORE_MS = 150;
+  // A look at all that waits takes 8 ms, 0.4 s, 0.8 s and 1 s.
   private static final SimulatedProcessor.Costs QUICK = new SimulatedProcessor.Costs(30, 20);
+  private static final SimulatedProcessor.Costs LAZY = new SimulatedProcessor.Costs(300, 1000);
   private static final SimulatedProcessor.Costs SLOW = new SimulatedProcessor.Costs(300, 2000);
   private static final SimulatedProcessor.Costs SLOWER = new SimulatedProcessor.Costs(300, 2500);
 
@@ -28,6 +30,11 @@
     play(SLOW, STORE_MS);
   }
 
+  @Test
+  void startsAreNotWithdrawnBecauseAnswersOfWorkersWaitBehindALook() {
+    play(LAZY, SLOW_STORE_MS);
+  }
+
   @Test
   void jobsStartBesideALongQueueThoughTheStoreIsSlowAsWell() {
     play(SLOWER, BUSY_STORE_MS);
