A worker is late only if its answer had not come when the tick was due

Jobs stood for 3 s and more beside idle workers, while their runs were started and withdrawn again: "run n, 0 failed". A look at the queue holds the decision loop up. The regular task that was due meanwhile runs before the answers that came after it was due, and took each of them for late by the time at which it ran: with three such workers their whole availability zone got no new work, idle workers too. What the look had started was withdrawn as it was to be ordered.

Lateness is now judged by the time at which the task was due. Answers that had come by then were queued before it, so what is missing is late; a worker that is silent is found by the next task, 0.1 s later. A zone that is cut off is found as before.

WorkerWatchTest holds the rule.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -168,14 +168,18 @@
     supervisor.cancel(jobId, tools.clock().nowMs(), tools.clock().wallMs());
   }
 
-  /** Does what time brings. */
-  void tick(JobTable table) {
+  /**
+   * Does what time brings.
+   *
+   * @param dueMs when this call was due
+   */
+  void tick(JobTable table, long dueMs) {
     if (ended || !mayAct()) {
       return;
     }
     supervisor.tick(tools.clock().nowMs(), tools.clock().wallMs());
     supervisor.forgetEnded(table, tools.clock().nowMs(), tools.clock().wallMs());
-    watch.tick();
+    watch.tick(dueMs);
     decideSoon();
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -288,12 +288,12 @@
 
   private void tick() {
     int periodMs = holder.busy() ? DECIDER_TICK_MS : TICK_MS;
-    loopLag.ticked(periodMs);
+    long dueMs = loopLag.ticked(periodMs);
     tools.timer().after(periodMs, this::tick);
     logAnsweredAtMs = follower.answeredAtMs();
     follower.confirm();
     intake.expire();
-    holder.tick();
+    holder.tick(dueMs);
     waits = holder.waits();
     announce();
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/LoopLag.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/LoopLag.java
@@ -6,8 +6,8 @@
 import org.wheatwall.entry.common.Clock;
 
 /**
- * Measures how late the decision loop gets to what is due. A host whose loop is late takes answers
- * and renewals for late that came in time.
+ * Measures how late the decision loop gets to what is due. What comes while it is busy waits,
+ * though it came in time.
  *
  * <p>Not thread-safe; the decision loop owns it.
  */
@@ -31,14 +31,17 @@
    * Notes a regular task of the loop.
    *
    * @param nextMs when it is due again, milliseconds from now
+   * @return when it was due; what came before that was taken in before the task
    */
-  void ticked(int nextMs) {
+  long ticked(int nextMs) {
     long nowMs = clock.nowMs();
+    long wasDueMs = Math.min(dueMs, nowMs);
     long behindMs = Math.max(0, nowMs - dueMs);
     lateMs.update(behindMs);
     if (behindMs >= LATE_MS) {
       decisions.note("loop-late", field("lateMs", behindMs));
     }
     dueMs = nowMs + nextMs;
+    return wasDueMs;
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -90,10 +90,14 @@
     return stopping;
   }
 
-  /** Does what is due: renews the term, or claims it if nobody holds it. */
-  void tick() {
+  /**
+   * Does what is due: renews the term, or claims it if nobody holds it.
+   *
+   * @param dueMs when this call was due
+   */
+  void tick(long dueMs) {
     claimRepeats = 0;
-    decider.ifPresent(current -> current.tick(replica.table()));
+    decider.ifPresent(current -> current.tick(replica.table(), dueMs));
     decider.ifPresent(this::dropHostsThatAreGone);
     renewIfDue();
     if (mayClaimSoon() && settings.mechanisms().on(Mechanism.HOLDER_QUESTIONS)) {
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerWatch.java
@@ -131,10 +131,14 @@
     sessions.values().forEach(session -> session.clockKnown = false);
   }
 
-  /** Asks the workers that have to be asked and are not; those that are late get no new work. */
-  public void tick() {
+  /**
+   * Asks the workers that have to be asked and are not; those that are late get no new work.
+   *
+   * @param dueMs when this call was due
+   */
+  public void tick(long dueMs) {
     if (doubtsLate) {
-      doubtLate();
+      doubtLate(dueMs);
     }
     for (String worker : supervisor.workersInUse()) {
       if (!session(worker).asking) {
@@ -148,12 +152,14 @@
     }
   }
 
-  private void doubtLate() {
+  // Answers that came after this was due may wait behind it, on a loop that was busy. What came
+  // before has been taken in.
+  private void doubtLate(long dueMs) {
     long nowMs = clock.nowMs();
-    for (String worker : answers.late(nowMs)) {
+    for (String worker : answers.late(dueMs)) {
       supervisor.unreachable(worker, "its answer is late", nowMs);
     }
-    for (String zone : answers.silentZones(nowMs)) {
+    for (String zone : answers.silentZones(dueMs)) {
       for (String worker : supervisor.usableWorkersIn(zone)) {
         supervisor.unreachable(worker, "no worker of its zone answers", nowMs);
         look(worker);
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerWatchTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerWatchTest.java
@@ -26,7 +26,7 @@
   @Test
   void onlySomeWorkersAreMetAtOnce() {
     fixture.listWorkers(WORKERS);
-    watch.tick();
+    watch.tick(fixture.clock.nowMs());
     assertThat(port.waiting).hasSize(MOST_AT_ONCE);
   }
 
@@ -59,7 +59,7 @@
     watch.look("worker-0");
     port.answerOne(reportOfEnd());
     assertThat(port.waiting).isEmpty();
-    watch.tick();
+    watch.tick(fixture.clock.nowMs());
     assertThat(port.waiting).isEmpty();
     fixture.clock.move(RENEWAL_MS);
     watch.look("worker-0");
@@ -132,7 +132,7 @@
       watch.look("worker-" + i);
     }
     fixture.clock.move(250);
-    watch.tick();
+    watch.tick(fixture.clock.nowMs());
     assertThat(fixture.supervisor.usableWorkersIn("zone")).isEmpty();
     assertThat(port.waiting).hasSize(8);
     while (!port.waiting.isEmpty()) {
@@ -148,12 +148,28 @@
     port.answerOne(true);
     watch.look("worker-0");
     fixture.clock.move(250);
-    watch.tick();
+    watch.tick(fixture.clock.nowMs());
     assertThat(fixture.supervisor.usableWorkersIn("zone")).containsExactly("worker-1");
     port.answerOne(true);
     assertThat(fixture.supervisor.usableWorkersIn("zone")).hasSize(2);
   }
 
+  // The answer may wait behind the tick, as the loop was busy when both came.
+  @Test
+  void aWorkerIsNotLateOnlyBecauseTheTickIs() {
+    fixture.listWorkers(8);
+    while (!port.waiting.isEmpty()) {
+      port.answerOne(true);
+    }
+    for (int i = 0; i < 3; i++) {
+      watch.look("worker-" + i);
+    }
+    long dueMs = fixture.clock.nowMs() + 100;
+    fixture.clock.move(800);
+    watch.tick(dueMs);
+    assertThat(fixture.supervisor.usableWorkersIn("zone")).hasSize(8);
+  }
+
   private void meetOne() {
     fixture.listWorkers(1);
     port.answerOne(true);
