Random schedules look for jobs that stand in their calm time as well

Jobs that have ended by then are passed over, as a task that is done may be begun and stopped again; so are jobs that were given up, and schedules in which permits say which workers may run a job.

--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchSchedule.java
@@ -31,6 +31,8 @@
   private static final int LEASE_MS = 6000;
   private static final int FAULTY_MS = 30_000;
   private static final int CALM_MS = 60_000;
+  // Faults last up to 17 s, and leases of workers that were cut off four times as long as usual.
+  private static final int SETTLED_AFTER_MS = 35_000;
   private static final int JOBS = 30;
   private static final String QUEUE = "queue";
   // Two crashes under a task are reason enough to give it up.
@@ -40,6 +42,8 @@
   private final VirtualTime time;
   private final SimulatedStore store;
   private final SimulatedWorkers workers;
+  private final LostJobsCheck lostJobs;
+  private final boolean permitsNeeded;
   private final SimulatedPeers peers;
   private final List<SimulatedHost> hosts = new ArrayList<>();
   private final Map<String, String> outcomes = new TreeMap<>();
@@ -53,6 +57,8 @@
     time = new VirtualTime(seed);
     store = new SimulatedStore(time);
     workers = new SimulatedWorkers(time, WORKERS, ACCELERATORS, permits, store::confirmedAtMs);
+    lostJobs = new LostJobsCheck(time, workers);
+    permitsNeeded = permits.isPresent();
     peers = new SimulatedPeers(time);
     Set<String> permitQueues = permits.isPresent() ? Set.of(QUEUE) : Set.of();
     for (int i = 0; i < HOSTS; i++) {
@@ -190,7 +196,35 @@
       time.after(time.random().nextInt(FAULTY_MS), this::fault);
     }
     time.runFor(FAULTY_MS);
-    time.runFor(CALM_MS);
+    time.runFor(SETTLED_AFTER_MS);
+    passOverEndedJobs();
+    lostJobs.lookFor(CALM_MS - SETTLED_AFTER_MS);
+    time.runFor(CALM_MS - SETTLED_AFTER_MS);
+    checkLostJobs();
+  }
+
+  // Workers do not know which jobs are over: a task may be done, and begin and be stopped again.
+  private void passOverEndedJobs() {
+    Map<String, CompletableFuture<Optional<BatchHost.JobSummary>>> found = new TreeMap<>();
+    outcomes.keySet().forEach(id -> found.put(id, hosts.get(0).batch().find(id)));
+    time.runFor(1000);
+    found.forEach(
+        (id, state) -> {
+          if (state.join().filter(summary -> summary.state().ended()).isPresent()) {
+            lostJobs.over(id);
+          }
+        });
+  }
+
+  // Where permits are needed, not every worker that has room may run a job.
+  private void checkLostJobs() {
+    for (LostJobsCheck.LostJob job :
+        permitsNeeded ? List.<LostJobsCheck.LostJob>of() : lostJobs.lost()) {
+      boolean over =
+          cancelled.contains(job.id())
+              || stateAt(hosts.get(0), job.id()).filter(BatchState.FAILED::equals).isPresent();
+      assertWithMessage("seed " + seed + " " + job + " stands").that(over).isTrue();
+    }
   }
 
   private SimulatedHost anyHost() {
@@ -202,12 +236,16 @@
     if (!host.alive()) {
       return;
     }
+    BatchJob job = job(id);
     host.batch()
-        .submit(job(id), time.nowMs() + 2000)
+        .submit(job, time.nowMs() + 2000)
         .whenComplete(
             (done, failure) -> {
               outcomes.put(id, outcome(failure));
               if (failure == null) {
+                if (!crashing.contains(id)) {
+                  lostJobs.accepted(job);
+                }
                 accepted();
               }
             });
--- a/entry/src/test/java/org/wheatwall/entry/batch/LostJobsCheck.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/LostJobsCheck.java
@@ -31,9 +31,12 @@
   private final Set<TaskName> done = new HashSet<>();
   private final Set<TaskName> running = new HashSet<>();
   private final Map<String, Integer> runningOf = new HashMap<>();
-  private final List<String> lost = new ArrayList<>();
+  private final List<LostJob> lost = new ArrayList<>();
   private int eventsRead;
 
+  /** A job that stands, and since when. */
+  record LostJob(String id, long sinceMs) {}
+
   LostJobsCheck(VirtualTime time, SimulatedWorkers workers) {
     this.time = time;
     this.workers = workers;
@@ -59,7 +62,7 @@
   }
 
   /** Returns what was found, each job once. */
-  List<String> lost() {
+  List<LostJob> lost() {
     return List.copyOf(lost);
   }
 
@@ -116,7 +119,7 @@
   private void noteStanding(BatchJob job) {
     long sinceMs = standsSinceMs.computeIfAbsent(job.id(), id -> time.nowMs());
     if (time.nowMs() - sinceMs >= LONGEST_STANDING_MS) {
-      lost.add(job.id() + " stands from " + sinceMs + " to " + time.nowMs());
+      lost.add(new LostJob(job.id(), sinceMs));
       over(job.id());
     }
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/SlowCluster.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SlowCluster.java
@@ -122,7 +122,7 @@
   }
 
   /** Returns which jobs stood though they need not have. */
-  List<String> lost() {
+  List<LostJobsCheck.LostJob> lost() {
     return check.lost();
   }
 
