A host that is busy with a look is not taken for gone

Jobs stood beside idle workers while the term went round: a holder whose look at the queue took a second did not answer the two questions of 0.2 s that other hosts put to it, so it counted as gone 1.25 s after its last record, another claimed the term, and had the same queue to look at. The question is now answered beside the loop while the loop is behind and the term may still act by what the log has confirmed; a host that can no longer act says nothing new, and the silence of the log counts as before.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
@@ -139,6 +139,11 @@
     return heldTerm != 0 && limitMs < actUntilMs;
   }
 
+  /** Returns the held term, and until when orders may be given under it. */
+  public ActingTerm acting() {
+    return heldTerm == 0 ? ActingTerm.NONE : new ActingTerm(heldTerm, actUntilMs);
+  }
+
   /** Returns the number of the held term, 0 if none. */
   public long term() {
     return heldTerm;
--- a/entry/src/main/java/org/wheatwall/entry/batch/LoopLag.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/LoopLag.java
@@ -9,16 +9,17 @@
  * Measures how late the decision loop gets to what is due. What comes while it is busy waits,
  * though it came in time.
  *
- * <p>Not thread-safe; the decision loop owns it.
+ * <p>Owned by the decision loop; {@link #isBehind} may be called on any thread.
  */
 final class LoopLag {
   // As late as a worker's answer may be before it gets no new work.
   private static final int LATE_MS = 250;
+  private static final int BEHIND_MS = 100;
 
   private final Clock clock;
   private final DecisionLog decisions;
   private final Histogram lateMs;
-  private long dueMs;
+  private volatile long dueMs;
 
   LoopLag(Clock clock, DecisionLog decisions, Histogram lateMs) {
     this.clock = clock;
@@ -27,6 +28,11 @@
     this.dueMs = Long.MAX_VALUE;
   }
 
+  /** Returns whether the loop is busy: its regular task is overdue. */
+  boolean isBehind() {
+    return clock.nowMs() - dueMs >= BEHIND_MS;
+  }
+
   /**
    * Notes a regular task of the loop.
    *
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import org.wheatwall.core.batch.decision.ActingTerm;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.WaitSummary;
@@ -152,6 +153,11 @@
     }
   }
 
+  /** Returns the term under which this host gives orders. */
+  ActingTerm acting() {
+    return rule.acting();
+  }
+
   /** Returns how many groups wait; none while another host decides. */
   WaitSummary waits() {
     return decider.map(current -> current.supervisor().waits()).orElse(WaitSummary.NONE);
