--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/FailedOrderTest.java
@@ -0,0 +1,46 @@
+package org.wheatwall.core.batch.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** An order that fails by a fault of the program as it is sent does not hold its group for ever. */
+final class FailedOrderTest extends OneJobScenario {
+  private static final int TICK_MS = 100;
+  private static final int LONG_ENOUGH_MS = 60_000;
+
+  private void pass(String... workers) {
+    for (int passed = 0; passed < LONG_ENOUGH_MS; passed += TICK_MS) {
+      nowMs += TICK_MS;
+      for (String worker : workers) {
+        report(worker, List.of(), List.of());
+      }
+      tick(WALL_MS);
+      effects.keepAll();
+    }
+  }
+
+  @Test
+  void itsGroupIsOrderedAgain() {
+    listWorker("a");
+    effects.keepAll();
+    accept(job(1, false, 2));
+    effects.failNextStart();
+    assertThrows(IllegalStateException.class, effects::keepAll);
+    pass("a");
+    assertThat(effects.starts).isNotEmpty();
+  }
+
+  @Test
+  void aGangOfWhichOneOrderFailedDoesNotStayInParts() {
+    listWorker("a");
+    effects.keepAll();
+    accept(job(2, true, 2));
+    effects.failNextStart();
+    assertThrows(IllegalStateException.class, effects::keepAll);
+    pass("a");
+    assertThat(effects.starts).isNotEmpty();
+  }
+}
--- a/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
@@ -18,6 +18,7 @@
   final List<RunEvent> events = new ArrayList<>();
   private final Deque<Runnable> waiting = new ArrayDeque<>();
   private boolean nextStopFails;
+  private boolean nextStartFails;
 
   @Override
   public void keep(List<LogEntry> entries, Runnable whenKept) {
@@ -27,6 +28,10 @@
 
   @Override
   public void start(StartOrder order) {
+    if (nextStartFails) {
+      nextStartFails = false;
+      throw new IllegalStateException("the order cannot be sent");
+    }
     starts.add(order);
   }
 
@@ -72,4 +77,9 @@
   void failNextStop() {
     nextStopFails = true;
   }
+
+  /** Lets the next start fail by a fault of the program. */
+  void failNextStart() {
+    nextStartFails = true;
+  }
 }
--- a/core/src/test/java/org/wheatwall/core/job/decision/IdleCapacityTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/IdleCapacityTest.java
@@ -232,6 +232,63 @@
     assertThat(waiting("other")).isLessThan(before);
   }
 
+  /** On a slow processor a look takes a second and more. */
+  @Test
+  void roomForUrgentWorkIsGivenUpThoughLooksAreFarApart() {
+    submit("other", 400, job(new ResourceAmount(PROCESSORS, 100, 8), false, JobOptions.NONE));
+    passWithUrgentWork(LONGEST_WAIT_MS);
+    int before = waiting("other");
+    for (int i = 0; i < 60; i++) {
+      nowMs += 1100;
+      look();
+    }
+    assertThat(waiting("other")).isLessThan(before);
+  }
+
+  /** Urgent work that comes just before a late look does not count as coming later than it did. */
+  @Test
+  void roomForUrgentWorkIsNotKeptLongerBecauseALookWasLate() {
+    submit("other", 400, job(new ResourceAmount(PROCESSORS, 100, 8), false, JobOptions.NONE));
+    passWithUrgentWork(LONGEST_WAIT_MS);
+    int before = waiting("other");
+    nowMs += 20_000;
+    submit("urgent-late", 1, job(accelerators(1), true, JobOptions.NONE));
+    pass(10_000 + 2 * PASS_EACH_MS);
+    assertThat(waiting("other")).isLessThan(before);
+  }
+
+  @Test
+  void howLongWorkIsHiddenDoesNotGrowWithTheWorkThatHidesIt() {
+    for (int i = 0; i < 8000; i++) {
+      submit("nowhere-" + i, 1, job(accelerators(1), false, options(0, Set.of("missing-" + i))));
+    }
+    submit("small", 10, job(accelerators(1), false, options(1, Set.of())));
+    // Looks as DecisionPace spaces long ones.
+    for (int passed = 0; passed < LONGEST_WAIT_MS; passed += 400) {
+      scheduler.decide(nowMs);
+      nowMs += 400;
+    }
+    assertThat(waiting("small")).isEqualTo(0);
+  }
+
+  /** An accelerator counts as eight cores, however many cores a host has beside each. */
+  @Test
+  void hostsWithManyProcessorsCountAsLessThanHalfInUse() {
+    for (String host : hosts) {
+      scheduler
+          .cluster()
+          .add(
+              new WorkerHost(
+                  host,
+                  "zone",
+                  scheduler.cluster().host(host).orElseThrow().host().rack(),
+                  new ResourceAmount(4 * PROCESSORS, 131_072, ACCELERATORS)));
+    }
+    submit("other", 2000, job(accelerators(1), false, JobOptions.NONE));
+    passWithUrgentWork(10 * LONGEST_WAIT_MS);
+    checkHalfIsInUse();
+  }
+
   private void passWithUrgentWork(int ms) {
     for (int passed = 0; passed < ms; passed += PASS_EACH_MS) {
       submit("urgent-" + nowMs, 1, job(accelerators(1), true, JobOptions.NONE));
