--- a/core/src/main/java/org/wheatwall/core/batch/decision/QueueDecisions.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/QueueDecisions.java
@@ -39,6 +39,8 @@
           .ifPresent(victim -> lifecycle.stopRun(victim, stop.reason()));
     } else if (decision instanceof Decision.Start start) {
       start(start);
+    } else if (decision instanceof Decision.Failed failed) {
+      note(failed.jobName(), failed.cause());
     }
   }
 
@@ -82,7 +84,7 @@
 
   private void failed(Decision decision, RuntimeException failure) {
     if (decision instanceof Decision.Start start) {
-      note(start.jobName(), failure);
+      note(start.jobName(), String.valueOf(failure));
       // A run that was planned is ended like any other that is not ordered.
       if (term.runs.ofAttempt(start.attemptId()).isEmpty()) {
         endAttempt(start);
@@ -90,7 +92,7 @@
       }
     } else if (decision instanceof Decision.Stop stop) {
       String victim = term.runs.ofAttempt(stop.attemptId()).map(r -> r.group().text()).orElse("");
-      note(victim, failure);
+      note(victim, String.valueOf(failure));
     }
   }
 
@@ -100,8 +102,8 @@
         .ifPresent(progress -> term.submit(progress, group));
   }
 
-  private void note(String groupText, RuntimeException failure) {
+  private void note(String groupText, String cause) {
     String jobId = GroupKey.parse(groupText).map(GroupKey::jobId).orElse("");
-    term.note(RunEvent.Kind.DECISION_FAILED, jobId, groupText, String.valueOf(failure));
+    term.note(RunEvent.Kind.DECISION_FAILED, jobId, groupText, cause);
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/ArrivalGaps.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ArrivalGaps.java
@@ -36,11 +36,6 @@
     }
   }
 
-  /** Notes a time in which no arrival could be told, so that none proves nothing. */
-  void untold(long ms) {
-    lastMs += ms;
-  }
-
   /** Returns whether the next arrival is expected. */
   boolean isExpected(long nowMs) {
     double gapsMs = MEAN_GAPS * meanMs.orElse(LONGEST_MS);
--- a/core/src/main/java/org/wheatwall/core/job/decision/Decision.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Decision.java
@@ -14,6 +14,9 @@
   record Start(String attemptId, String jobName, Job job, Placement placement, List<String> victims)
       implements Decision {}
 
+  /** A job could not be looked at, by a fault of this program; it waits on. */
+  record Failed(String jobName, String cause) implements Decision {}
+
   /** Checkpoint and stop a whole gang. */
   record Stop(String attemptId, String reason) implements Decision {}
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueuePass.java
@@ -52,7 +52,6 @@
       tables.leftOff = false;
       return decisions;
     }
-    tables.urgentRoom.looked(nowMs);
     List<QueuedJob> jobs = inOrder();
     int position = look(jobs, 0, settings.scanLimit() / 2);
     int from = tables.resumeAt < jobs.size() ? Math.max(position, tables.resumeAt) : position;
@@ -66,7 +65,7 @@
   private int look(List<QueuedJob> jobs, int from, int searchLimit) {
     int position = from;
     while (position < jobs.size() && searches < searchLimit && started < settings.startLimit()) {
-      look(jobs.get(position));
+      lookOrNote(jobs.get(position));
       position++;
     }
     return position;
@@ -104,6 +103,16 @@
     return nowMs - job.submittedAtMs() >= settings.starvationBoundMs();
   }
 
+  // A job that cannot be looked at must not undo what was decided for others.
+  private void lookOrNote(QueuedJob job) {
+    try {
+      look(job);
+    } catch (RuntimeException failure) {
+      searches++;
+      decisions.add(new Decision.Failed(job.name(), String.valueOf(failure)));
+    }
+  }
+
   private void look(QueuedJob queued) {
     QueuedJob job = relaxed(queued);
     Findings found = findingsFor(job.job());
--- a/core/src/main/java/org/wheatwall/core/job/decision/UrgentRoom.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/UrgentRoom.java
@@ -19,15 +19,12 @@
   // Work later than this is late whatever it is given; if all late work took the room, it would be
   // stopped for urgent work over and over.
   private static final int LATE_ANYWAY_MS = 2000;
-  // Looks come four times a second and more, unless the job log cannot be written.
-  private static final int MISSED_LOOK_MS = 1000;
   private static final int MS_PER_SECOND = 1000;
   private static final int PERCENT = 100;
 
   private final int percent;
   private final Map<String, Objective> objectives = new HashMap<>();
   private final ArrivalGaps urgentWork = new ArrivalGaps();
-  private long lookedAtMs = Long.MAX_VALUE;
 
   /**
    * Creates the rule.
@@ -49,15 +46,6 @@
     urgentWork.arrived(atMs);
   }
 
-  /** Notes a look at the queue; while none is possible, no urgent work is heard of either. */
-  void looked(long nowMs) {
-    long missedMs = nowMs - lookedAtMs;
-    if (missedMs >= MISSED_LOOK_MS) {
-      urgentWork.untold(missedMs);
-    }
-    lookedAtMs = nowMs;
-  }
-
   /** Returns whether a job has to wait because it would take the room. */
   boolean isTakenBy(QueuedJob queued, Cluster cluster, long nowMs) {
     Job job = queued.job();
