A lease counts as run out only if it was sent after the last answer

A worker that was asked and answered within one millisecond, and then idle, counted as lapsed after 26.7 s, so a run that was planned there was ended before it was ordered and planned there again. Whether a lease was sent since the answer is now kept as a fact and not told from the times. IdleWorkerLeaseTest failed, passes; LastLeaseTest passes.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -16,6 +16,7 @@
   private boolean suspected;
   private boolean aside;
   private long leasedAtMs;
+  private boolean leasedSinceAnswer = true;
   private long answeredAtMs = Long.MIN_VALUE / 2;
   private long fellSilentAtMs = Long.MAX_VALUE;
   private long unlistedAtMs = Long.MAX_VALUE;
@@ -107,6 +108,7 @@
   void heard(long nowMs) {
     heard = true;
     suspected = false;
+    leasedSinceAnswer = false;
     answeredAtMs = nowMs;
     fellSilentAtMs = Long.MAX_VALUE;
   }
@@ -133,6 +135,7 @@
 
   void leased(long nowMs) {
     leasedAtMs = Math.max(leasedAtMs, nowMs);
+    leasedSinceAnswer = true;
   }
 
   /**
@@ -142,8 +145,7 @@
    */
   boolean lapsed(long nowMs, long lapseMs) {
     long waitMs = listed ? LISTED_LAPSE_FACTOR * lapseMs : lapseMs;
-    // The next call, with its lease, often goes out in the millisecond of an answer.
-    return answeredAtMs <= leasedAtMs && nowMs - leasedAtMs > waitMs;
+    return leasedSinceAnswer && nowMs - leasedAtMs > waitMs;
   }
 
   /** Returns when it last answered, the smallest value if it never did. */
