A start that could not be sent does not count as ordered

If sending a start failed, its task counted as ordered without an answer to come, and a gang with one task ordered as ordered whole: the group and its room were held for the rest of the term.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -142,9 +142,9 @@
     launched = true;
   }
 
-  /** Returns whether an order for one of its tasks was sent, by this decider or an earlier one. */
+  /** Returns whether orders for all of its tasks were sent, by this decider or an earlier one. */
   boolean ordered() {
-    return members.stream().anyMatch(member -> member.phase() != MemberRun.Phase.PLANNED);
+    return members.stream().noneMatch(member -> member.phase() == MemberRun.Phase.PLANNED);
   }
 
   boolean stopping() {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEffects.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEffects.java
@@ -14,7 +14,10 @@
    */
   void keep(List<LogEntry> entries, Runnable whenKept);
 
-  /** Sends a start; the answer comes to {@link RunSupervisor#onStartAnswer}. */
+  /**
+   * Sends a start; the answer comes to {@link RunSupervisor#onStartAnswer}, never during this call.
+   * An exception means that nothing was sent.
+   */
   void start(StartOrder order);
 
   /** Sends a stop; the answer comes to {@link RunSupervisor#onStopAnswer}. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -77,7 +77,6 @@
   }
 
   void sendStart(GroupRun run, MemberRun member) {
-    member.ordered(term.nowMs);
     term.effects.start(
         new StartOrder(
             member.worker(),
@@ -86,6 +85,7 @@
             run.job().specification(),
             run.state().checkpoint(),
             term.permits.text(run, member.worker())));
+    member.ordered(term.nowMs);
   }
 
   void startAnswered(GroupRun run, MemberRun member, OrderAnswer answer) {
