--- a/core/src/main/java/org/wheatwall/core/batch/decision/PendingStarts.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/PendingStarts.java
@@ -10,7 +10,7 @@
  * again, for any room that there is by then.
  */
 final class PendingStarts {
-  /** The longest wait for what is stopped, milliseconds; stops take up to 0.9 s at the users. */
+  /** The longest wait for what is stopped, milliseconds; a stop takes most of a second at most. */
   static final int LONGEST_FOR_VICTIMS_MS = 1000;
 
   /** The longest wait for a record, milliseconds; a term may not act for that long without one. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WaitSummary.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WaitSummary.java
@@ -1,7 +1,7 @@
 package org.wheatwall.core.batch.decision;
 
 /**
- * How many groups wait and what for, at one moment.
+ * How many groups wait, and which workers there are for them, at one moment.
  *
  * @param groups groups of tasks that are due and have no run
  * @param longestMs how long the one that waits longest has waited, milliseconds; 0 if none waits
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.wheatwall.core.batch.decision.ActingTerm;
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.TermRule;
@@ -62,7 +61,6 @@
   private boolean announcing;
   private volatile long logAnsweredAtMs;
   private volatile WaitSummary waits = WaitSummary.NONE;
-  private volatile ActingTerm acting = ActingTerm.NONE;
   private final LoopLag loopLag;
 
   /**
@@ -223,7 +221,7 @@
    * loop is busy the answer does not wait for it, or the host would be taken for gone.
    */
   public CompletableFuture<Boolean> actsOn(long term) {
-    if (loopLag.isBehind() && acting.covers(term, tools.clock().limitMs())) {
+    if (loopLag.isBehind() && holder.acting().covers(term, tools.clock().limitMs())) {
       return CompletableFuture.completedFuture(true);
     }
     return onLoop(() -> CompletableFuture.completedFuture(holder.actsOn(term)));
@@ -297,14 +295,12 @@
   private void tick() {
     int periodMs = holder.busy() ? DECIDER_TICK_MS : TICK_MS;
     long dueMs = loopLag.ticked(periodMs);
-    acting = holder.acting();
     tools.timer().after(periodMs, this::tick);
     logAnsweredAtMs = follower.answeredAtMs();
     follower.confirm();
     intake.expire();
     holder.tick(dueMs);
     waits = holder.waits();
-    acting = holder.acting();
     announce();
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermHolder.java
@@ -52,6 +52,7 @@
   private boolean claiming;
   private int claimRepeats;
   private boolean stopping;
+  private volatile ActingTerm acting = ActingTerm.NONE;
   private long leftToOthersUntilMs = Long.MIN_VALUE;
   private boolean claimsHandedOver;
   private long wonAtMs;
@@ -104,6 +105,7 @@
    * @param dueMs when this call was due
    */
   void tick(long dueMs) {
+    acting = rule.acting();
     claimRepeats = 0;
     decider.ifPresent(current -> current.tick(replica.table(), dueMs));
     decider.ifPresent(this::dropHostsThatAreGone);
@@ -153,9 +155,12 @@
     }
   }
 
-  /** Returns the term under which this host gives orders. */
+  /**
+   * Returns the term under which this host gives orders, as of the last tick. May be called on any
+   * thread.
+   */
   ActingTerm acting() {
-    return rule.acting();
+    return acting;
   }
 
   /** Returns how many groups wait; none while another host decides. */
@@ -351,6 +356,7 @@
     decider.get().end(reason);
     decider = Optional.empty();
     rule.lost(tools.clock().nowMs());
+    acting = ActingTerm.NONE;
   }
 
   private LogEntry termEntry(long term, boolean released) {
