Failing tests: a decider keeps its term although it reaches hardly any worker

What callers see: accepted jobs have nothing running for as long as the decider is cut off from the workers, while other hosts reach all of them.

WorkerPollerTest plays a zone of five workers, four silent: the fifth answers each poll and is suspected 17 times in 10 s.

SimulatedWorkers learns to block single paths and to spread workers over availability zones.

--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -50,6 +50,8 @@
   private final List<WorkerInfo> infos = new ArrayList<>();
   private final Set<Integer> partitionedWorkers = new HashSet<>();
   private final Set<SimulatedHost> partitionedHosts = new HashSet<>();
+  private final Map<SimulatedHost, Set<Integer>> blockedPaths = new HashMap<>();
+  private final int zones;
   private final Set<Integer> down = new HashSet<>();
   private final Set<Integer> expiredEntries = new HashSet<>();
   private final Map<SimulatedHost, WorkerDirectory.Listener> listeners = new HashMap<>();
@@ -73,7 +75,25 @@
       int accelerators,
       Optional<PermitModel> permits,
       ToLongFunction<SimulatedHost> confirmedAtMs) {
+    this(time, count, 1, accelerators, permits, confirmedAtMs);
+  }
+
+  /**
+   * Creates workers.
+   *
+   * @param zones number of availability zones that the workers are divided among
+   * @param confirmedAtMs returns when a host's term was last confirmed
+   * @param permits issues the permits that workers require for starts; empty if none are needed
+   */
+  SimulatedWorkers(
+      VirtualTime time,
+      int count,
+      int zones,
+      int accelerators,
+      Optional<PermitModel> permits,
+      ToLongFunction<SimulatedHost> confirmedAtMs) {
     this.time = time;
+    this.zones = zones;
     this.confirmedAtMs = confirmedAtMs;
     this.permits = permits;
     this.accelerators = accelerators;
@@ -115,6 +135,16 @@
     }
   }
 
+  /** Sets whether calls of a host to one worker get lost. */
+  void setPathBlocked(SimulatedHost host, int index, boolean isBlocked) {
+    Set<Integer> blocked = blockedPaths.computeIfAbsent(host, key -> new HashSet<>());
+    if (isBlocked) {
+      blocked.add(index);
+    } else {
+      blocked.remove(index);
+    }
+  }
+
   void setStuck(int index, boolean isStuck) {
     workers.get(index).setStuck(isStuck);
   }
@@ -225,13 +255,18 @@
         WorkerIncarnation.startedAt(model.id(), model.startedAtMs()).name(),
         "127.0.0.1:" + (1000 + index),
         "service",
-        "zone",
+        zoneOf(index),
         rackOf(index),
         LABELS,
         new ResourceAmount(32_000, 64_000, accelerators),
         false);
   }
 
+  /** Returns the availability zone of a worker. */
+  String zoneOf(int index) {
+    return zones == 1 ? "zone" : "zone" + index % zones;
+  }
+
   /** Returns the rack of a worker. */
   String rackOf(int index) {
     return "rack" + index / workersPerRack;
@@ -324,7 +359,9 @@
   }
 
   boolean isPartitioned(int index, SimulatedHost host) {
-    return partitionedWorkers.contains(index) || partitionedHosts.contains(host);
+    return partitionedWorkers.contains(index)
+        || partitionedHosts.contains(host)
+        || blockedPaths.getOrDefault(host, Set.of()).contains(index);
   }
 
   /** Returns whether a worker is up, reachable and listed. */
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.decision.RunEvent;
 import org.wheatwall.core.batch.model.EndKind;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.batch.model.WorkerInventory;
@@ -180,4 +181,32 @@
     return new WorkerInventory(
         5, List.of(), List.of(new WorkerInventory.EndedTask(1, TASK, 1, EndKind.DONE, "")));
   }
+
+  // A worker that responds to each poll was suspected several times a second, because no other
+  // worker of its zone responded.
+  @Test
+  void aWorkerThatRespondsIsNotSuspectedAgainBecauseItsZoneIsSilent() {
+    int workers = 5;
+    String responding = "worker-" + (workers - 1);
+    fixture.listWorkers(workers);
+    while (!port.inFlight.isEmpty()) {
+      port.respondToOne(true);
+    }
+    for (int i = 0; i < workers - 1; i++) {
+      poller.pollSoon("worker-" + i);
+    }
+    for (int elapsedMs = 0; elapsedMs < 10_000; elapsedMs += RENEWAL_MS) {
+      fixture.clock.advance(RENEWAL_MS);
+      poller.tick(fixture.clock.nowMs());
+      while (port.inFlight.size() >= workers) {
+        port.inFlight.remove(workers - 1).complete(new WorkerInventory(5, List.of(), List.of()));
+      }
+    }
+    long suspicions =
+        fixture.effects.decided.stream()
+            .filter(event -> event.kind() == RunEvent.Kind.WORKER_UNREACHABLE)
+            .filter(event -> event.subject().equals(responding))
+            .count();
+    assertThat(suspicions).isAtMost(1);
+  }
 }
