The term is handed over to a host that reaches the workers

What callers saw: nothing of their accepted jobs ran for as long as the decider was cut off from the workers, with most of the capacity free.

(1) A worker that answered was called unreachable because its zone was silent; one reached worker came and went several times a second. (3) The term was released to whoever claimed first, which could be a host behind the same cut, and then was not passed on for 15 s.

The time without enough workers shrinks as gradually as it grows, and counts only workers that were called in vain. After 0.5 s the decider surveys: it and up to 12 other hosts try to connect to the same 16 workers. Only if a host reaches at least twice as many is the term handed over, and the record of the release names that host: others claim a second later. At most two such hand-overs in 30 s, counted by every host from the job log. Without any answer the old release to any host remains, after 3 s, once in 30 s. A worker that was suspected with its zone and then responds is judged by its own responses for 10 s.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/LateResponses.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/LateResponses.java
@@ -12,7 +12,9 @@
  * within some milliseconds, so one that is late by a quarter of a second gets no new work until it
  * responds. Idle workers of a partitioned zone are not queried, so they are never late, and being
  * idle they would attract all new work. Therefore a zone is treated as silent once several of its
- * workers are late and none of its workers has responded meanwhile.
+ * workers are late and none of its workers has responded meanwhile. A worker that was suspected for
+ * this reason and then responds is judged by its own responses for some time: where only some paths
+ * to a zone are broken, it would otherwise be suspected again after each response.
  *
  * <p>Guards against starts in a partitioned zone: of 643 urgent jobs of nine days that ended with a
  * partition, 5 started behind it and then waited 4 to 8 s for a stop.
@@ -27,8 +29,13 @@
   // One or two workers may stall by themselves.
   private static final int LATE_WORKERS_IN_ZONE = 3;
 
+  // Several rounds of polls, by which the worker's own responses show whether it is reachable.
+  private static final int INFERENCE_PAUSE_MS = 10_000;
+
   private final Map<String, Due> dueByWorker = new HashMap<>();
   private final Map<String, Long> lastResponseMsByZone = new HashMap<>();
+  private final Set<String> suspectedWithZone = new HashSet<>();
+  private final Map<String, Long> inferencePauseEndMs = new HashMap<>();
 
   private record Due(String zone, long atMs) {}
 
@@ -41,6 +48,34 @@
   public void onResponse(String worker, String zone, long nowMs) {
     dueByWorker.remove(worker);
     lastResponseMsByZone.put(zone, nowMs);
+    if (suspectedWithZone.remove(worker)) {
+      inferencePauseEndMs.put(worker, nowMs + INFERENCE_PAUSE_MS);
+    }
+  }
+
+  /** Records that a worker was suspected because its zone is silent. */
+  public void onSuspectedWithZone(String worker) {
+    suspectedWithZone.add(worker);
+  }
+
+  /** Returns whether a worker of a silent zone may be suspected without being late itself. */
+  public boolean maySuspectWithZone(String worker, long nowMs) {
+    Long pauseEndMs = inferencePauseEndMs.get(worker);
+    if (pauseEndMs == null) {
+      return true;
+    }
+    if (nowMs < pauseEndMs) {
+      return false;
+    }
+    inferencePauseEndMs.remove(worker);
+    return true;
+  }
+
+  /** Discards what is known of a worker that is gone. */
+  public void remove(String worker) {
+    dueByWorker.remove(worker);
+    suspectedWithZone.remove(worker);
+    inferencePauseEndMs.remove(worker);
   }
 
   /** Records that a call ended without a response; none is due until the next call. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -365,9 +365,22 @@
     term.flush();
   }
 
-  /** Returns whether work is waiting while most workers have been unreachable for some time. */
-  public boolean tooFewReachable() {
-    return reachabilityRule.tooFewReachable();
+  /** Returns whether there is work while most workers are unreachable from this host. */
+  public boolean isReachabilitySurveyNeeded() {
+    return reachabilityRule.isSurveyNeeded();
+  }
+
+  /** Returns whether that has lasted so long that any other host may do better. */
+  public boolean isReleaseDue() {
+    return reachabilityRule.isReleaseDue();
+  }
+
+  /** Returns the listed workers. */
+  public List<WorkerInfo> listedWorkers() {
+    return term.workers.all().stream()
+        .filter(WorkerRecord::listed)
+        .flatMap(record -> record.info().stream())
+        .toList();
   }
 
   /** Returns a summary of the waiting groups, updated once per second. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermRule.java
@@ -19,7 +19,11 @@
  * <p>Not thread-safe; the decision loop owns it.
  */
 public final class TermRule {
+  // Time to read the release and to claim, with a store that is some ten times slower than usual.
+  private static final int SUCCESSOR_PRIORITY_MS = 1000;
+
   private final TermSettings settings;
+  private final String host;
   private final String address;
   private final String incarnation;
   private long heldTerm;
@@ -32,11 +36,14 @@
   /**
    * Creates the rule for a process.
    *
+   * @param host name of this host
    * @param address address of this host, used by no other running process
    * @param incarnation identifier of this process
    */
-  public TermRule(TermSettings settings, String address, String incarnation, long nowMs) {
+  public TermRule(
+      TermSettings settings, String host, String address, String incarnation, long nowMs) {
     this.settings = settings;
+    this.host = host;
     this.address = address;
     this.incarnation = incarnation;
     this.silentSinceMs = nowMs;
@@ -70,13 +77,19 @@
     if (heldTerm != 0) {
       return false;
     }
+    if (isChosenSuccessor(latest)) {
+      return true;
+    }
     long silentMs = nowMs - silentSinceMs - settings.yieldMs();
     if (silentMs < 0) {
       return false;
     }
-    if (latest.isEmpty() || latest.get().released()) {
+    if (latest.isEmpty()) {
       return true;
     }
+    if (latest.get().released()) {
+      return latest.get().successor().isEmpty() || silentMs >= SUCCESSOR_PRIORITY_MS;
+    }
     boolean ownEarlierIncarnation =
         latest.get().address().equals(address) && !latest.get().incarnation().equals(incarnation);
     boolean unresponsive = holderStatus == HolderStatus.SILENT && silentMs >= settings.goneMs();
@@ -84,6 +97,14 @@
     return ownEarlierIncarnation || resigned || unresponsive || silentMs >= settings.silenceMs();
   }
 
+  private boolean isChosenSuccessor(Optional<LogContent.Term> latest) {
+    return latest
+        .filter(LogContent.Term::released)
+        .flatMap(LogContent.Term::successor)
+        .filter(host::equals)
+        .isPresent();
+  }
+
   /**
    * Records that a claim is sent now. Its record is read later and then ends the silence.
    *
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -91,6 +91,11 @@
     return listed && !responded && !suspected;
   }
 
+  /** Returns whether it was called in vain since its last response. */
+  boolean suspected() {
+    return suspected;
+  }
+
   /** Returns the delays between starts that it refuses. */
   StartBackoff backoff() {
     return backoff;
--- a/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
@@ -1,5 +1,7 @@
 package org.wheatwall.core.batch.model;
 
+import java.util.Optional;
+
 /** Content of a job log record. */
 public sealed interface LogContent {
   /** Definition of an accepted job. The first record of an identifier counts. */
@@ -34,7 +36,19 @@
    * @param incarnation identifier of the deciding process
    * @param term number of the term, or 0 in a claim, whose offset determines the number
    * @param released whether the holder has released the term
+   * @param successor name of the host that shall claim the released term, if the holder chose one
    */
-  record Term(String holder, String address, String incarnation, long term, boolean released)
-      implements LogContent {}
+  record Term(
+      String holder,
+      String address,
+      String incarnation,
+      long term,
+      boolean released,
+      Optional<String> successor)
+      implements LogContent {
+    /** Creates the record of a term without a chosen successor. */
+    public Term(String holder, String address, String incarnation, long term, boolean released) {
+      this(holder, address, incarnation, term, released, Optional.empty());
+    }
+  }
 }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/TermRuleTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/TermRuleTest.java
@@ -17,15 +17,15 @@
 
   @Test
   void aFreeTermMayBeClaimedAtOnce() {
-    TermRule rule = new TermRule(SETTINGS, "a", "life-1", 0);
+    TermRule rule = new TermRule(SETTINGS, "host-a", "a", "life-1", 0);
     assertThat(rule.mayClaim(Optional.empty(), 0)).isTrue();
     assertThat(rule.mayClaim(heldBy("b", "other", true), 0)).isTrue();
   }
 
   @Test
   void aSilentHolderIsReplacedOnlyAfterItHasStopped() {
-    TermRule holder = new TermRule(SETTINGS, "a", "life-1", 0);
-    TermRule rival = new TermRule(SETTINGS, "b", "life-2", 0);
+    TermRule holder = new TermRule(SETTINGS, "host-a", "a", "life-1", 0);
+    TermRule rival = new TermRule(SETTINGS, "host-b", "b", "life-2", 0);
     holder.onClaimSent(1000, 1000);
     holder.onWon(7);
     rival.onDeciderRecord(1000);
@@ -40,7 +40,7 @@
 
   @Test
   void aWeakHostLetsStrongOnesClaimFirst() {
-    TermRule slow = new TermRule(SETTINGS.withYieldMs(400), "a", "life-1", 0);
+    TermRule slow = new TermRule(SETTINGS.withYieldMs(400), "host-a", "a", "life-1", 0);
     assertThat(slow.mayClaim(Optional.empty(), 399)).isFalse();
     assertThat(slow.mayClaim(Optional.empty(), 400)).isTrue();
     slow.onDeciderRecord(1000);
@@ -53,14 +53,14 @@
 
   @Test
   void silenceDuringAnOutageDoesNotCount() {
-    TermRule rival = new TermRule(SETTINGS, "b", "life-2", 0);
+    TermRule rival = new TermRule(SETTINGS, "host-b", "b", "life-2", 0);
     rival.onOutageEnd(50_000);
     assertThat(rival.mayClaim(heldBy("a", "life-1", false), 50_001)).isFalse();
   }
 
   @Test
   void aRestartedHolderNeedNotWaitForItsEarlierProcess() {
-    TermRule rule = new TermRule(SETTINGS, "a", "life-2", 0);
+    TermRule rule = new TermRule(SETTINGS, "host-a", "a", "life-2", 0);
     assertThat(rule.mayClaim(heldBy("a", "life-1", false), 1)).isTrue();
     assertThat(rule.mayClaim(heldBy("a", "life-2", false), 1)).isFalse();
   }
@@ -75,7 +75,7 @@
 
   @Test
   void aHealthyHolderIsNotQueried() {
-    TermRule rival = new TermRule(SETTINGS, "b", "life-2", 0);
+    TermRule rival = new TermRule(SETTINGS, "host-b", "b", "life-2", 0);
     rival.onDeciderRecord(1000);
     assertThat(rival.mayQueryHolder(heldBy("a", "life-1", false), 1000 + SETTINGS.renewMs() + 200))
         .isFalse();
@@ -88,7 +88,7 @@
 
   @Test
   void aHolderThatReportsItsResignationIsReplacedAtOnce() {
-    TermRule rival = new TermRule(SETTINGS, "b", "life-2", 0);
+    TermRule rival = new TermRule(SETTINGS, "host-b", "b", "life-2", 0);
     rival.onDeciderRecord(1000);
     rival.onHolderQueried(HolderStatus.RESIGNED);
     assertThat(firstClaim(rival, 1900)).isEqualTo(1900);
@@ -98,7 +98,7 @@
 
   @Test
   void aHolderThatRespondsKeepsItsFullTime() {
-    TermRule rival = new TermRule(SETTINGS, "b", "life-2", 0);
+    TermRule rival = new TermRule(SETTINGS, "host-b", "b", "life-2", 0);
     rival.onDeciderRecord(1000);
     rival.onHolderQueried(HolderStatus.ACTING);
     assertThat(firstClaim(rival, 1000)).isEqualTo(1000 + SETTINGS.silenceMs());
@@ -108,7 +108,7 @@
   // can.
   @Test
   void anUnresponsiveHolderIsReplacedEarlierAndCountsAsActingUntilItsTimeIsOver() {
-    TermRule rival = new TermRule(SETTINGS, "b", "life-2", 0);
+    TermRule rival = new TermRule(SETTINGS, "host-b", "b", "life-2", 0);
     rival.onDeciderRecord(1000);
     rival.onHolderQueried(HolderStatus.SILENT);
     long claimAt = firstClaim(rival, 1000);
@@ -117,7 +117,7 @@
     // The record of the claim itself is read before the claim is known to have won.
     rival.onDeciderRecord(claimAt + 5);
     rival.onWon(8);
-    TermRule holder = new TermRule(SETTINGS, "a", "life-1", 0);
+    TermRule holder = new TermRule(SETTINGS, "host-a", "a", "life-1", 0);
     holder.onClaimSent(1000, 1000);
     holder.onWon(7);
     long overlapEndMs = 1000 + (long) ((claimAt + rival.overlapMs() - 1000) * 0.98 * 0.98);
@@ -126,7 +126,7 @@
 
   @Test
   void aHolderStatusCountsUntilTheNextRecordOnly() {
-    TermRule rival = new TermRule(SETTINGS, "b", "life-2", 0);
+    TermRule rival = new TermRule(SETTINGS, "host-b", "b", "life-2", 0);
     rival.onHolderQueried(HolderStatus.RESIGNED);
     rival.onDeciderRecord(1000);
     assertThat(rival.mayClaim(heldBy("a", "life-1", false), 1500)).isFalse();
@@ -134,7 +134,7 @@
 
   @Test
   void aHolderIsUnconfirmedOnceItsLastRecordIsOld() {
-    TermRule holder = new TermRule(SETTINGS, "a", "life-1", 0);
+    TermRule holder = new TermRule(SETTINGS, "host-a", "a", "life-1", 0);
     holder.onClaimSent(1000, 1000);
     holder.onWon(7);
     assertThat(holder.isUnconfirmed(1000 + SETTINGS.resignMs() - 1)).isFalse();
@@ -145,7 +145,7 @@
 
   @Test
   void aConfirmationCountsFromTheSendingOfItsRecord() {
-    TermRule rule = new TermRule(SETTINGS, "a", "life-1", 0);
+    TermRule rule = new TermRule(SETTINGS, "host-a", "a", "life-1", 0);
     rule.onClaimSent(1000, 1000);
     rule.onWon(7);
     rule.onConfirmed(2000);
@@ -157,7 +157,7 @@
 
   @Test
   void aLostTermAllowsNoCommands() {
-    TermRule rule = new TermRule(SETTINGS, "a", "life-1", 0);
+    TermRule rule = new TermRule(SETTINGS, "host-a", "a", "life-1", 0);
     rule.onClaimSent(1000, 1000);
     rule.onWon(7);
     rule.onLost(1100);
--- a/core/src/test/java/org/wheatwall/core/batch/decision/WeakHostYieldsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/WeakHostYieldsTest.java
@@ -20,7 +20,7 @@
       Optional.of(new LogContent.Term("host", "a", "life-1", 7, false));
 
   private static long firstClaimMs(TermSettings settings, HolderStatus status) {
-    TermRule rule = new TermRule(settings, "b", "life-2", 0);
+    TermRule rule = new TermRule(settings, "host-b", "b", "life-2", 0);
     rule.onDeciderRecord(LAST_RECORD_MS);
     long nowMs = LAST_RECORD_MS + SETTINGS.askMs();
     rule.onHolderQueried(status);
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -23,6 +23,8 @@
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.entry.batch.log.LogFollower;
 import org.wheatwall.entry.batch.peer.HostRoster;
+import org.wheatwall.entry.batch.peer.ReachabilityReport;
+import org.wheatwall.entry.batch.worker.WorkerPort;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.LoopCallbacks;
 
@@ -61,6 +63,8 @@
   private volatile long logRespondedAtMs;
   private volatile WaitSummary waitSummary = WaitSummary.NONE;
   private final LoopLag loopLag;
+  private final WorkerPort workers;
+  private final int claimDelayMs;
 
   /**
    * Creates the plane; {@link #start} starts it.
@@ -81,8 +85,12 @@
       MetricRegistry metrics) {
     this.name = settings.host();
     this.mechanisms = settings.mechanisms();
+    this.workers = ports.workers();
+    this.claimDelayMs = settings.term().yieldMs();
     this.context = new BatchContext(loop, timer, clock, decisions, metrics);
-    TermRule rule = new TermRule(settings.term(), settings.address(), incarnation, clock.nowMs());
+    TermRule rule =
+        new TermRule(
+            settings.term(), settings.host(), settings.address(), incarnation, clock.nowMs());
     TermElection.ProcessIdentity process =
         new TermElection.ProcessIdentity(incarnation, claimSequence);
     this.roster =
@@ -242,6 +250,24 @@
     return onLoop(() -> CompletableFuture.completedFuture(election.actsOn(term)));
   }
 
+  /**
+   * Returns how many of some workers this host reaches, for a host that looks for a better one to
+   * decide. Fails with UNAVAILABLE if this host could not decide now.
+   *
+   * @param workerAddresses IP addresses and ports of the workers
+   */
+  public CompletableFuture<ReachabilityReport> countReachable(List<String> workerAddresses) {
+    return isReady()
+        .thenCompose(
+            ready -> {
+              if (!ready) {
+                throw BatchContext.unavailable("this host cannot decide now");
+              }
+              return ReachabilitySurvey.countReachable(workers, workerAddresses);
+            })
+        .thenApply(count -> new ReachabilityReport(count, claimDelayMs));
+  }
+
   /** Returns whether the last call to the job log succeeded. */
   public CompletableFuture<Boolean> isLogReachable() {
     return onLoop(
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -36,8 +36,9 @@
   // Other hosts claim as soon as they have read the hand-over; if none does, no host schedules in
   // this time.
   private static final int CLAIM_HOLD_OFF_MS = 2000;
-  // Keeps the term from circulating continuously if no host reaches most workers.
-  private static final int MIN_HAND_OVER_INTERVAL_MS = 15_000;
+  // Keeps the term from circulating continuously if no host reaches most workers, and none can ask
+  // the others.
+  private static final int MIN_RELEASE_INTERVAL_MS = 30_000;
 
   private final BatchSettings settings;
   private final ProcessIdentity process;
@@ -47,6 +48,8 @@
   private final JobReplica replica;
   private final HostRoster roster;
   private final HolderPoller holderPoller;
+  private final ReachabilitySurvey survey;
+  private final HandOverLimit handOverLimit = new HandOverLimit();
   private LogFollower follower;
   private SchedulingRules rules = SchedulingRules.NONE;
   private Optional<BatchDecider> decider = Optional.empty();
@@ -87,6 +90,8 @@
     this.roster = roster;
     this.holderPoller =
         new HolderPoller(ports.holders(), rule, replica, context, this::claimIfFree);
+    this.survey =
+        new ReachabilitySurvey(ports.workers(), ports.reachability(), settings.host(), context);
   }
 
   /** Sets the reader of the job log; must be called before anything else. */
@@ -112,7 +117,7 @@
     claimRetries = 0;
     decider.ifPresent(current -> current.tick(replica.table(), dueMs));
     decider.ifPresent(this::dropExpiredHosts);
-    decider.ifPresent(this::handOverIfWorkersUnreachable);
+    decider.ifPresent(this::surveyIfWorkersUnreachable);
     renewIfDue();
     if (isReadyToClaim() && settings.mechanisms().isEnabled(Mechanism.HOLDER_QUESTIONS)) {
       holderPoller.pollIfDue();
@@ -183,25 +188,52 @@
     if (decider.isEmpty()) {
       return CompletableFuture.completedFuture(null);
     }
-    return handOver(decider.get());
+    return handOver(decider.get(), Optional.empty());
   }
 
   // Another host may reach the workers that this one does not.
-  private void handOverIfWorkersUnreachable(BatchDecider current) {
+  private void surveyIfWorkersUnreachable(BatchDecider current) {
+    boolean needed = !current.ended() && current.supervisor().isReachabilitySurveyNeeded();
+    if (needed && survey.isDue()) {
+      survey.start(
+          current.supervisor().listedWorkers(),
+          replica.table().hosts(),
+          result -> handOverIfUseful(current, result));
+    }
+  }
+
+  private void handOverIfUseful(BatchDecider current, ReachabilitySurvey.Result result) {
+    boolean outdated = stopping || current.ended() || !decider.equals(Optional.of(current));
+    if (outdated || !current.supervisor().isReachabilitySurveyNeeded()) {
+      return;
+    }
     long nowMs = context.clock().nowMs();
-    boolean tooSoon = claimedReleasedTerm && nowMs - termStartMs < MIN_HAND_OVER_INTERVAL_MS;
-    if (tooSoon || current.ended() || !current.supervisor().tooFewReachable()) {
+    boolean chosen = result.successor().isPresent() && handOverLimit.allows(nowMs);
+    if (!chosen && !mayReleaseToAnyHost(current, result, nowMs)) {
       return;
     }
-    context.decisions().log("workers-not-reached", field("term", rule.term()));
+    Optional<String> successor = chosen ? result.successor() : Optional.empty();
+    context
+        .decisions()
+        .log(
+            "workers-not-reached",
+            field("term", rule.term()),
+            field("successor", successor.orElse("")));
     holdOffUntilMs = nowMs + CLAIM_HOLD_OFF_MS;
-    handOver(current);
+    handOver(current, successor);
+  }
+
+  // A host that reaches neither workers nor other hosts cannot know who does better.
+  private boolean mayReleaseToAnyHost(
+      BatchDecider current, ReachabilitySurvey.Result result, long nowMs) {
+    boolean tooSoon = claimedReleasedTerm && nowMs - termStartMs < MIN_RELEASE_INTERVAL_MS;
+    return result.responses() == 0 && !tooSoon && current.supervisor().isReleaseDue();
   }
 
-  private CompletableFuture<Void> handOver(BatchDecider current) {
+  private CompletableFuture<Void> handOver(BatchDecider current, Optional<String> successor) {
     current.stopCommands();
     return current
-        .write(termEntry(rule.term(), true))
+        .write(termEntry(rule.term(), true, successor))
         .handle(
             (done, failure) -> {
               endTerm(failure == null ? "it was handed over" : "it could not be handed over");
@@ -228,6 +260,7 @@
     }
     endTermIfSuperseded();
     if (term.released()) {
+      term.successor().ifPresent(name -> handOverLimit.record(context.clock().nowMs()));
       claimIfFree();
     }
   }
@@ -364,9 +397,13 @@
   }
 
   private LogEntry termEntry(long term, boolean released) {
+    return termEntry(term, released, Optional.empty());
+  }
+
+  private LogEntry termEntry(long term, boolean released, Optional<String> successor) {
     return LogEntry.of(
         LogKey.TERM,
         new LogContent.Term(
-            settings.host(), settings.address(), process.incarnation(), term, released));
+            settings.host(), settings.address(), process.incarnation(), term, released, successor));
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
@@ -162,16 +162,28 @@
     }
     for (String zone : lateResponses.silentZones(dueMs)) {
       for (String worker : supervisor.usableWorkersIn(zone)) {
-        supervisor.onWorkerUnreachable(worker, "no worker of its zone answers", nowMs);
-        pollSoon(worker);
+        suspectWithZone(worker, nowMs);
       }
     }
   }
 
+  private void suspectWithZone(String worker, long nowMs) {
+    if (lateResponses.maySuspectWithZone(worker, nowMs)) {
+      lateResponses.onSuspectedWithZone(worker);
+      supervisor.onWorkerUnreachable(worker, "no worker of its zone answers", nowMs);
+      pollSoon(worker);
+    }
+  }
+
   private Session session(String worker) {
     return sessions.computeIfAbsent(worker, key -> new Session());
   }
 
+  private void forget(String worker) {
+    sessions.remove(worker);
+    lateResponses.remove(worker);
+  }
+
   private long leaseEndMs(Session session) {
     return session.clockMs + (clock.nowMs() - session.clockAtMs) + leaseMs;
   }
@@ -250,7 +262,7 @@
       lateResponses.onCallFailed(worker);
     }
     if (supervisor.isSuperseded(worker)) {
-      sessions.remove(worker);
+      forget(worker);
       return;
     }
     if (!listener.mayAct()) {
@@ -286,7 +298,7 @@
     WorkerIncarnation polled = WorkerIncarnation.parse(worker);
     WorkerIncarnation responding = new WorkerIncarnation(polled.id(), report.startedAtMs());
     if (polled.precedes(responding)) {
-      sessions.remove(worker);
+      forget(worker);
       long startedAtMs = report.startedAtMs().getAsLong();
       supervisor.onWorkerRestarted(worker, startedAtMs, clock.nowMs());
       return true;
@@ -326,7 +338,7 @@
       return;
     }
     if (kind == WorkerFailure.Kind.GONE) {
-      sessions.remove(worker);
+      forget(worker);
       supervisor.onWorkerGone(worker, clock.nowMs(), clock.wallMs());
       return;
     }
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPort.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPort.java
@@ -22,6 +22,14 @@
   /** Requests a worker's tasks, and extends their leases if the call says so. */
   CompletableFuture<WorkerInventory> renew(WorkerInfo worker, RenewCall call);
 
+  /**
+   * Tries to open a connection to a worker, without a command. Completes with whether that
+   * succeeded within some tenths of a second, and never fails.
+   *
+   * @param address IP address and port of the worker
+   */
+  CompletableFuture<Boolean> isReachable(String address);
+
   /**
    * Until when a worker may run its tasks.
    *
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedPeers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedPeers.java
@@ -6,10 +6,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.entry.batch.peer.HolderPort;
+import org.wheatwall.entry.batch.peer.ReachabilityPort;
+import org.wheatwall.entry.batch.peer.ReachabilityReport;
 
 /** The network between entry hosts in simulated time; a host can be partitioned from all others. */
 final class SimulatedPeers {
   private static final int TIMEOUT_MS = 200;
+  private static final int SURVEY_TIMEOUT_MS = 800;
 
   private final VirtualTime time;
   private final List<SimulatedHost> hosts = new ArrayList<>();
@@ -31,6 +34,37 @@
     }
   }
 
+  ReachabilityPort reachabilityPortOf(SimulatedHost sender) {
+    return (address, workerAddresses) -> {
+      CompletableFuture<ReachabilityReport> response = new CompletableFuture<>();
+      time.after(
+          SURVEY_TIMEOUT_MS,
+          () -> response.completeExceptionally(new IllegalStateException("no response")));
+      for (SimulatedHost host : hosts) {
+        if (isReachable(sender, host, address)) {
+          time.after(oneWayDelayMs(), () -> deliver(host, workerAddresses, response));
+        }
+      }
+      return response;
+    };
+  }
+
+  private boolean isReachable(SimulatedHost sender, SimulatedHost host, String address) {
+    boolean connected = !partitioned.contains(host) && !partitioned.contains(sender);
+    return connected && host.isAlive() && host.peerAddress().equals(address);
+  }
+
+  private void deliver(
+      SimulatedHost host,
+      List<String> workerAddresses,
+      CompletableFuture<ReachabilityReport> response) {
+    if (host.isAlive()) {
+      host.batch()
+          .countReachable(workerAddresses)
+          .thenAccept(report -> time.after(oneWayDelayMs(), () -> response.complete(report)));
+    }
+  }
+
   HolderPort portOf(SimulatedHost sender) {
     return (address, term) -> query(sender, address, term);
   }
@@ -40,8 +74,7 @@
     time.after(
         TIMEOUT_MS, () -> response.completeExceptionally(new IllegalStateException("no response")));
     for (SimulatedHost host : hosts) {
-      boolean isReachable = !partitioned.contains(host) && !partitioned.contains(sender);
-      if (isReachable && host.isAlive() && host.peerAddress().equals(address)) {
+      if (isReachable(sender, host, address)) {
         time.after(oneWayDelayMs(), () -> deliver(host, term, response));
       }
     }
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
@@ -19,6 +19,7 @@
 final class SimulatedWorkerCalls implements WorkerPort {
   private static final int TICK_MS = 10;
   private static final int COMMAND_TIMEOUT_MS = 400;
+  private static final int CONNECT_TIMEOUT_MS = 250;
   private static final int REPORT_TIMEOUT_MARGIN_MS = 600;
 
   private final SimulatedWorkers workers;
@@ -60,6 +61,15 @@
     return requestReport(worker, call);
   }
 
+  @Override
+  public CompletableFuture<Boolean> isReachable(String address) {
+    CompletableFuture<Boolean> response = new CompletableFuture<>();
+    int index = workers.indexOf(address);
+    boolean isReachable = !workers.isPartitioned(index, host) && !workers.isDown(index);
+    time.after(isReachable ? 2 : CONNECT_TIMEOUT_MS, () -> response.complete(isReachable));
+    return response;
+  }
+
   // Other hosts claim the term after this silence, whether or not this host knows of it.
   private void checkTermConfirmed(String action) {
     long ageMs = time.nowMs() - confirmedAtMs.getAsLong();
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -345,12 +345,17 @@
 
   /** Returns the index of the worker at the address of {@code worker}. */
   int indexOf(WorkerInfo worker) {
+    return indexOf(worker.address());
+  }
+
+  /** Returns the index of the worker at an address. */
+  int indexOf(String address) {
     for (int i = 0; i < infos.size(); i++) {
-      if (infos.get(i).address().equals(worker.address())) {
+      if (infos.get(i).address().equals(address)) {
         return i;
       }
     }
-    throw new IllegalArgumentException("no worker at " + worker.address());
+    throw new IllegalArgumentException("no worker at " + address);
   }
 
   /** Returns the process that currently receives the calls to a worker. */
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
@@ -160,6 +160,11 @@
       return response;
     }
 
+    @Override
+    public CompletableFuture<Boolean> isReachable(String address) {
+      throw new UnsupportedOperationException();
+    }
+
     void respondToOne(boolean success) {
       if (success) {
         respondToOne(new WorkerInventory(5, List.of(), List.of()));
--- a/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -315,6 +315,7 @@
         .setLife(term.incarnation())
         .setTerm(term.term())
         .setReleased(term.released())
+        .setSuccessor(term.successor().orElse(""))
         .build();
   }
 
@@ -324,6 +325,7 @@
         record.getAddress(),
         record.getLife(),
         record.getTerm(),
-        record.getReleased());
+        record.getReleased(),
+        text(record.getSuccessor()));
   }
 }
--- a/wire/src/main/java/org/wheatwall/wire/message/TermRecord.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/TermRecord.java
@@ -22,6 +22,7 @@
     holder_ = "";
     address_ = "";
     life_ = "";
+    successor_ = "";
   }
   public static final int HOLDER_FIELD_NUMBER = 1;
   private java.lang.String holder_;
@@ -216,6 +217,73 @@
     released_ = false;
   }
 
+  public static final int SUCCESSOR_FIELD_NUMBER = 6;
+  private java.lang.String successor_;
+  /**
+   * <pre>
+   * Name of the host that shall claim the released term; empty if any host may.
+   * </pre>
+   *
+   * <code>string successor = 6;</code>
+   * @return The successor.
+   */
+  @java.lang.Override
+  public java.lang.String getSuccessor() {
+    return successor_;
+  }
+  /**
+   * <pre>
+   * Name of the host that shall claim the released term; empty if any host may.
+   * </pre>
+   *
+   * <code>string successor = 6;</code>
+   * @return The bytes for successor.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSuccessorBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(successor_);
+  }
+  /**
+   * <pre>
+   * Name of the host that shall claim the released term; empty if any host may.
+   * </pre>
+   *
+   * <code>string successor = 6;</code>
+   * @param value The successor to set.
+   */
+  private void setSuccessor(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    successor_ = value;
+  }
+  /**
+   * <pre>
+   * Name of the host that shall claim the released term; empty if any host may.
+   * </pre>
+   *
+   * <code>string successor = 6;</code>
+   */
+  private void clearSuccessor() {
+
+    successor_ = getDefaultInstance().getSuccessor();
+  }
+  /**
+   * <pre>
+   * Name of the host that shall claim the released term; empty if any host may.
+   * </pre>
+   *
+   * <code>string successor = 6;</code>
+   * @param value The bytes for successor to set.
+   */
+  private void setSuccessorBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    successor_ = value.toStringUtf8();
+
+  }
+
   public static org.wheatwall.wire.message.TermRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -520,6 +588,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Name of the host that shall claim the released term; empty if any host may.
+     * </pre>
+     *
+     * <code>string successor = 6;</code>
+     * @return The successor.
+     */
+    @java.lang.Override
+    public java.lang.String getSuccessor() {
+      return instance.getSuccessor();
+    }
+    /**
+     * <pre>
+     * Name of the host that shall claim the released term; empty if any host may.
+     * </pre>
+     *
+     * <code>string successor = 6;</code>
+     * @return The bytes for successor.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSuccessorBytes() {
+      return instance.getSuccessorBytes();
+    }
+    /**
+     * <pre>
+     * Name of the host that shall claim the released term; empty if any host may.
+     * </pre>
+     *
+     * <code>string successor = 6;</code>
+     * @param value The successor to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSuccessor(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setSuccessor(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the host that shall claim the released term; empty if any host may.
+     * </pre>
+     *
+     * <code>string successor = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSuccessor() {
+      copyOnWrite();
+      instance.clearSuccessor();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the host that shall claim the released term; empty if any host may.
+     * </pre>
+     *
+     * <code>string successor = 6;</code>
+     * @param value The bytes for successor to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSuccessorBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setSuccessorBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.TermRecord)
   }
   @java.lang.Override
@@ -541,10 +678,11 @@
             "life_",
             "term_",
             "released_",
+            "successor_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0208\u0004\u0002\u0005\u0007";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0208\u0004\u0002\u0005\u0007\u0006\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/TermRecordOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/TermRecordOrBuilder.java
@@ -57,4 +57,24 @@
    * @return The released.
    */
   boolean getReleased();
+
+  /**
+   * <pre>
+   * Name of the host that shall claim the released term; empty if any host may.
+   * </pre>
+   *
+   * <code>string successor = 6;</code>
+   * @return The successor.
+   */
+  java.lang.String getSuccessor();
+  /**
+   * <pre>
+   * Name of the host that shall claim the released term; empty if any host may.
+   * </pre>
+   *
+   * <code>string successor = 6;</code>
+   * @return The bytes for successor.
+   */
+  com.google.protobuf.ByteString
+      getSuccessorBytes();
 }
