Failing tests: tasks start in an evacuated availability zone

An operator may empty an availability zone: nothing more may start there until the record is removed. No part of the code reads it, so work goes on starting.

ZoneEvacuations is the port that the fix will use.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -227,6 +227,9 @@
     context.loop().execute(() -> election.setRules(rules));
   }
 
+  /** Applies a change of the operator's evacuations. */
+  public void onEvacuationsChanged() {}
+
   /** Returns the seconds after which a caller whose call was refused should retry. */
   public int retryAfterSeconds() {
     return RetryAfter.seconds(context.clock().nowMs() - logRespondedAtMs);
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchPorts.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchPorts.java
@@ -16,6 +16,7 @@
  * @param permits decides which workers may run a step, for queues that require it
  * @param holders queries other hosts whether they act on the term
  * @param reachability asks other hosts which workers they reach
+ * @param evacuations the availability zones in which no task may start
  */
 public record BatchPorts(
     KeyedLog log,
@@ -23,4 +24,5 @@
     WorkerDirectory directory,
     PermitPort permits,
     HolderPort holders,
-    ReachabilityPort reachability) {}
+    ReachabilityPort reachability,
+    ZoneEvacuations evacuations) {}
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -26,6 +26,7 @@
   private final Set<String> permitQueues;
   private Optional<SimulatedProcessor.CostModel> costModel = Optional.empty();
   private Optional<SimulatedProcessor> processor = Optional.empty();
+  private Optional<SimulatedOperator> operator = Optional.empty();
   private BatchHost batch;
   private int incarnation;
   private long frozenUntilMs;
@@ -73,6 +74,15 @@
     costModel = Optional.of(newModel);
   }
 
+  /** Makes processes started from now on learn of evacuations from an operator. */
+  void setOperator(SimulatedOperator newOperator) {
+    operator = Optional.of(newOperator);
+  }
+
+  boolean isFrozen() {
+    return remainingFreezeMs() > 0;
+  }
+
   void start() {
     int ownIncarnation = ++incarnation;
     processor =
@@ -103,7 +113,8 @@
                 directoryFor(loop),
                 workers.permitsOf(this),
                 peers.portOf(this),
-                peers.reachabilityPortOf(this)),
+                peers.reachabilityPortOf(this),
+                evacuations()),
             loop,
             timer,
             clock,
@@ -113,6 +124,10 @@
     batch.setRules(SchedulingRules.ofPermitQueues(permitQueues));
   }
 
+  private ZoneEvacuations evacuations() {
+    return operator.map(reader -> reader.startReading(this)).orElse(() -> Optional.of(Set.of()));
+  }
+
   // With a simulated processor, listings of workers wait for their turn on the decision loop.
   private WorkerDirectory directoryFor(Executor loop) {
     WorkerDirectory directory = workers.directoryOf(this);
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
@@ -54,6 +54,10 @@
     unresponsive = isUnresponsive;
   }
 
+  boolean isPartitioned(SimulatedHost host) {
+    return partitioned.contains(host);
+  }
+
   void setPartitioned(SimulatedHost host, boolean isPartitioned) {
     if (isPartitioned) {
       partitioned.add(host);
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
@@ -44,8 +44,17 @@
   public CompletableFuture<CommandOutcome> start(
       WorkerInfo worker, StartCommand command, Lease lease) {
     checkTermConfirmed("a start");
-    return sendCommand(
-        worker, model -> model.start(command, lease.term(), lease.untilMs(), time.nowMs()));
+    return sendCommand(worker, model -> start(worker, model, command, lease));
+  }
+
+  private CommandOutcome start(
+      WorkerInfo worker, TaskWorkerModel model, StartCommand command, Lease lease) {
+    int eventsBefore = workers.ledger().events().size();
+    CommandOutcome outcome = model.start(command, lease.term(), lease.untilMs(), time.nowMs());
+    if (workers.ledger().events().size() > eventsBefore) {
+      workers.checkStart(workers.indexOf(worker), host);
+    }
+    return outcome;
   }
 
   @Override
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -28,6 +28,7 @@
  */
 final class SimulatedWorkers {
   private static final int TICK_MS = 10;
+  private static final int MAX_EVACUATION_MS = 5000;
   private static final Set<String> LABELS = Set.of("a");
   private static final int PERMIT_TIMEOUT_MS = 400;
   private static final int GANG_WAIT_MS = 3000;
@@ -57,6 +58,7 @@
   private final Map<SimulatedHost, WorkerDirectory.Listener> listeners = new HashMap<>();
   private final Optional<PermitModel> permits;
   private final ToLongFunction<SimulatedHost> confirmedAtMs;
+  private Optional<SimulatedOperator> operator = Optional.empty();
   private boolean capacityCheckDisabled;
   private boolean reuseIdentifiers;
   private boolean lateCommandsReachLaterIncarnations;
@@ -114,6 +116,21 @@
     return workers.size();
   }
 
+  /** Makes starts in availability zones that an operator evacuates count as violations. */
+  void setOperator(SimulatedOperator newOperator) {
+    operator = Optional.of(newOperator);
+  }
+
+  /** Checks that a task may start now on a worker. */
+  void checkStart(int index, SimulatedHost host) {
+    long evacuatedForMs = operator.map(o -> o.evacuatedForMs(zoneOf(index))).orElse(0L);
+    if (evacuatedForMs > MAX_EVACUATION_MS) {
+      ledger.recordViolation(
+          time.nowMs(),
+          host.name() + " started a task in a zone evacuated for " + evacuatedForMs + " ms");
+    }
+  }
+
   void setLossProbability(double probability) {
     lossProbability = probability;
   }
@@ -267,6 +284,16 @@
     return zones == 1 ? "zone" : "zone" + index % zones;
   }
 
+  /** Returns the availability zone of the worker with an identifier. */
+  String zoneOfIdentifier(String id) {
+    for (int i = 0; i < workers.size(); i++) {
+      if (workers.get(i).id().equals(id)) {
+        return zoneOf(i);
+      }
+    }
+    throw new IllegalArgumentException("no worker " + id);
+  }
+
   /** Returns the rack of a worker. */
   String rackOf(int index) {
     return "rack" + index / workersPerRack;
