Reachability is judged by the workers that were called

The tasks of HandOverByReachabilityTest asked the simulated workers for eight accelerators instead of one, so most workers were in use. Now the decider compares the workers that it called in vain with those that responded within 2 s, at least three in vain; a survey follows after 0.25 s instead of 0.5, and surveys without a better host are 3 s apart.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/ReachabilityRule.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/ReachabilityRule.java
@@ -1,17 +1,16 @@
 package org.wheatwall.core.batch.decision;
 
-import java.util.List;
-
 /**
- * Detects a decider that reaches the job log but few of its workers. The decider cannot tell
- * unreachable workers from workers that have ended; another host may reach them.
+ * Detects a decider that reaches the job log but less than half of the workers that it calls. The
+ * decider cannot tell unreachable workers from workers that have ended; another host may reach
+ * them.
  *
  * <p>The time without enough workers decreases as gradually as it increases, so that single workers
  * that come and go cannot keep it from growing.
  */
 final class ReachabilityRule {
   /** Time after which other hosts are asked which workers they reach, milliseconds. */
-  static final int SURVEY_AFTER_MS = 500;
+  static final int SURVEY_AFTER_MS = 250;
 
   /**
    * Time after which the term is released without a known successor, milliseconds: three calls to
@@ -19,7 +18,10 @@
    */
   static final int RELEASE_AFTER_MS = 3000;
 
-  private static final int UNREACHABLE_SHARE_DIVISOR = 2;
+  // One or two workers may fail by themselves.
+  private static final int MIN_UNREACHABLE = 3;
+  // Workers in use respond at least once a second.
+  private static final int RECENT_RESPONSE_MS = 2000;
   // Responses that arrived during a long scheduling pass have not been processed yet.
   private static final int MAX_COUNTED_PER_TICK_MS = 250;
 
@@ -54,10 +56,18 @@
     return !term.scheduler.waiting().isEmpty() || !term.runs.workers().isEmpty();
   }
 
-  // Workers whose first response is awaited do not count: a new decider is still calling them.
+  // Only workers that were called lately count. Idle workers are not called, and a new decider is
+  // still waiting for the first response of others.
   private boolean mostAreUnreachable() {
-    List<WorkerRecord> listed = term.workers.all().stream().filter(WorkerRecord::listed).toList();
-    long unreachable = listed.stream().filter(WorkerRecord::suspected).count();
-    return unreachable * UNREACHABLE_SHARE_DIVISOR > listed.size();
+    int unreachable = 0;
+    int responding = 0;
+    for (WorkerRecord record : term.workers.all()) {
+      if (record.listed() && record.suspected()) {
+        unreachable++;
+      } else if (record.listed() && term.nowMs - record.lastResponseMs() <= RECENT_RESPONSE_MS) {
+        responding++;
+      }
+    }
+    return unreachable >= MIN_UNREACHABLE && unreachable > responding;
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/ReachabilitySurvey.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/ReachabilitySurvey.java
@@ -25,7 +25,9 @@
  * <p>Not thread-safe; the decision loop owns it.
  */
 final class ReachabilitySurvey {
-  private static final int INTERVAL_MS = 1500;
+  private static final int MIN_INTERVAL_MS = 1500;
+  // The interval grows while no host does better, for example because a rack has failed.
+  private static final int MAX_INTERVAL_MS = 3000;
   // If half of the hosts are partitioned, all of so many are with a probability of 1 in 4000.
   private static final int MAX_PEERS = 12;
   // Few enough for a host with a third of a core to try them within its time limit.
@@ -38,6 +40,7 @@
   private final String ownName;
   private final BatchContext context;
   private long startedAtMs = Long.MIN_VALUE / 2;
+  private int intervalMs = MIN_INTERVAL_MS;
   private boolean running;
   private int surveys;
 
@@ -61,7 +64,12 @@
 
   /** Returns whether the last survey is over and began long enough ago. */
   boolean isDue() {
-    return !running && context.clock().nowMs() - startedAtMs >= INTERVAL_MS;
+    return !running && context.clock().nowMs() - startedAtMs >= intervalMs;
+  }
+
+  /** Records that no survey is needed now. */
+  void onNotNeeded() {
+    intervalMs = MIN_INTERVAL_MS;
   }
 
   /**
@@ -91,6 +99,7 @@
         context.loop(),
         (done, failure) -> {
           running = false;
+          intervalMs = Math.min(MAX_INTERVAL_MS, 2 * intervalMs);
           onDone.accept(evaluate(own.join(), sample.size(), asked.size(), responses));
         });
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -194,7 +194,9 @@
   // Another host may reach the workers that this one does not.
   private void surveyIfWorkersUnreachable(BatchDecider current) {
     boolean needed = !current.ended() && current.supervisor().isReachabilitySurveyNeeded();
-    if (needed && survey.isDue()) {
+    if (!needed) {
+      survey.onNotNeeded();
+    } else if (survey.isDue()) {
       survey.start(
           current.supervisor().listedWorkers(),
           replica.table().hosts(),
--- a/entry/src/test/java/org/wheatwall/entry/batch/HandOverByReachabilityTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/HandOverByReachabilityTest.java
@@ -81,7 +81,7 @@
         "queue",
         "service",
         "workspace",
-        new TaskPlan(WORK_MS, 1, ACCELERATORS, 0).text(),
+        new TaskPlan(WORK_MS, 1, 1, 0).text(),
         List.of(step),
         Optional.empty(),
         1,
