No task starts in an availability zone that the operator evacuates

Each host reads evacuate/ZONE beside the configuration, through the follower of the operator's records that it has. The deciding host treats the workers of an evacuated zone as absent room; what runs there continues, with its leases, permits and reports. The check is made again before a run is logged, before its commands are sent, before an unanswered start is repeated, and in the sender of each command, so a host that was frozen in between asks once more. A host whose last complete read is older than evacuationMs less a second, or that has not read anything since its start or a suspension, knows of no zone that may be used and starts nothing. Jobs that can run nowhere wait; explain names the zones.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunExplainer.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunExplainer.java
@@ -24,12 +24,25 @@
         explainPermits(queued.name()).ifPresent(lines::add);
       }
     }
+    if (!lines.isEmpty()) {
+      explainEvacuations().ifPresent(lines::add);
+    }
     for (GroupRun run : term.runs.ofJob(jobId)) {
       lines.add(run.group().text() + " runs: " + run);
     }
     return lines;
   }
 
+  private Optional<String> explainEvacuations() {
+    if (!term.evacuationsKnown) {
+      return Optional.of("nothing starts: the evacuated zones are not known");
+    }
+    List<String> zones = term.workers.evacuatedZones().stream().sorted().toList();
+    return zones.isEmpty()
+        ? Optional.empty()
+        : Optional.of("nothing starts in evacuated zones: " + String.join(", ", zones));
+  }
+
   private Optional<String> explainPermits(String queuedName) {
     return GroupKey.parse(queuedName)
         .flatMap(
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -35,6 +35,11 @@
     this.lostRuns = new LostRuns(term);
   }
 
+  /** Returns whether the operator allows starts on a worker, as far as this host knows. */
+  boolean isStartAllowedOn(String worker) {
+    return startChecks.isAllowedOn(worker);
+  }
+
   void launch(GroupRun run) {
     Optional<String> obstacle = startChecks.findObstacle(run);
     if (obstacle.isPresent()) {
@@ -147,9 +152,11 @@
     stopRun(run, "no answer from " + member.worker());
   }
 
-  // The worker may have lost capacity since the start was last sent.
+  // The worker may have lost capacity since the start was last sent, or its zone been evacuated.
   private void retryStart(GroupRun run, MemberRun member) {
-    if (startChecks.hasCapacityOn(member.worker(), run)) {
+    if (!startChecks.isAllowedOn(member.worker())) {
+      stopRun(run, "no start is allowed at " + member.worker() + " when the order was repeated");
+    } else if (startChecks.hasCapacityOn(member.worker(), run)) {
       sendStart(run, member);
     } else {
       stopRun(run, "room has shrunk at " + member.worker() + " before the order was repeated");
--- a/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
@@ -17,6 +17,9 @@
 
   /** Returns why a run cannot start on its workers; empty if it can. */
   Optional<String> findObstacle(GroupRun run) {
+    if (!term.evacuationsKnown) {
+      return Optional.of("the evacuated zones are not known");
+    }
     for (String worker : run.workers()) {
       WorkerState state =
           term.workers.find(worker).map(WorkerRecord::state).orElse(WorkerState.UNLISTED);
@@ -30,6 +33,16 @@
     return term.permits.hasValidPermits(run) ? Optional.empty() : Optional.of("a permit lapsed");
   }
 
+  /** Returns whether the operator allows starts on a worker, as far as this host knows. */
+  boolean isAllowedOn(String worker) {
+    boolean evacuated =
+        term.workers
+            .find(worker)
+            .filter(record -> record.state() == WorkerState.EVACUATED)
+            .isPresent();
+    return term.evacuationsKnown && !evacuated;
+  }
+
   // Not every worker refuses tasks that exceed its capacity.
   private boolean hasCapacity(GroupRun run) {
     return Set.copyOf(run.workers()).stream().allMatch(worker -> hasCapacityOn(worker, run));
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -39,6 +39,7 @@
   final Set<String> endedJobs = new LinkedHashSet<>();
   final List<LogEntry> pendingEntries = new ArrayList<>();
   boolean dirty;
+  boolean evacuationsKnown = true;
   private int appliedWorkersVersion;
   long nowMs;
   long wallMs;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -15,6 +15,7 @@
   private boolean responded;
   private boolean suspected;
   private boolean avoided;
+  private boolean evacuated;
   private long lastLeaseSentMs;
   private boolean leaseSentSinceResponse = true;
   private long lastResponseMs = Long.MIN_VALUE / 2;
@@ -69,6 +70,9 @@
     if (info.map(WorkerInfo::draining).orElse(true)) {
       return WorkerState.DRAINING;
     }
+    if (evacuated) {
+      return WorkerState.EVACUATED;
+    }
     if (!responded) {
       return WorkerState.NOT_REPORTED;
     }
@@ -110,6 +114,11 @@
     avoided = next;
   }
 
+  /** Sets whether the operator evacuates its availability zone. */
+  void setEvacuated(boolean next) {
+    evacuated = next;
+  }
+
   void onResponse(long nowMs) {
     responded = true;
     suspected = false;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -24,6 +24,7 @@
   private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
   private final WorkerIncarnations incarnations = new WorkerIncarnations();
   private final long earlierCommandsUntilMs;
+  private Set<String> evacuatedZones = Set.of();
   private int version;
   private long lastRecoveryMs;
 
@@ -76,6 +77,7 @@
     boolean sameCapacity =
         record.info().map(WorkerInfo::capacity).equals(Optional.of(info.capacity()));
     record.updateListing(info);
+    record.setEvacuated(evacuatedZones.contains(info.zone()));
     version += fresh || !sameCapacity ? 1 : 0;
     scheduler
         .cluster()
@@ -87,6 +89,20 @@
     return fresh;
   }
 
+  /** Allows no new work in the given availability zones, and allows it in all others. */
+  void setEvacuatedZones(Set<String> zones) {
+    evacuatedZones = Set.copyOf(zones);
+    for (WorkerRecord record : workers.values()) {
+      record.setEvacuated(record.info().map(WorkerInfo::zone).filter(zones::contains).isPresent());
+      refresh(record);
+    }
+  }
+
+  /** Returns the availability zones in which no new work is allowed. */
+  Set<String> evacuatedZones() {
+    return evacuatedZones;
+  }
+
   /** Returns whether the total capacity of a worker, as last listed, covers an amount. */
   boolean hasCapacityFor(String id, ResourceAmount amount) {
     return find(id)
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerState.java
@@ -5,6 +5,7 @@
   USABLE("usable"),
   UNLISTED("unlisted"),
   DRAINING("leaving"),
+  EVACUATED("in an evacuated zone"),
   NOT_REPORTED("not heard"),
   SUSPECTED("without an answer"),
   STARTS_DELAYED("delayed after refusals"),
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.RunEffects;
@@ -65,6 +66,8 @@
   private final Runnable onLost;
   private final SchedulingPassThrottle passThrottle = new SchedulingPassThrottle();
   private final Histogram passMs;
+  private final ZoneEvacuations evacuations;
+  private Optional<Set<String>> appliedEvacuations = Optional.of(Set.of());
   private boolean wakeUpScheduled;
   private long skippedMs;
   private boolean ended;
@@ -123,6 +126,7 @@
             context.timer(),
             context.clock(),
             this);
+    this.evacuations = ports.evacuations();
     this.commands = new WorkerCommands(context, ports.workers(), poller, supervisor, this);
     this.permitRequests =
         new PermitRequestQueue(
@@ -131,6 +135,7 @@
 
   /** Adopts the state that was read from the job log. */
   void begin(JobTable table) {
+    updateEvacuations();
     supervisor.adopt(table, context.clock().nowMs(), context.clock().wallMs());
   }
 
@@ -142,6 +147,21 @@
     supervisor.setRules(rules, context.clock().nowMs());
   }
 
+  /** Applies the evacuations that this host knows now. */
+  void updateEvacuations() {
+    Optional<Set<String>> next = evacuations.current();
+    if (!next.equals(appliedEvacuations)) {
+      appliedEvacuations = next;
+      supervisor.setEvacuatedZones(next, context.clock().nowMs());
+      context
+          .decisions()
+          .log(
+              "evacuations-applied",
+              field("term", term),
+              field("zones", next.map(Set::toString).orElse("not known")));
+    }
+  }
+
   boolean isWriterIdle() {
     return writer.isIdle();
   }
@@ -179,6 +199,7 @@
     if (ended || !mayAct()) {
       return;
     }
+    updateEvacuations();
     supervisor.tick(context.clock().nowMs(), context.clock().wallMs());
     supervisor.dropExpiredJobs(table, context.clock().nowMs(), context.clock().wallMs());
     poller.tick(dueMs);
@@ -215,6 +236,7 @@
       context.decisions().log("term-unconfirmed", field("term", term), field("cause", "clocks"));
       poller.invalidateClocks();
       supervisor.expirePermits();
+      updateEvacuations();
     }
   }
 
@@ -260,6 +282,8 @@
 
   @Override
   public void sendStart(StartCommand command) {
+    // This host may have been frozen since the run was planned.
+    updateEvacuations();
     commands.start(command);
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -228,7 +228,9 @@
   }
 
   /** Applies a change of the operator's evacuations. */
-  public void onEvacuationsChanged() {}
+  public void onEvacuationsChanged() {
+    context.loop().execute(() -> election.decider().ifPresent(BatchDecider::updateEvacuations));
+  }
 
   /** Returns the seconds after which a caller whose call was refused should retry. */
   public int retryAfterSeconds() {
--- a/entry/src/main/java/org/wheatwall/entry/batch/WorkerCommands.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/WorkerCommands.java
@@ -59,10 +59,11 @@
 
   /**
    * Commands a worker to start a task. Not sent if the term may not act, the worker is not listed
-   * or its clock is not known; the supervisor then gets {@link CommandOutcome#NOT_DONE}.
+   * or its clock is not known, or the operator allows no start there; the supervisor then gets
+   * {@link CommandOutcome#NOT_DONE}.
    */
   void start(StartCommand command) {
-    boolean mayAct = term.mayAct();
+    boolean mayAct = term.mayAct() && supervisor.isStartAllowedOn(command.worker());
     Optional<WorkerInfo> worker = supervisor.workerInfo(command.worker());
     Optional<WorkerPort.Lease> lease = poller.lease(command.worker());
     if (worker.isEmpty() || lease.isEmpty() || !mayAct) {
