Work that fits nowhere is recognised without a search of its own

What callers saw: with thousands of waiting groups that no worker can run, each with other needs, groups that fit waited for seconds, since a pass makes at most 500 searches and each such group used one up.

A pass now begins with what the usable hosts offer at most (labels, and the largest capacity of each kind). A group whose task no host could run even if it were empty costs a comparison, not a search, so the number of such groups does not delay those behind them. Groups that fit a host but no rack, or are spread too wide, still cost a search each.

--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
@@ -32,6 +32,7 @@
   private final long nowMs;
   private final List<Decision> decisions = new ArrayList<>();
   private final Map<GangRequirements, Findings> findings = new HashMap<>();
+  private final HostOffer offer;
   private final Set<String> blockedPolicies = new HashSet<>();
   private final Map<String, BackfillWindow> windows = new HashMap<>();
   private int searches;
@@ -41,12 +42,14 @@
     this.state = state;
     this.settings = settings;
     this.nowMs = nowMs;
+    this.offer = new HostOffer(state.cluster.hosts());
   }
 
   /**
    * Considers the jobs in queue order within the limits and returns the decisions. Jobs already
-   * known not to fit use up no searches. Half of the searches go to the head of the queue, the rest
-   * start where the previous pass ended, so that every job is reached however many do not fit.
+   * known not to fit, or that no host could run a task of, use up no searches. Half of the searches
+   * go to the head of the queue, the rest start where the previous pass ended, so that every job is
+   * reached however many do not fit.
    */
   List<Decision> run() {
     if (!state.cluster.anyUsable()) {
@@ -159,6 +162,9 @@
   }
 
   private boolean fitsEmptyZone(Job job, Findings known) {
+    if (offer.excludes(job)) {
+      return false;
+    }
     if (known.fitsEmptyZone.isEmpty()) {
       searches++;
       known.fitsEmptyZone = Optional.of(FeasibilityCheck.fitsEmptyZone(job, state.cluster));
