An accelerator counts as eight cores in the capacity in use

What callers saw: on hosts with more than four cores an accelerator, work waited for the room of urgent work although less than half of the capacity, counted as users count it, was in use (29.5% with 16 cores an accelerator).

CapacityInUse weighed the share of accelerators twice the share of processors, which is the same only at four cores each. It now adds up processors and eight cores an accelerator.

--- a/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
@@ -7,14 +7,12 @@
  * accelerators of the usable ones. Updated incrementally, host by host.
  */
 final class CapacityInUse {
-  // Accelerators are more expensive than the processors of a host, so their share counts double.
-  private static final int ACCELERATOR_WEIGHT = 2;
-  private static final double HALF = 0.5;
-
-  private long accelerators;
-  private long acceleratorsHeld;
-  private long processors;
-  private long processorsHeld;
+  // An accelerator counts as much as eight cores, whatever kind of host it is in. Processors are
+  // counted in thousandths of a core by all work for which a reserve is kept.
+  private static final int PROCESSORS_PER_ACCELERATOR = 8000;
+
+  private long capacity;
+  private long held;
   private int usableAccelerators;
 
   /** Adds a host with its current capacity and allocations. */
@@ -28,12 +26,14 @@
   }
 
   private void count(HostState host, int sign) {
-    ResourceAmount capacity = host.host().capacity();
-    accelerators += (long) sign * capacity.accelerators();
-    processors += (long) sign * capacity.processors();
-    acceleratorsHeld += (long) sign * host.used().accelerators();
-    processorsHeld += (long) sign * host.used().processors();
-    usableAccelerators += host.usable() ? sign * capacity.accelerators() : 0;
+    ResourceAmount hostCapacity = host.host().capacity();
+    capacity += sign * weight(hostCapacity);
+    held += sign * weight(host.used());
+    usableAccelerators += host.usable() ? sign * hostCapacity.accelerators() : 0;
+  }
+
+  private static long weight(ResourceAmount amount) {
+    return amount.processors() + (long) PROCESSORS_PER_ACCELERATOR * amount.accelerators();
   }
 
   /** Returns the accelerators of usable hosts, held or free. */
@@ -43,20 +43,6 @@
 
   /** Returns whether less than half of the capacity of all hosts is held. */
   boolean isLessThanHalf() {
-    return share() < HALF;
-  }
-
-  private double share() {
-    if (accelerators == 0) {
-      return share(processorsHeld, processors);
-    }
-    double weighted =
-        ACCELERATOR_WEIGHT * share(acceleratorsHeld, accelerators)
-            + share(processorsHeld, processors);
-    return weighted / (ACCELERATOR_WEIGHT + 1);
-  }
-
-  private static double share(long held, long total) {
-    return total == 0 ? 0 : (double) held / total;
+    return 2 * held < capacity;
   }
 }
--- a/core/src/test/java/org/wheatwall/core/job/decision/LoadSimulation.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/LoadSimulation.java
@@ -108,7 +108,7 @@
     scheduler = new Scheduler(settings);
     random = new Random(seed);
     for (int i = 0; i < HOSTS; i++) {
-      ResourceAmount capacity = new ResourceAmount(32, 1000, 8);
+      ResourceAmount capacity = new ResourceAmount(32_000, 1000, 8);
       scheduler
           .cluster()
           .add(new WorkerHost("host-" + i, "zone", "rack-" + i / HOSTS_PER_RACK, capacity));
@@ -177,7 +177,7 @@
             "zone",
             Optional.empty(),
             tasks,
-            new ResourceAmount(1, 10, accelerators),
+            new ResourceAmount(1000, 10, accelerators),
             tasks > 1 ? Adjacency.SAME_RACK : Adjacency.ANY,
             (int) Math.max(1, meanMs / 1000),
             true,
