--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
@@ -33,6 +33,8 @@
   private static final int RECOVERY_PHASE_MS = 60_000;
   // Faults last up to 17 s, and leases of partitioned workers four times as long as usual.
   private static final int SETTLING_MS = 35_000;
+  private static final int MAX_PATH_FAULT_MS = 12_000;
+  private static final int MAX_EVACUATION_MS = 12_000;
   private static final int JOBS = 30;
   private static final String QUEUE = "queue";
   // A job may fail after two crashes of workers that ran one of its tasks.
@@ -166,6 +168,55 @@
     }
   }
 
+  /**
+   * Blocks the paths between some hosts and some workers, in one direction of the network only: the
+   * hosts reach the log and each other. One of the paths may open and close meanwhile.
+   */
+  void blockPaths(int times) {
+    for (int i = 0; i < times; i++) {
+      int affectedHosts = 1 + time.random().nextInt(HOSTS - 1);
+      int firstHost = time.random().nextInt(HOSTS);
+      int affectedWorkers = 1 + time.random().nextInt(WORKERS);
+      long fromMs = time.random().nextInt(FAULT_PHASE_MS);
+      long durationMs = 1000L + time.random().nextInt(MAX_PATH_FAULT_MS);
+      long endMs = time.nowMs() + fromMs + durationMs;
+      int flapIntervalMs = 100 + time.random().nextInt(1000);
+      for (int j = 0; j < affectedHosts; j++) {
+        SimulatedHost host = hosts.get((firstHost + j) % HOSTS);
+        time.after(fromMs, () -> setPathsBlocked(host, affectedWorkers, true));
+        time.after(fromMs, () -> flapPath(host, true, flapIntervalMs, endMs));
+        time.after(fromMs + durationMs, () -> setPathsBlocked(host, affectedWorkers, false));
+      }
+    }
+  }
+
+  private void setPathsBlocked(SimulatedHost host, int affectedWorkers, boolean areBlocked) {
+    for (int worker = 0; worker < affectedWorkers; worker++) {
+      workers.setPathBlocked(host, worker, areBlocked);
+    }
+  }
+
+  private void flapPath(SimulatedHost host, boolean isBlocked, int intervalMs, long endMs) {
+    boolean isOver = time.nowMs() >= endMs;
+    workers.setPathBlocked(host, 0, isBlocked && !isOver);
+    if (!isOver) {
+      time.after(intervalMs, () -> flapPath(host, !isBlocked, intervalMs, endMs));
+    }
+  }
+
+  /** Evacuates the availability zone of all workers at random times and restores it later. */
+  void evacuate(int times) {
+    SimulatedOperator operator = new SimulatedOperator(time, store);
+    workers.setOperator(operator);
+    hosts.forEach(host -> host.setOperator(operator));
+    for (int i = 0; i < times; i++) {
+      long fromMs = time.random().nextInt(FAULT_PHASE_MS);
+      long durationMs = 1L + time.random().nextInt(MAX_EVACUATION_MS);
+      time.after(fromMs, () -> operator.evacuate(workers.zoneOf(0)));
+      time.after(fromMs + durationMs, () -> operator.restore(workers.zoneOf(0)));
+    }
+  }
+
   private void setPartitioned(SimulatedHost host, boolean isPartitioned) {
     store.setPartitioned(host, isPartitioned);
     peers.setPartitioned(host, isPartitioned);
