Only hand-overs that did not help are limited

Two hand-overs in 30 s, whether they helped or not, were allowed.

A hand-over now counts as not helping if the next follows within 8 s, and one such in 30 s is allowed.

--- a/entry/src/main/java/org/wheatwall/entry/batch/HandOverLimit.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/HandOverLimit.java
@@ -1,28 +1,31 @@
 package org.wheatwall.entry.batch;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-
 /**
  * Limits how often the term is handed over because of unreachable workers, by whichever host.
- * Nothing starts during a hand-over, so the term must not circulate while reachability changes.
+ * Nothing starts during a hand-over, so the term must not circulate while reachability changes. A
+ * hand-over did not help if the next one follows soon; at most one such hand-over is allowed within
+ * a window.
  */
 final class HandOverLimit {
-  private static final int MAX_HAND_OVERS = 2;
+  // Long enough to detect unreachable workers and to ask other hosts twice.
+  private static final int HELPFUL_AFTER_MS = 8000;
   private static final int WINDOW_MS = 30_000;
+  private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
-  private final Deque<Long> handOversMs = new ArrayDeque<>();
+  private long lastMs = NEVER_MS;
+  private long lastUnhelpfulMs = NEVER_MS;
 
   /** Records that a hand-over to a chosen successor was read in the job log. */
   void record(long nowMs) {
-    handOversMs.addLast(nowMs);
-    if (handOversMs.size() > MAX_HAND_OVERS) {
-      handOversMs.removeFirst();
+    if (nowMs - lastMs < HELPFUL_AFTER_MS) {
+      lastUnhelpfulMs = lastMs;
     }
+    lastMs = nowMs;
   }
 
   /** Returns whether another hand-over is allowed. */
   boolean allows(long nowMs) {
-    return handOversMs.size() < MAX_HAND_OVERS || nowMs - handOversMs.getFirst() >= WINDOW_MS;
+    boolean lastHelped = nowMs - lastMs >= HELPFUL_AFTER_MS;
+    return lastHelped || nowMs - lastUnhelpfulMs >= WINDOW_MS;
   }
 }
