One responding worker does not hide a silent availability zone

A zone now counts as silent while ten times as many of its workers are late as have responded within that quarter second; workers that responded are not suspected with it. LateResponsesTest, 20 late workers beside one that responds: silent now, not before; the other cases are unchanged.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/LateResponses.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/LateResponses.java
@@ -12,9 +12,9 @@
  * within some milliseconds, so one that is late by a quarter of a second gets no new work until it
  * responds. Idle workers of a partitioned zone are not queried, so they are never late, and being
  * idle they would attract all new work. Therefore a zone is treated as silent once several of its
- * workers are late and none of its workers has responded meanwhile. A worker that was suspected for
- * this reason and then responds is judged by its own responses for some time: where only some paths
- * to a zone are broken, it would otherwise be suspected again after each response.
+ * workers are late and hardly any of its workers has responded meanwhile. A worker that was
+ * suspected for this reason and then responds is judged by its own responses for some time: where
+ * only some paths to a zone are broken, it would otherwise be suspected again after each response.
  *
  * <p>Guards against starts in a partitioned zone: of 643 urgent jobs of nine days that ended with a
  * partition, 5 started behind it and then waited 4 to 8 s for a stop.
@@ -29,14 +29,19 @@
   // One or two workers may stall by themselves.
   private static final int LATE_WORKERS_IN_ZONE = 3;
 
+  // Where most paths to a zone are broken, single workers may still respond.
+  private static final int LATE_WORKERS_PER_RESPONDING = 10;
+
   // Several rounds of polls, by which the worker's own responses show whether it is reachable.
   private static final int INFERENCE_PAUSE_MS = 10_000;
 
   private final Map<String, Due> dueByWorker = new HashMap<>();
-  private final Map<String, Long> lastResponseMsByZone = new HashMap<>();
+  private final Map<String, Response> lastResponseByWorker = new HashMap<>();
   private final Set<String> suspectedWithZone = new HashSet<>();
   private final Map<String, Long> inferencePauseEndMs = new HashMap<>();
 
+  private record Response(String zone, long atMs) {}
+
   private record Due(String zone, long atMs) {}
 
   /** Records that a worker was queried and has to respond by {@code dueMs}. */
@@ -47,7 +52,7 @@
   /** Records a response of a worker. */
   public void onResponse(String worker, String zone, long nowMs) {
     dueByWorker.remove(worker);
-    lastResponseMsByZone.put(zone, nowMs);
+    lastResponseByWorker.put(worker, new Response(zone, nowMs));
     if (suspectedWithZone.remove(worker)) {
       inferencePauseEndMs.put(worker, nowMs + INFERENCE_PAUSE_MS);
     }
@@ -60,6 +65,10 @@
 
   /** Returns whether a worker of a silent zone may be suspected without being late itself. */
   public boolean maySuspectWithZone(String worker, long nowMs) {
+    Response last = lastResponseByWorker.get(worker);
+    if (last != null && isRecent(last, nowMs)) {
+      return false;
+    }
     Long pauseEndMs = inferencePauseEndMs.get(worker);
     if (pauseEndMs == null) {
       return true;
@@ -74,6 +83,7 @@
   /** Discards what is known of a worker that is gone. */
   public void remove(String worker) {
     dueByWorker.remove(worker);
+    lastResponseByWorker.remove(worker);
     suspectedWithZone.remove(worker);
     inferencePauseEndMs.remove(worker);
   }
@@ -95,23 +105,34 @@
     return workers;
   }
 
-  /** Returns the availability zones of which several workers are late and none has responded. */
+  /** Returns the availability zones of which several workers are late and hardly any responds. */
   public Set<String> silentZones(long nowMs) {
     Map<String, Integer> late = new HashMap<>();
     dueByWorker.values().stream()
         .filter(due -> isLate(due, nowMs))
         .forEach(due -> late.merge(due.zone(), 1, Integer::sum));
+    if (late.isEmpty()) {
+      return Set.of();
+    }
+    Map<String, Integer> responding = new HashMap<>();
+    lastResponseByWorker.values().stream()
+        .filter(response -> isRecent(response, nowMs))
+        .forEach(response -> responding.merge(response.zone(), 1, Integer::sum));
     Set<String> zones = new HashSet<>();
     late.forEach(
         (zone, count) -> {
-          long lastResponseMs = lastResponseMsByZone.getOrDefault(zone, Long.MIN_VALUE / 2);
-          if (count >= LATE_WORKERS_IN_ZONE && nowMs - lastResponseMs >= LATE_AFTER_MS) {
+          int tolerated = responding.getOrDefault(zone, 0) * LATE_WORKERS_PER_RESPONDING;
+          if (count >= LATE_WORKERS_IN_ZONE && count > tolerated) {
             zones.add(zone);
           }
         });
     return zones;
   }
 
+  private static boolean isRecent(Response response, long nowMs) {
+    return nowMs - response.atMs() < LATE_AFTER_MS;
+  }
+
   private static boolean isLate(Due due, long nowMs) {
     return nowMs - due.atMs() >= LATE_AFTER_MS;
   }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LateResponsesTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LateResponsesTest.java
@@ -46,4 +46,16 @@
     responses.onQuerySent("c", "y", 1000);
     assertThat(responses.silentZones(5000)).isEmpty();
   }
+
+  // One worker that responded kept all idle workers of its partitioned zone in use.
+  @Test
+  void oneRespondingWorkerDoesNotHideASilentZone() {
+    for (int i = 0; i < 20; i++) {
+      responses.onQuerySent("late-" + i, "z", 1000);
+    }
+    responses.onResponse("responding", "z", 1900);
+    assertThat(responses.silentZones(2000)).containsExactly("z");
+    assertThat(responses.maySuspectWithZone("responding", 2000)).isFalse();
+    assertThat(responses.maySuspectWithZone("idle", 2000)).isTrue();
+  }
 }
