--- a/core/src/main/java/org/wheatwall/core/batch/decision/DecisionExecutor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/DecisionExecutor.java
@@ -73,7 +73,7 @@
     term.runs.add(run);
     pendingStarts.add(run);
     if (!run.waitsForVictims()) {
-      lifecycle.launch(run);
+      lifecycle.starter().launch(run);
     }
   }
 
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -2,10 +2,8 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.BiFunction;
 import org.wheatwall.core.batch.model.BatchState;
-import org.wheatwall.core.batch.model.CommandOutcome;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupPhase;
 import org.wheatwall.core.batch.model.GroupState;
@@ -13,154 +11,29 @@
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.LossKind;
-import org.wheatwall.core.batch.model.StartCommand;
 import org.wheatwall.core.batch.model.StopCommand;
 import org.wheatwall.core.job.decision.EndReason;
 
 /**
- * Controls the lifecycle of runs within a term: logs the intent to run, sends start and stop
- * commands, and processes ends up to the next run of the group or the end of its job.
+ * Controls the lifecycle of runs within a term: sends stop commands and processes ends, up to the
+ * next run of the group or the end of its job. {@link RunStarter} starts the runs.
  */
 final class RunLifecycle {
-  private static final int START_RETRY_DELAY_MS = 100;
   static final String NO_CHECKPOINT = "";
 
   private final TermState term;
-  private final StartChecks startChecks;
+  private final RunStarter starter;
   private final LostRuns lostRuns;
 
   RunLifecycle(TermState term) {
     this.term = term;
-    this.startChecks = new StartChecks(term);
+    this.starter = new RunStarter(term, this);
     this.lostRuns = new LostRuns(term);
   }
 
-  /** Returns whether the operator allows starts on a worker, as far as this host knows. */
-  boolean isStartAllowedOn(String worker) {
-    return startChecks.isAllowedOn(worker);
-  }
-
-  void launch(GroupRun run) {
-    Optional<String> obstacle = startChecks.findObstacle(run);
-    if (obstacle.isPresent()) {
-      stopRun(run, obstacle.get() + " before the start");
-      return;
-    }
-    GroupState state = run.state().withRunStarted(run.workers());
-    run.setState(state);
-    run.markLaunched();
-    term.jobs.get(run.group().jobId()).setState(run.group(), state);
-    term.pendingEntries.add(LogEntry.of(LogKey.group(run.group()), new LogContent.Group(state)));
-    term.flushThen(() -> sendStarts(run));
-  }
-
-  void sendStarts(GroupRun run) {
-    if (run.stopping() || term.runs.ofGroup(run.group()).orElse(null) != run) {
-      return;
-    }
-    // Appending the intent to the job log can take seconds, so the start checks are repeated.
-    Optional<String> obstacle = startChecks.findObstacle(run);
-    if (obstacle.isPresent()) {
-      stopRun(run, obstacle.get() + " before the order");
-      return;
-    }
-    term.logEvent(
-        RunEvent.Kind.GROUP_STARTED,
-        run.group().jobId(),
-        run.group().text(),
-        "run "
-            + run.state().run()
-            + " on "
-            + String.join(",", run.workers())
-            + term.scheduler.expectedRunMs(run.attemptId()).stream()
-                .mapToObj(ms -> ", expected " + ms + " ms")
-                .findFirst()
-                .orElse(""));
-    for (MemberRun member : run.members()) {
-      sendStart(run, member);
-    }
-  }
-
-  void sendStart(GroupRun run, MemberRun member) {
-    term.effects.sendStart(
-        new StartCommand(
-            member.worker(),
-            run.task(member),
-            run.state().run(),
-            run.job().specification(),
-            run.state().checkpoint(),
-            term.permits.permitText(run, member.worker())));
-    member.recordStartSent(term.nowMs);
-  }
-
-  void handleStartOutcome(GroupRun run, MemberRun member, CommandOutcome outcome) {
-    switch (outcome) {
-      case DONE -> {
-        member.confirmStart(term.nowMs);
-        term.onWorkerReported(member.worker());
-        term.workers.onStartAccepted(member.worker());
-      }
-      case NO_ROOM -> {
-        if (run.stopping() || member.startsSent() >= term.settings.roomTries()) {
-          handleRefusedStart(run, member, "no room at " + member.worker());
-        } else {
-          member.retryStartAt(term.nowMs + START_RETRY_DELAY_MS);
-          term.runs.addResendCandidate(run);
-        }
-      }
-      case OLD_RUN -> {
-        member.recordStopAcknowledged(term.nowMs);
-        term.effects.requestReport(member.worker());
-      }
-      case NO_PERMIT -> {
-        term.permits.onRefused(run, member.worker());
-        handleRefusedStart(run, member, "the permit did not hold at " + member.worker());
-      }
-      case NOT_REACHED -> {
-        // Its process may be down for seconds. As nothing runs on it, all waiting groups would be
-        // placed on it first.
-        term.onWorkerUnreachable(member.worker(), "no connection could be made");
-        handleRefusedStart(run, member, "no connection to " + member.worker());
-      }
-      case TOO_LATE, NOT_DONE -> {
-        // It has free capacity and still reports. Without a delay, all waiting groups would be
-        // placed on it first.
-        term.delayStarts(member.worker(), outcome);
-        handleRefusedStart(run, member, outcome + " at " + member.worker());
-      }
-      case UNKNOWN -> handleUnansweredStart(run, member);
-      case FENCED, WORKER_GONE -> {
-        // The caller ends the term or all runs on the worker.
-      }
-    }
-  }
-
-  void handleRefusedStart(GroupRun run, MemberRun member, String reason) {
-    if (!member.mayStartLate()) {
-      endMember(run, member, NO_CHECKPOINT);
-    }
-    stopRun(run, reason);
-  }
-
-  void handleUnansweredStart(GroupRun run, MemberRun member) {
-    member.recordUnansweredStart();
-    if (!run.stopping() && member.startsSent() < term.settings.startTries()) {
-      retryStart(run, member);
-      return;
-    }
-    term.onWorkerUnreachable(member.worker(), "a start was not answered");
-    stopRun(run, "no answer from " + member.worker());
-  }
-
-  // The worker may have lost capacity since the start was last sent, or its zone been evacuated.
-  private void retryStart(GroupRun run, MemberRun member) {
-    if (!startChecks.isAllowedOn(member.worker())) {
-      stopRun(run, "no start is allowed at " + member.worker() + " when the order was repeated");
-    } else if (startChecks.hasCapacityOn(member.worker(), run)) {
-      sendStart(run, member);
-    } else {
-      stopRun(run, "room has shrunk at " + member.worker() + " before the order was repeated");
-    }
+  /** Returns what starts runs. */
+  RunStarter starter() {
+    return starter;
   }
 
   void stopRun(GroupRun run, String reason) {
@@ -280,7 +153,7 @@
 
   private void launchIfUnblocked(GroupRun run, String endedAttempt) {
     if (run.removeVictim(endedAttempt) && !run.stopping()) {
-      launch(run);
+      starter.launch(run);
     }
   }
 
@@ -353,7 +226,7 @@
         if (!member.ended() && member.isStopDue(term.nowMs, term.settings.stopRepeatMs())) {
           sendStop(run, member);
         } else if (member.isStartRetryDue(term.nowMs) && !run.stopping()) {
-          retryStart(run, member);
+          starter.retryStart(run, member);
         }
       }
     }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -140,7 +140,7 @@
 
   /** Returns whether the operator allows starts on a worker, as far as this host knows. */
   public boolean isStartAllowedOn(String worker) {
-    return lifecycle.isStartAllowedOn(worker);
+    return lifecycle.starter().isStartAllowedOn(worker);
   }
 
   /**
@@ -339,7 +339,7 @@
       GroupRun run = found.get();
       MemberRun member = run.member(command.task());
       if (member.worker().equals(command.worker()) && !member.ended()) {
-        lifecycle.handleStartOutcome(run, member, outcome);
+        lifecycle.starter().handleStartOutcome(run, member, outcome);
       }
     }
     term.flush();
