--- a/entry/src/test/java/org/wheatwall/entry/batch/EndedJobQueryTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/EndedJobQueryTest.java
@@ -9,13 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
-import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.TaskName;
-import org.wheatwall.core.job.model.HostSharing;
-import org.wheatwall.core.job.model.ResourceAmount;
-import org.wheatwall.standin.task.TaskPlan;
 
 /**
  * A query sent at the moment when the last task of a job ends must report the end. A host that
@@ -46,38 +41,12 @@
     store.setLatencyMs(storeLatencyMs);
   }
 
-  private static BatchJob job(String id, long nowMs) {
-    StepSpec step =
-        new StepSpec(
-            1,
-            new ResourceAmount(1000, 100, 1),
-            WORK_MS,
-            List.of(),
-            false,
-            false,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            false,
-            HostSharing.ORDINARY);
-    return new BatchJob(
-        id,
-        "queue",
-        "service",
-        "workspace",
-        new TaskPlan(WORK_MS, 1, 1, 0).text(),
-        List.of(step),
-        Optional.empty(),
-        0,
-        3,
-        nowMs);
-  }
-
   private void submit(int number) {
     String id = String.format("%016x", number);
     SimulatedHost host = hosts.get(number % HOSTS);
-    host.batch().submit(job(id, time.nowMs()), time.nowMs() + 2000).exceptionally(failure -> null);
+    host.batch()
+        .submit(SimulatedJobs.singleTask(id, WORK_MS, 1, 0, time.nowMs()), time.nowMs() + 2000)
+        .exceptionally(failure -> null);
     queryOnceEnded(id, number);
   }
 
@@ -140,7 +109,10 @@
   void unfinishedJobIsReportedAsRunningAfterTheWait() {
     startHosts(USUAL_LATENCY_MS);
     String id = String.format("%016x", 1);
-    hosts.get(0).batch().submit(job(id, time.nowMs()), time.nowMs() + 2000);
+    hosts
+        .get(0)
+        .batch()
+        .submit(SimulatedJobs.singleTask(id, WORK_MS, 1, 0, time.nowMs()), time.nowMs() + 2000);
     time.runFor(1000);
     CompletableFuture<Optional<BatchHost.JobSummary>> found =
         hosts.get(1).batch().findOrAwaitEnd(id, time.nowMs() + 1000);
@@ -154,7 +126,10 @@
   void queryIsAnsweredWithinAShortDeadline() {
     startHosts(USUAL_LATENCY_MS);
     String id = String.format("%016x", 1);
-    hosts.get(0).batch().submit(job(id, time.nowMs()), time.nowMs() + 2000);
+    hosts
+        .get(0)
+        .batch()
+        .submit(SimulatedJobs.singleTask(id, WORK_MS, 1, 0, time.nowMs()), time.nowMs() + 2000);
     time.runFor(1000);
     CompletableFuture<Optional<BatchHost.JobSummary>> found =
         hosts.get(1).batch().findOrAwaitEnd(id, time.nowMs() + 40);
--- a/entry/src/test/java/org/wheatwall/entry/batch/EvacuationTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/EvacuationTest.java
@@ -12,10 +12,6 @@
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
-import org.wheatwall.core.batch.model.StepSpec;
-import org.wheatwall.core.job.model.HostSharing;
-import org.wheatwall.core.job.model.ResourceAmount;
-import org.wheatwall.standin.task.TaskPlan;
 
 /**
  * Guards against tasks that start in an availability zone that the operator evacuates: because a
@@ -72,43 +68,19 @@
   private void submitPeriodically() {
     SimulatedHost host = hosts.get(time.random().nextInt(HOSTS));
     if (host.isAlive()) {
-      host.batch().submit(job(String.format("%016x", ++jobs)), time.nowMs() + 2000);
+      boolean gang = time.random().nextBoolean();
+      String id = SimulatedJobs.id(++jobs);
+      BatchJob job =
+          gang
+              ? SimulatedJobs.gang(id, 1 + time.random().nextInt(4), WORK_MS, 1, time.nowMs())
+              : SimulatedJobs.singleTask(id, WORK_MS, 1, 1, time.nowMs());
+      host.batch().submit(job, time.nowMs() + 2000);
     }
     if (submitting) {
       time.after(JOB_INTERVAL_MS, this::submitPeriodically);
     }
   }
 
-  private BatchJob job(String id) {
-    boolean gang = time.random().nextBoolean();
-    int tasks = gang ? 1 + time.random().nextInt(4) : 1;
-    StepSpec step =
-        new StepSpec(
-            tasks,
-            new ResourceAmount(1000, 100, 1),
-            WORK_MS,
-            List.of(),
-            false,
-            gang,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            false,
-            HostSharing.ORDINARY);
-    return new BatchJob(
-        id,
-        "queue",
-        "service",
-        "workspace",
-        new TaskPlan(WORK_MS, 1, 1, 0).text(),
-        List.of(step),
-        Optional.empty(),
-        1,
-        4,
-        time.nowMs());
-  }
-
   private SimulatedHost termHolder() {
     return hosts.stream().max(Comparator.comparingLong(store::confirmedAtMs)).orElseThrow();
   }
@@ -186,7 +158,7 @@
     submitting = false;
     time.runFor(RECOVERY_MS);
     for (int i = 1; i <= jobs; i++) {
-      String id = String.format("%016x", i);
+      String id = SimulatedJobs.id(i);
       assertWithMessage("job " + id + explain(id)).that(stateOf(id)).hasValue(BatchState.SUCCEEDED);
     }
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/HandOverByReachabilityTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/HandOverByReachabilityTest.java
@@ -9,11 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.wheatwall.core.batch.model.BatchJob;
-import org.wheatwall.core.batch.model.StepSpec;
-import org.wheatwall.core.job.model.HostSharing;
-import org.wheatwall.core.job.model.ResourceAmount;
-import org.wheatwall.standin.task.TaskPlan;
 
 /**
  * Guards against a term that stays with, or passes to, a host that reaches the job log but hardly
@@ -57,38 +52,13 @@
 
   private void submitPeriodically() {
     SimulatedHost host = hosts.get(time.random().nextInt(hosts.size()));
-    host.batch().submit(job(String.format("%016x", ++jobs)), time.nowMs() + 2000);
+    host.batch()
+        .submit(
+            SimulatedJobs.singleTask(SimulatedJobs.id(++jobs), WORK_MS, 1, 1, time.nowMs()),
+            time.nowMs() + 2000);
     time.after(JOB_INTERVAL_MS, this::submitPeriodically);
   }
 
-  private BatchJob job(String id) {
-    StepSpec step =
-        new StepSpec(
-            1,
-            new ResourceAmount(1000, 100, 1),
-            WORK_MS,
-            List.of(),
-            false,
-            false,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            false,
-            HostSharing.ORDINARY);
-    return new BatchJob(
-        id,
-        "queue",
-        "service",
-        "workspace",
-        new TaskPlan(WORK_MS, 1, 1, 0).text(),
-        List.of(step),
-        Optional.empty(),
-        1,
-        4,
-        time.nowMs());
-  }
-
   private SimulatedHost termHolder() {
     return hosts.stream().max(Comparator.comparingLong(store::confirmedAtMs)).orElseThrow();
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/PartitionedDeciderTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/PartitionedDeciderTest.java
@@ -10,11 +10,6 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.wheatwall.core.batch.model.BatchJob;
-import org.wheatwall.core.batch.model.StepSpec;
-import org.wheatwall.core.job.model.HostSharing;
-import org.wheatwall.core.job.model.ResourceAmount;
-import org.wheatwall.standin.task.TaskPlan;
 
 /**
  * Guards against a term holder that reaches the log but no workers and keeps the term, so that
@@ -57,38 +52,14 @@
 
   private void submitJobs(SimulatedHost host) {
     for (int i = 0; i < JOBS; i++) {
-      host.batch().submit(job(String.format("%016x", i + 1)), time.nowMs() + 2000);
+      host.batch()
+          .submit(
+              SimulatedJobs.singleTask(
+                  SimulatedJobs.id(i + 1), WORK_MS, ACCELERATORS, 1, time.nowMs()),
+              time.nowMs() + 2000);
     }
   }
 
-  private BatchJob job(String id) {
-    StepSpec step =
-        new StepSpec(
-            1,
-            new ResourceAmount(1000, 100, ACCELERATORS),
-            WORK_MS,
-            List.of(),
-            false,
-            false,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            false,
-            HostSharing.ORDINARY);
-    return new BatchJob(
-        id,
-        "queue",
-        "service",
-        "workspace",
-        new TaskPlan(WORK_MS, 1, ACCELERATORS, 0).text(),
-        List.of(step),
-        Optional.empty(),
-        1,
-        4,
-        time.nowMs());
-  }
-
   private long startedTasks() {
     return workers.ledger().events().stream().filter(event -> event.isStart()).count();
   }
