Split the hand-over by reachability from TermElection

ReachabilityHandOver decides when other hosts are asked and whether the term is handed over; TermElection claims, renews and releases it. Code moved only.

--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -48,8 +48,7 @@
   private final JobReplica replica;
   private final HostRoster roster;
   private final HolderPoller holderPoller;
-  private final ReachabilitySurvey survey;
-  private final HandOverLimit handOverLimit = new HandOverLimit();
+  private final ReachabilityHandOver reachabilityHandOver;
   private LogFollower follower;
   private SchedulingRules rules = SchedulingRules.NONE;
   private Optional<BatchDecider> decider = Optional.empty();
@@ -90,8 +89,12 @@
     this.roster = roster;
     this.holderPoller =
         new HolderPoller(ports.holders(), rule, replica, context, this::claimIfFree);
-    this.survey =
-        new ReachabilitySurvey(ports.workers(), ports.reachability(), settings.host(), context);
+    this.reachabilityHandOver =
+        new ReachabilityHandOver(
+            new ReachabilitySurvey(ports.workers(), ports.reachability(), settings.host(), context),
+            () -> replica.table().hosts(),
+            context,
+            new OwnTerm());
   }
 
   /** Sets the reader of the job log; must be called before anything else. */
@@ -117,7 +120,7 @@
     claimRetries = 0;
     decider.ifPresent(current -> current.tick(replica.table(), dueMs));
     decider.ifPresent(this::dropExpiredHosts);
-    decider.ifPresent(this::surveyIfWorkersUnreachable);
+    decider.ifPresent(reachabilityHandOver::tick);
     renewIfDue();
     if (isReadyToClaim() && settings.mechanisms().isEnabled(Mechanism.HOLDER_QUESTIONS)) {
       holderPoller.pollIfDue();
@@ -191,45 +194,29 @@
     return handOver(decider.get(), Optional.empty());
   }
 
-  // Another host may reach the workers that this one does not.
-  private void surveyIfWorkersUnreachable(BatchDecider current) {
-    boolean needed = !current.ended() && current.supervisor().isReachabilitySurveyNeeded();
-    if (!needed) {
-      survey.onNotNeeded();
-    } else if (survey.isDue()) {
-      survey.start(
-          current.supervisor().listedWorkers(),
-          replica.table().hosts(),
-          result -> handOverIfUseful(current, result));
+  private final class OwnTerm implements ReachabilityHandOver.HeldTerm {
+    @Override
+    public boolean isDecidedBy(BatchDecider candidate) {
+      return !stopping && !candidate.ended() && decider.equals(Optional.of(candidate));
     }
-  }
 
-  private void handOverIfUseful(BatchDecider current, ReachabilitySurvey.Result result) {
-    boolean outdated = stopping || current.ended() || !decider.equals(Optional.of(current));
-    if (outdated || !current.supervisor().isReachabilitySurveyNeeded()) {
-      return;
-    }
-    long nowMs = context.clock().nowMs();
-    boolean chosen = result.successor().isPresent() && handOverLimit.allows(nowMs);
-    if (!chosen && !mayReleaseToAnyHost(current, result, nowMs)) {
-      return;
+    @Override
+    public boolean mayBeReleasedToAnyHost() {
+      long heldMs = context.clock().nowMs() - termStartMs;
+      return !claimedReleasedTerm || heldMs >= MIN_RELEASE_INTERVAL_MS;
     }
-    Optional<String> successor = chosen ? result.successor() : Optional.empty();
-    context
-        .decisions()
-        .log(
-            "workers-not-reached",
-            field("term", rule.term()),
-            field("successor", successor.orElse("")));
-    holdOffUntilMs = nowMs + CLAIM_HOLD_OFF_MS;
-    handOver(current, successor);
-  }
 
-  // A host that reaches neither workers nor other hosts cannot know who does better.
-  private boolean mayReleaseToAnyHost(
-      BatchDecider current, ReachabilitySurvey.Result result, long nowMs) {
-    boolean tooSoon = claimedReleasedTerm && nowMs - termStartMs < MIN_RELEASE_INTERVAL_MS;
-    return result.responses() == 0 && !tooSoon && current.supervisor().isReleaseDue();
+    @Override
+    public void handOver(BatchDecider current, Optional<String> successor) {
+      context
+          .decisions()
+          .log(
+              "workers-not-reached",
+              field("term", rule.term()),
+              field("successor", successor.orElse("")));
+      holdOffUntilMs = context.clock().nowMs() + CLAIM_HOLD_OFF_MS;
+      TermElection.this.handOver(current, successor);
+    }
   }
 
   private CompletableFuture<Void> handOver(BatchDecider current, Optional<String> successor) {
@@ -262,7 +249,7 @@
     }
     endTermIfSuperseded();
     if (term.released()) {
-      term.successor().ifPresent(name -> handOverLimit.record(context.clock().nowMs()));
+      term.successor().ifPresent(name -> reachabilityHandOver.onHandOverRead());
       claimIfFree();
     }
   }
