--- a/core/src/test/java/org/wheatwall/core/batch/decision/TermRuleTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/TermRuleTest.java
@@ -164,4 +164,18 @@
     assertThat(rule.mayAct(1101)).isFalse();
     assertThat(rule.holdsTerm()).isFalse();
   }
+
+  // Any other host may be unable to reach the workers.
+  @Test
+  void aReleasedTermIsLeftToItsChosenSuccessorForASecond() {
+    Optional<LogContent.Term> released =
+        Optional.of(new LogContent.Term("host-b", "b", "other", 7, true, Optional.of("host-a")));
+    TermRule successor = new TermRule(SETTINGS.withYieldMs(400), "host-a", "a", "life-1", 0);
+    TermRule another = new TermRule(SETTINGS, "host-c", "c", "life-3", 0);
+    successor.onDeciderRecord(1000);
+    another.onDeciderRecord(1000);
+    assertThat(successor.mayClaim(released, 1000)).isTrue();
+    assertThat(another.mayClaim(released, 1999)).isFalse();
+    assertThat(another.mayClaim(released, 2000)).isTrue();
+  }
 }
--- a/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -94,4 +94,15 @@
     assertThat(JobLogCodec.decode(entry.key().text(), JobLogCodec.encodeValue(entry)))
         .hasValue(entry);
   }
+
+  // A release without a chosen successor is also what hosts write that know of none.
+  @Test
+  void theChosenSuccessorOfATermIsReadAsItWasWritten() {
+    for (Optional<String> successor : List.of(Optional.<String>empty(), Optional.of("host-2"))) {
+      LogContent.Term term = new LogContent.Term("host-1", "10.0.0.1", "life", 7, true, successor);
+      LogEntry entry = LogEntry.of(LogKey.TERM, term);
+      assertThat(JobLogCodec.decode(entry.key().text(), JobLogCodec.encodeValue(entry)))
+          .isEqualTo(entry);
+    }
+  }
 }
