Interfaces of the scheduling features, each switched off

SchedulingFeatures (settings section 'features') holds a record for each feature. Seams with implementations that decide as before: QueueOrder, WorkspaceShares, ReservedCapacity, HostState#runTimeRatio.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -131,6 +131,18 @@
     update(name, host -> host.setSpeed(speed));
   }
 
+  /**
+   * Sets the expected run time of a task on a host, relative to the median host.
+   *
+   * @param ratio positive and finite
+   */
+  public void setRunTimeRatio(String name, double ratio) {
+    if (!(ratio > 0) || Double.isInfinite(ratio)) {
+      throw new IllegalArgumentException("a run time ratio is positive and finite, not " + ratio);
+    }
+    update(name, host -> host.setRunTimeRatio(ratio));
+  }
+
   /** Sets whether a host gets only one task at a time, and only work that tolerates a failure. */
   void setOnProbation(String name, boolean onProbation) {
     update(name, host -> host.setOnProbation(onProbation));
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -27,6 +27,7 @@
   private boolean usable = true;
   private boolean onProbation;
   private HostSpeed speed = HostSpeed.USUAL;
+  private double runTimeRatio = 1;
 
   /** Resources that one attempt holds on this host. */
   record HostAllocation(ResourceAmount amount, boolean reclaimable) {}
@@ -56,6 +57,14 @@
     return speed;
   }
 
+  /**
+   * Returns the expected run time of a task here, relative to the median host: 1 if nothing else is
+   * known, more on slower hosts.
+   */
+  public double runTimeRatio() {
+    return runTimeRatio;
+  }
+
   /** Returns whether new work may be placed on this host. */
   public boolean usable() {
     return usable;
@@ -199,6 +208,10 @@
     speed = next;
   }
 
+  void setRunTimeRatio(double next) {
+    runTimeRatio = next;
+  }
+
   void setLabels(Labels next) {
     labels = next;
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -123,11 +123,12 @@
     if (state.waiting.containsKey(name) || state.attemptOfJob.containsKey(name)) {
       return;
     }
-    state.waiting.put(
-        name, new QueuedJob(name, job, submittedAtMs, state.estimator.expectedSeconds(job)));
+    QueuedJob queued =
+        new QueuedJob(name, job, submittedAtMs, state.estimator.expectedSeconds(job));
+    state.waiting.put(name, queued);
     state.guarantees.add(job);
     if (job.urgent()) {
-      state.urgentReserve.recordUrgentArrival(submittedAtMs);
+      state.urgentReserve.recordUrgentArrival(queued);
     }
     state.reasons.put(name, new WaitReason(WaitReason.Kind.QUEUED, "not looked at yet"));
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerSettings.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.common.Names;
+import org.wheatwall.core.job.model.SchedulingFeatures;
 
 /**
  * Limits and options of the scheduler.
@@ -15,6 +16,7 @@
  * @param urgentHeadroomPercent share of usable accelerators that other work leaves free while
  *     urgent work arrives, so that urgent work rarely has to stop other work
  * @param mechanisms which mechanisms are enabled
+ * @param features settings of the features that an operator switches on
  */
 public record SchedulerSettings(
     int starvationBoundMs,
@@ -22,7 +24,8 @@
     int startLimit,
     HostHealthSettings health,
     int urgentHeadroomPercent,
-    Mechanisms mechanisms) {
+    Mechanisms mechanisms,
+    SchedulingFeatures features) {
   /** Default settings. */
   public static final SchedulerSettings DEFAULT = new SchedulerSettings(600_000, 500, 64);
 
@@ -31,9 +34,28 @@
     this(starvationBoundMs, scanLimit, startLimit, HostHealthSettings.DEFAULT, 0, Mechanisms.ALL);
   }
 
+  /** Creates settings without features. */
+  public SchedulerSettings(
+      int starvationBoundMs,
+      int scanLimit,
+      int startLimit,
+      HostHealthSettings health,
+      int urgentHeadroomPercent,
+      Mechanisms mechanisms) {
+    this(
+        starvationBoundMs,
+        scanLimit,
+        startLimit,
+        health,
+        urgentHeadroomPercent,
+        mechanisms,
+        SchedulingFeatures.NONE);
+  }
+
   /** Validates. */
   public SchedulerSettings {
     Objects.requireNonNull(mechanisms);
+    Objects.requireNonNull(features);
     Names.requireRange("starvationBoundMs", starvationBoundMs, 1, Integer.MAX_VALUE);
     Names.requireRange("scanLimit", scanLimit, 1, 1_000_000);
     Names.requireRange("startLimit", startLimit, 1, 1_000_000);
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
@@ -21,6 +21,7 @@
   final Map<String, String> attemptOfJob = new HashMap<>();
   final Map<String, WaitReason> reasons = new HashMap<>();
   final Map<String, Integer> usedByWorkspace = new HashMap<>();
+  final WorkspaceShares shares;
   final UrgentReserve urgentReserve;
   final Reclaimer reclaimer;
   Map<String, Workspace> workspaces = Map.of();
@@ -35,10 +36,12 @@
   SchedulerState(SchedulerSettings settings) {
     Mechanisms mechanisms = settings.mechanisms();
     boolean reserves = mechanisms.isEnabled(Mechanism.URGENT_ROOM);
-    urgentReserve = new UrgentReserve(reserves ? settings.urgentHeadroomPercent() : 0);
+    int reservedPercent = reserves ? settings.urgentHeadroomPercent() : 0;
+    urgentReserve = new UrgentReserve(new FixedShareReserve(reservedPercent));
     estimator = new RunTimeEstimator(mechanisms.isEnabled(Mechanism.LEARNED_RUN_TIMES));
+    shares = WorkspaceShares.UNLIMITED;
     VictimChooser victims =
-        new VictimChooser(running, mechanisms.isEnabled(Mechanism.CHEAPEST_STOPS));
+        new VictimChooser(running, shares, mechanisms.isEnabled(Mechanism.CHEAPEST_STOPS));
     reclaimer = new Reclaimer(cluster, plan, guarantees, running, victims);
     policies = PolicyTable.ofActive(Map.of(), mechanisms);
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
@@ -1,7 +1,6 @@
 package org.wheatwall.core.job.decision;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -33,6 +32,7 @@
   private final List<Decision> decisions = new ArrayList<>();
   private final Map<GangRequirements, Findings> findings = new HashMap<>();
   private final HostOffer offer;
+  private final QueueOrder order;
   private final Set<String> blockedPolicies = new HashSet<>();
   private final Map<String, BackfillWindow> windows = new HashMap<>();
   private int searches;
@@ -43,6 +43,7 @@
     this.settings = settings;
     this.nowMs = nowMs;
     this.offer = new HostOffer(state.cluster.hosts());
+    this.order = new QueueOrder(state, settings.starvationBoundMs(), nowMs);
   }
 
   /**
@@ -56,7 +57,7 @@
       state.passIncomplete = false;
       return decisions;
     }
-    List<QueuedJob> jobs = queueOrder();
+    List<QueuedJob> jobs = order.sorted();
     int position = schedule(jobs, 0, settings.scanLimit() / 2);
     int from =
         state.resumePosition < jobs.size() ? Math.max(position, state.resumePosition) : position;
@@ -76,36 +77,8 @@
     return position;
   }
 
-  private List<QueuedJob> queueOrder() {
-    record Ranked(QueuedJob job, double rank) {}
-
-    List<Ranked> ranked = new ArrayList<>(state.waiting.size());
-    for (QueuedJob job : state.waiting.values()) {
-      ranked.add(new Ranked(job, rank(job)));
-    }
-    ranked.sort(
-        Comparator.comparing((Ranked entry) -> !entry.job().job().urgent())
-            .thenComparing(entry -> !state.guarantees.covers(entry.job().job()))
-            .thenComparing(entry -> entry.job().job().shape().isEmpty())
-            .thenComparing(entry -> !isStarved(entry.job()))
-            .thenComparingDouble(Ranked::rank)
-            .thenComparing(entry -> entry.job().name()));
-    List<QueuedJob> jobs = new ArrayList<>(ranked.size());
-    ranked.forEach(entry -> jobs.add(entry.job()));
-    return jobs;
-  }
-
-  private double rank(QueuedJob job) {
-    try {
-      return state.policies.policyFor(job.job()).policy().rank().rank(job, nowMs);
-    } catch (RuntimeException failure) {
-      state.invalidProposals++;
-      return job.submittedAtMs();
-    }
-  }
-
   private boolean isStarved(QueuedJob job) {
-    return nowMs - job.submittedAtMs() >= settings.starvationBoundMs();
+    return order.isStarved(job);
   }
 
   // An exception in the decision about one job must not discard the decisions about others.
--- a/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
@@ -12,27 +12,20 @@
  * as its objective is not at risk: a job that must start now to meet its objective may use the
  * reserve, unless it will be late in any case.
  *
- * <p>The reserve is a share of the usable accelerators, and no job waits for it while less than
- * half of the capacity is in use.
+ * <p>No job waits for the reserve while less than half of the capacity is in use.
  */
 final class UrgentReserve {
   // A job that would end later than this after its objective is late in any case. If all late work
   // used the reserve, it would be stopped for urgent work again and again.
   private static final int MAX_LATENESS_MS = 2000;
   private static final int MS_PER_SECOND = 1000;
-  private static final int PERCENT = 100;
 
-  private final int percent;
+  private final ReservedCapacity reserved;
   private final Map<String, Objective> objectives = new HashMap<>();
-  private final ArrivalPredictor urgentArrivals = new ArrivalPredictor();
 
-  /**
-   * Creates a reserve.
-   *
-   * @param percent share of the usable accelerators that is kept free
-   */
-  UrgentReserve(int percent) {
-    this.percent = percent;
+  /** Creates a reserve of the given capacity. */
+  UrgentReserve(ReservedCapacity reserved) {
+    this.reserved = reserved;
   }
 
   /** Sets the objectives of jobs, by the value of the label that names their class. */
@@ -42,22 +35,20 @@
   }
 
   /** Records that urgent work was submitted. */
-  void recordUrgentArrival(long atMs) {
-    urgentArrivals.recordArrival(atMs);
+  void recordUrgentArrival(QueuedJob urgent) {
+    reserved.recordUrgentArrival(urgent);
   }
 
   /** Returns whether a job must wait because it would use the reserve. */
   boolean mustWait(QueuedJob queued, Cluster cluster, long nowMs) {
     Job job = queued.job();
     boolean exempt = job.urgent() || job.shape().isPresent() || job.totalAccelerators() == 0;
-    if (exempt
-        || !urgentArrivals.isArrivalExpected(nowMs)
-        || cluster.capacityInUse().isLessThanHalf()) {
+    if (exempt || cluster.capacityInUse().isLessThanHalf()) {
       return false;
     }
     int freeAfterStart = cluster.freeAccelerators() - job.totalAccelerators();
-    int reserved = cluster.capacityInUse().usableAccelerators() * percent;
-    return freeAfterStart * PERCENT < reserved && !mustStartNow(queued, nowMs);
+    int kept = reserved.accelerators(cluster, nowMs);
+    return kept > 0 && freeAfterStart < kept && !mustStartNow(queued, nowMs);
   }
 
   private boolean mustStartNow(QueuedJob queued, long nowMs) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
@@ -14,16 +14,20 @@
 /** Chooses whole gangs to stop at low cost, to free the capacity for a placement. */
 final class VictimChooser {
   private final Map<String, RunningAttempt> running;
+  private final WorkspaceShares shares;
   private final boolean minimizeLostWork;
 
   /**
    * Creates a chooser among gangs.
    *
+   * @param shares which workspaces hold more than their share; their gangs are stopped first
    * @param minimizeLostWork whether to lose as little work as possible; otherwise as few gangs as
    *     possible are stopped
    */
-  VictimChooser(Map<String, RunningAttempt> running, boolean minimizeLostWork) {
+  VictimChooser(
+      Map<String, RunningAttempt> running, WorkspaceShares shares, boolean minimizeLostWork) {
     this.running = running;
+    this.shares = shares;
     this.minimizeLostWork = minimizeLostWork;
   }
 
@@ -109,7 +113,9 @@
       }
     }
     candidates.sort(
-        Comparator.comparingDouble((RunningAttempt attempt) -> stopCost(attempt, nowMs))
+        Comparator.comparing(
+                (RunningAttempt attempt) -> !shares.isExceeded(attempt.job().workspace()))
+            .thenComparingDouble(attempt -> stopCost(attempt, nowMs))
             .thenComparing(RunningAttempt::attemptId));
     for (RunningAttempt candidate : candidates) {
       if (host.host().capacity().covers(remainingUse.plus(need))) {
--- a/core/src/test/java/org/wheatwall/core/job/decision/LoadSimulation.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/LoadSimulation.java
@@ -71,6 +71,7 @@
     int stops;
     long liveMs;
     double secondsLost;
+    int decisionHash;
 
     @Override
     public String toString() {
@@ -190,6 +191,7 @@
 
   private void decide() {
     for (Decision decision : scheduler.decide(nowMs)) {
+      result.decisionHash = 31 * result.decisionHash + describe(decision).hashCode();
       if (decision instanceof Decision.Stop stop) {
         stop(stop.attemptId());
       } else if (decision instanceof Decision.Start start) {
@@ -200,6 +202,13 @@
     }
   }
 
+  private String describe(Decision decision) {
+    if (decision instanceof Decision.Start start) {
+      return nowMs + " " + start.attemptId() + start.placement().hosts() + start.victims();
+    }
+    return nowMs + " " + (decision instanceof Decision.Stop stop ? stop.attemptId() : "failed");
+  }
+
   private void startIfVictimsEnded(String attemptId) {
     if (pendingStarts.containsKey(attemptId) && victims.get(attemptId).isEmpty()) {
       Decision.Start start = pendingStarts.remove(attemptId);
--- a/core/src/test/java/org/wheatwall/core/job/decision/UrgentReserveTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/UrgentReserveTest.java
@@ -23,7 +23,7 @@
   private static final int SEEDS = 8;
   private static final long SUBMITTED_MS = 1000;
 
-  private final UrgentReserve reserve = new UrgentReserve(50);
+  private final UrgentReserve reserve = new UrgentReserve(new FixedShareReserve(50));
   private final Cluster cluster = new Cluster();
 
   private static SchedulerSettings withReserve(int percent) {
@@ -49,7 +49,7 @@
   }
 
   private boolean mustWaitDuringUrgentArrivals(long nowMs) {
-    reserve.recordUrgentArrival(nowMs);
+    reserve.recordUrgentArrival(new QueuedJob("urgent", queued(2).job(), nowMs, 10));
     return reserve.mustWait(queued(2), cluster, nowMs);
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -108,7 +108,7 @@
     this.supervisor =
         new RunSupervisor(
             SupervisorSettings.of(settings.leaseMs(), settings.retentionMs()),
-            BatchScheduling.settings(settings.mechanisms()),
+            BatchScheduling.settings(settings.mechanisms(), settings.features()),
             this,
             term,
             context.clock().nowMs(),
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchScheduling.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchScheduling.java
@@ -6,6 +6,7 @@
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.PolicyAlgorithm;
 import org.wheatwall.core.job.model.PolicySpec;
+import org.wheatwall.core.job.model.SchedulingFeatures;
 
 /** The limits and the policy under which the batch plane schedules. */
 final class BatchScheduling {
@@ -17,14 +18,15 @@
   private static final int URGENT_RESERVE_PERCENT = 45;
 
   /** Returns the limits of a scheduling pass, and the capacity that is reserved for urgent work. */
-  static SchedulerSettings settings(Mechanisms mechanisms) {
+  static SchedulerSettings settings(Mechanisms mechanisms, SchedulingFeatures features) {
     return new SchedulerSettings(
         STARVATION_MS,
         SCAN_LIMIT,
         START_LIMIT,
         HostHealthSettings.SHORT_JOBS,
         URGENT_RESERVE_PERCENT,
-        mechanisms);
+        mechanisms,
+        features);
   }
 
   /** The policy of all queues: by priority, then short work and work that has waited long. */
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchSettings.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchSettings.java
@@ -4,6 +4,7 @@
 import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.common.Names;
+import org.wheatwall.core.job.model.SchedulingFeatures;
 
 /**
  * Settings of the batch plane of an entry host.
@@ -17,6 +18,7 @@
  * @param retentionMs how long an ended job is kept, milliseconds
  * @param term timing of a decider's term
  * @param mechanisms which mechanisms are enabled
+ * @param features settings of the scheduling features that are switched on
  */
 public record BatchSettings(
     String host,
@@ -26,7 +28,30 @@
     int leaseMs,
     int retentionMs,
     TermSettings term,
-    Mechanisms mechanisms) {
+    Mechanisms mechanisms,
+    SchedulingFeatures features) {
+  /** Creates settings without features. */
+  public BatchSettings(
+      String host,
+      String address,
+      String zone,
+      String peerAddress,
+      int leaseMs,
+      int retentionMs,
+      TermSettings term,
+      Mechanisms mechanisms) {
+    this(
+        host,
+        address,
+        zone,
+        peerAddress,
+        leaseMs,
+        retentionMs,
+        term,
+        mechanisms,
+        SchedulingFeatures.NONE);
+  }
+
   /** Validates. */
   public BatchSettings {
     Objects.requireNonNull(host);
@@ -35,6 +60,7 @@
     Objects.requireNonNull(peerAddress);
     Objects.requireNonNull(term);
     Objects.requireNonNull(mechanisms);
+    Objects.requireNonNull(features);
     Names.requireRange("leaseMs", leaseMs, 1000, 600_000);
     Names.requireRange("retentionMs", retentionMs, 1000, Integer.MAX_VALUE);
   }
