A contended load for the batch decider alone

The bench of the decider ended a task at a time with hardly anything waiting, so that what grows with the workers in a pass under contention did not show.

--- a/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
+++ b/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
@@ -22,9 +22,19 @@
   @Override
   public int run(List<String> arguments, Console console) throws ParseException {
     VerbOptions options =
-        new VerbOptions("bench capacity | bench decider | bench process --pid PID [--seconds N]")
+        new VerbOptions(
+                "bench capacity | bench decider | bench contended [--workers N] [--seconds N]"
+                    + " [--load PERCENT] [--run-time PERCENT] [--reserve PERCENT] [--core PERCENT] | bench process --pid PID [--seconds N]")
             .value("pid", "process: the process to watch")
-            .value("seconds", "process: how long to watch, default 10");
+            .value("workers", "contended: number of workers, default 1000")
+            .value("load", "contended: arrivals, percent of the usual rate, default 100")
+            .value(
+                "core", "contended: share of a core by which passes are spaced, default 0: fixed")
+            .value("run-time", "contended: run times, percent of the usual ones, default 100")
+            .value("reserve", "contended: accelerators kept for urgent work, percent, default 45")
+            .value(
+                "seconds",
+                "process: how long to watch, default 10; contended: simulated time, default 20");
     if (!options.parse(arguments, console)) {
       return DONE;
     }
@@ -35,8 +45,19 @@
       SupervisorBench.run().forEach(slope -> console.out(slope.row()));
       return DONE;
     }
+    if (options.positionalArguments().equals(List.of("contended"))) {
+      ContendedBench.Load load =
+          new ContendedBench.Load(
+              options.integer("workers", 1000),
+              options.integer("seconds", 20),
+              options.integer("load", 100) / 100.0,
+              options.integer("run-time", 100) / 100.0,
+              options.integer("reserve", 45));
+      ContendedBench.run(load, options.integer("core", 0) / 100.0).forEach(console::out);
+      return DONE;
+    }
     if (!options.positionalArguments().equals(List.of("capacity"))) {
-      throw new ParseException("name what to measure: capacity, decider or process");
+      throw new ParseException("name what to measure: capacity, decider, contended or process");
     }
     List<Slope> slopes = new ArrayList<>(StateBench.run());
     slopes.addAll(MessageBench.run());
