Rack capacities are counted once for equal gangs

someRackFits looked at all workers for each gang that was submitted or described anew. The result depends on the service, label, amount and spread limit only, until a worker comes, goes or changes, so it is retained until then. Sums kept rack by rack were weighed: they save the count after a change too, but each kind of gang would need its own.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -23,6 +23,7 @@
   private final Scheduler scheduler;
   private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
   private final WorkerIncarnations incarnations = new WorkerIncarnations();
+  private final RackCapacities rackCapacities = new RackCapacities(workers.values());
   private final long earlierCommandsUntilMs;
   private Set<String> evacuatedZones = Set.of();
   private int version;
@@ -76,6 +77,9 @@
     boolean fresh = !record.listed();
     boolean sameCapacity =
         record.info().map(WorkerInfo::capacity).equals(Optional.of(info.capacity()));
+    if (!record.info().filter(info::hasSameRoom).isPresent()) {
+      rackCapacities.clear();
+    }
     record.updateListing(info);
     record.setEvacuated(evacuatedZones.contains(info.zone()));
     version += fresh || !sameCapacity ? 1 : 0;
@@ -207,6 +211,7 @@
   /** Removes a worker on which nothing can run any more. */
   void remove(String id) {
     workers.remove(id);
+    rackCapacities.clear();
     incarnations.remove(id);
     version++;
     scheduler.cluster().remove(id);
@@ -227,24 +232,8 @@
    * @param only the workers that count, or empty if all count
    */
   boolean someRackFits(StepSpec step, String service, Optional<Set<String>> only) {
-    Map<String, Integer> tasksByRack = new HashMap<>();
-    for (WorkerRecord record : workers.values()) {
-      boolean counts = only.map(ids -> ids.contains(record.id())).orElse(true);
-      record
-          .info()
-          .filter(info -> counts && info.service().equals(service))
-          .ifPresent(info -> tasksByRack.merge(info.rack(), tasksOn(info, step), Integer::sum));
-    }
     return workers.isEmpty()
-        || tasksByRack.values().stream().anyMatch(tasks -> tasks >= step.tasksInGroup());
-  }
-
-  private static int tasksOn(WorkerInfo info, StepSpec step) {
-    if (!step.hostLabel().map(info.labels()::contains).orElse(true)) {
-      return 0;
-    }
-    int fitting = info.capacity().countFitting(step.taskAmount());
-    return step.spreadLimit() == 0 ? fitting : Math.min(step.spreadLimit(), fitting);
+        || rackCapacities.mostTasks(step, service, only) >= step.tasksInGroup();
   }
 
   private void refresh(WorkerRecord record) {
--- a/core/src/main/java/org/wheatwall/core/batch/model/WorkerInfo.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/WorkerInfo.java
@@ -34,6 +34,16 @@
     return WorkerIncarnation.parse(id);
   }
 
+  /**
+   * Returns whether the worker offers the same capacity and labels in the same rack to a service.
+   */
+  public boolean hasSameRoom(WorkerInfo other) {
+    return service.equals(other.service)
+        && rack.equals(other.rack)
+        && labels.equals(other.labels)
+        && capacity.equals(other.capacity);
+  }
+
   /**
    * Returns the same worker in another incarnation, which is not draining unless it is the same.
    */
