What hosts offer at most is updated host by host

Each scheduling pass built the label set and the largest capacities of all hosts anew (16% of the samples of a profile at 3,000 workers). The cluster now counts usable hosts by label and capacity. Cluster calls it where a host comes, goes, is resized, labelled or (dis)allowed.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -40,6 +40,7 @@
   private int totalAccelerators;
   private int freeAccelerators;
   private final CapacityInUse capacityInUse = new CapacityInUse();
+  private final HostOffer offer = new HostOffer();
   private int nextIndex;
 
   private record Allocation(
@@ -90,6 +91,7 @@
     rack.hosts().add(state);
     totalAccelerators += host.capacity().accelerators();
     capacityInUse.add(state);
+    offer.add(state);
     indexHost(state);
     adjustRack(rack, state.free().accelerators());
     // The list of hosts lags: a host that is added again may still run its earlier attempts.
@@ -98,7 +100,7 @@
 
   private void resize(HostState host, ResourceAmount capacity) {
     totalAccelerators += capacity.accelerators() - host.host().capacity().accelerators();
-    update(host.name(), state -> state.resize(capacity));
+    updateOffered(host.name(), state -> state.resize(capacity));
   }
 
   /**
@@ -112,6 +114,7 @@
     RackState rack = racks.get(state.host().rack());
     unindexHost(state);
     capacityInUse.remove(state);
+    offer.remove(state);
     rack.hosts().remove(state);
     adjustRack(rack, -state.free().accelerators());
     totalAccelerators -= state.host().capacity().accelerators();
@@ -123,7 +126,7 @@
 
   /** Allows or forbids new work on a host. */
   public void setUsable(String name, boolean usable) {
-    update(name, host -> host.setUsable(usable));
+    updateOffered(name, host -> host.setUsable(usable));
   }
 
   /** Sets the speed of a host. */
@@ -150,7 +153,7 @@
 
   /** Sets the operator's labels of a host. */
   public void setLabels(String name, Labels labels) {
-    update(name, host -> host.setLabels(labels));
+    updateOffered(name, host -> host.setLabels(labels));
   }
 
   /** Allocates {@code amount} per task of {@code placement} to the attempt. */
@@ -297,6 +300,11 @@
     return hosts.values().stream().anyMatch(HostState::usable);
   }
 
+  /** Returns what the usable hosts offer at most. */
+  HostOffer offer() {
+    return offer;
+  }
+
   /** Returns the total number of accelerators of all hosts. */
   public int totalAccelerators() {
     return totalAccelerators;
@@ -340,6 +348,17 @@
     }
   }
 
+  // For changes of what a host offers if it is empty.
+  private void updateOffered(String name, Consumer<HostState> action) {
+    update(
+        name,
+        host -> {
+          offer.remove(host);
+          action.accept(host);
+          offer.add(host);
+        });
+  }
+
   private void update(String name, Consumer<HostState> action) {
     HostState host = hosts.get(name);
     if (host == null) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
@@ -42,7 +42,7 @@
     this.state = state;
     this.settings = settings;
     this.nowMs = nowMs;
-    this.offer = new HostOffer(state.cluster.hosts());
+    this.offer = state.cluster.offer();
     this.order = new QueueOrder(state, settings.starvationBoundMs(), nowMs);
   }
 
