Forecast without a look at running attempts where capacity is free now

If the first area already has the accelerators, no other window starts earlier, and of equal ones the first counts; so the attempts need not be examined. That is the usual case of a job that waits for the reserve. If only a later area has them, attempts that are overdue in an earlier one decide, so all are examined as before.

--- a/core/src/main/java/org/wheatwall/core/job/decision/CapacityForecast.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/CapacityForecast.java
@@ -50,12 +50,25 @@
       Job job, Cluster cluster, Collection<RunningAttempt> running, long nowMs) {
     CapacityForecast forecast = new CapacityForecast(job, cluster, nowMs);
     cluster.hosts().forEach(forecast::addHost);
+    Optional<BackfillWindow> now = forecast.windowOfFirstAreaNow();
+    if (now.isPresent()) {
+      return now;
+    }
     running.forEach(forecast::addAttempt);
     return forecast.areas.values().stream()
         .flatMap(area -> forecast.window(area).stream())
         .min(Comparator.comparingDouble(BackfillWindow::startMs));
   }
 
+  // No other window starts earlier, and of equal ones the first counts, so that the running
+  // attempts need not be examined.
+  private Optional<BackfillWindow> windowOfFirstAreaNow() {
+    return areas.values().stream()
+        .findFirst()
+        .filter(area -> area.free >= job.totalAccelerators())
+        .flatMap(this::window);
+  }
+
   // A host that may not run the job neither counts as free nor is reserved for the job.
   private void addHost(HostState host) {
     if (host.capacityFor(job, host.host().capacity()).equals(ResourceAmount.ZERO)) {
