Keys of the queue order are computed once a job

A sort compared each job many times through a chain of comparators that asked for guarantee, shape and waiting time again. The order is the same.

--- a/core/src/main/java/org/wheatwall/core/job/decision/QueueOrder.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueueOrder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.policy.QueuedJob;
 
 /**
@@ -26,21 +27,40 @@
     this.nowMs = nowMs;
   }
 
-  private record Ranked(QueuedJob job, double rank) {}
+  // The keys are computed once a job, since a sort compares each job many times.
+  private record Ranked(
+      QueuedJob job,
+      boolean urgent,
+      boolean covered,
+      boolean shaped,
+      boolean starved,
+      double rank) {
+    private static final Comparator<Ranked> ORDER =
+        (one, other) -> {
+          int order = -Boolean.compare(one.urgent, other.urgent);
+          order = order != 0 ? order : -Boolean.compare(one.covered, other.covered);
+          order = order != 0 ? order : -Boolean.compare(one.shaped, other.shaped);
+          order = order != 0 ? order : -Boolean.compare(one.starved, other.starved);
+          order = order != 0 ? order : Double.compare(one.rank, other.rank);
+          return order != 0 ? order : one.job.name().compareTo(other.job.name());
+        };
+  }
 
   /** Returns the waiting jobs in order. */
   List<QueuedJob> sorted() {
     List<Ranked> ranked = new ArrayList<>(state.waiting.size());
-    for (QueuedJob job : state.waiting.values()) {
-      ranked.add(new Ranked(job, rank(job)));
+    for (QueuedJob queued : state.waiting.values()) {
+      Job job = queued.job();
+      ranked.add(
+          new Ranked(
+              queued,
+              job.urgent(),
+              state.guarantees.covers(job),
+              job.shape().isPresent(),
+              isStarved(queued),
+              rank(queued)));
     }
-    ranked.sort(
-        Comparator.comparing((Ranked entry) -> !entry.job().job().urgent())
-            .thenComparing(entry -> !state.guarantees.covers(entry.job().job()))
-            .thenComparing(entry -> entry.job().job().shape().isEmpty())
-            .thenComparing(entry -> !isStarved(entry.job()))
-            .thenComparingDouble(Ranked::rank)
-            .thenComparing(entry -> entry.job().name()));
+    ranked.sort(Ranked.ORDER);
     List<QueuedJob> jobs = new ArrayList<>(ranked.size());
     ranked.forEach(entry -> jobs.add(entry.job()));
     return jobs;
