--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -28,6 +28,7 @@
   private boolean onProbation;
   private HostSpeed speed = HostSpeed.USUAL;
   private double runTimeRatio = 1;
+  private HeldWork heldWork;
 
   /** Resources that one attempt holds on this host. */
   record HostAllocation(ResourceAmount amount, boolean reclaimable) {}
@@ -93,12 +94,13 @@
   /** Returns the part of {@code available} that the options of {@code job} let it use here. */
   public ResourceAmount capacityFor(Job job, ResourceAmount available) {
     JobOptions options = job.options();
-    boolean hasLabels = labels.entries().keySet().containsAll(options.hostLabels());
-    boolean inRack = options.preferredRack().map(host.rack()::equals).orElse(true);
-    boolean compatible = sharing.keySet().stream().allMatch(options.sharing()::isCompatibleWith);
-    boolean allowed = options.permits(name()) && !options.avoidedHosts().contains(name());
-    boolean separate = !options.suspect() || suspects == 0;
-    if (!hasLabels || !inRack || !compatible || !allowed || !separate) {
+    if (!labels.entries().keySet().containsAll(options.hostLabels())
+        || (options.preferredRack().isPresent()
+            && !options.preferredRack().get().equals(host.rack()))
+        || !isCompatibleWith(options.sharing())
+        || !options.permits(name())
+        || options.avoidedHosts().contains(name())
+        || (options.suspect() && suspects > 0)) {
       return ResourceAmount.ZERO;
     }
     if (options.spreadLimit() == 0 || options.spreadGroup().isEmpty()) {
@@ -111,6 +113,10 @@
         : job.taskAmount().times(remaining);
   }
 
+  private boolean isCompatibleWith(HostSharing other) {
+    return sharing.isEmpty() || sharing.keySet().stream().allMatch(other::isCompatibleWith);
+  }
+
   /**
    * Returns the part of {@code available} that {@code job} may use now. A host on probation takes
    * only one task, of work that tolerates a failure: a gang fails with any of its members, and
@@ -158,7 +164,23 @@
     return allocation != null && allocation.reclaimable();
   }
 
+  /**
+   * Returns the allocations with their attempts. They are retained until an allocation changes,
+   * unless an attempt is not known yet.
+   *
+   * @param running the known attempts by identifier
+   */
+  HeldWork heldWork(Map<String, RunningAttempt> running) {
+    if (heldWork != null) {
+      return heldWork;
+    }
+    HeldWork found = HeldWork.of(allocations, running);
+    heldWork = found.complete() ? found : null;
+    return found;
+  }
+
   void hold(String attemptId, ResourceAmount amount, boolean reclaimable) {
+    heldWork = null;
     allocations.merge(
         attemptId,
         new HostAllocation(amount, reclaimable),
@@ -170,6 +192,7 @@
   }
 
   void release(String attemptId) {
+    heldWork = null;
     HostAllocation allocation = allocations.remove(attemptId);
     if (allocation == null) {
       return;
--- a/core/src/main/java/org/wheatwall/core/job/decision/PlacementSearch.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/PlacementSearch.java
@@ -1,9 +1,10 @@
 package org.wheatwall.core.job.decision;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.wheatwall.core.job.model.Adjacency;
 import org.wheatwall.core.job.model.Placement;
@@ -72,19 +73,22 @@
             leastCapacityFirst(best.hosts(), amount, available), tasks, amount, available);
   }
 
+  // The hosts come in the order of their indexes, so that groups by capacity need no sort.
   private static List<HostState> leastCapacityFirst(
       Iterable<HostState> hosts,
       ResourceAmount amount,
       Function<HostState, ResourceAmount> available) {
-    List<HostState> sorted = new ArrayList<>();
+    NavigableMap<Integer, List<HostState>> byAccelerators = new TreeMap<>();
     for (HostState host : hosts) {
-      if (available.apply(host).countFitting(amount) > 0) {
-        sorted.add(host);
+      ResourceAmount capacity = available.apply(host);
+      if (capacity.countFitting(amount) > 0) {
+        byAccelerators
+            .computeIfAbsent(capacity.accelerators(), accelerators -> new ArrayList<>())
+            .add(host);
       }
     }
-    sorted.sort(
-        Comparator.comparingInt((HostState host) -> available.apply(host).accelerators())
-            .thenComparingInt(HostState::index));
-    return sorted;
+    List<HostState> ordered = new ArrayList<>();
+    byAccelerators.values().forEach(ordered::addAll);
+    return ordered;
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -112,8 +113,12 @@
 
   private List<Placement> candidatePlacements(
       Job job, Predicate<RunningAttempt> mayStop, long nowMs) {
+    // Each host is asked for several times, and nothing changes in between.
+    Map<HostState, ResourceAmount> known = new HashMap<>();
     Function<HostState, ResourceAmount> available =
-        host -> host.capacityNowFor(job, reclaimableCapacity(host, job, mayStop));
+        host ->
+            known.computeIfAbsent(
+                host, key -> key.capacityNowFor(job, reclaimableCapacity(key, job, mayStop)));
     ToDoubleFunction<HostState> cost =
         host -> stopCostPerTask(host, job, available, mayStop, nowMs);
     List<Placement> placements = new ArrayList<>();
@@ -147,15 +152,9 @@
     if (!job.reclaimable()) {
       return host.unplanned();
     }
-    ResourceAmount kept = ResourceAmount.ZERO;
-    for (String attemptId : host.attempts()) {
-      RunningAttempt attempt = running.get(attemptId);
-      boolean stays = attempt == null || !(attempt.stopping() || mayStop.test(attempt));
-      if (stays || !host.holdsReclaimable(attemptId)) {
-        kept = kept.plus(host.held(attemptId));
-      }
-    }
-    return host.usable() ? host.host().capacity().minus(kept) : ResourceAmount.ZERO;
+    return host.usable()
+        ? host.host().capacity().minus(host.heldWork(running).kept(mayStop))
+        : ResourceAmount.ZERO;
   }
 
   private List<Placement> rackPlacements(
