Only the part of the queue that a pass reads is sorted

A pass starts at most 64 jobs, and often reads only the head of a queue of thousands of single tasks. The order is strict, since names differ, so that sorting parts gives the same order. A heap was weighed: a pass that resumes in the middle would have to empty it up to there.

Same decisions.

--- a/core/src/main/java/org/wheatwall/core/job/decision/QueueOrder.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueueOrder.java
@@ -1,5 +1,6 @@
 package org.wheatwall.core.job.decision;
 
+import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -46,7 +47,7 @@
         };
   }
 
-  /** Returns the waiting jobs in order. */
+  /** Returns the waiting jobs in order; parts that are not read are not sorted. */
   List<QueuedJob> sorted() {
     List<Ranked> ranked = new ArrayList<>(state.waiting.size());
     for (QueuedJob queued : state.waiting.values()) {
@@ -60,10 +61,18 @@
               isStarved(queued),
               rank(queued)));
     }
-    ranked.sort(Ranked.ORDER);
-    List<QueuedJob> jobs = new ArrayList<>(ranked.size());
-    ranked.forEach(entry -> jobs.add(entry.job()));
-    return jobs;
+    List<Ranked> ordered = new LazySort<>(ranked, Ranked.ORDER);
+    return new AbstractList<>() {
+      @Override
+      public int size() {
+        return ordered.size();
+      }
+
+      @Override
+      public QueuedJob get(int index) {
+        return ordered.get(index).job();
+      }
+    };
   }
 
   /** Returns whether a job has waited for longer than the starvation bound. */
