Ticks and the wait for first reports look at fewer workers

Each tick copied all worker records three times and looked at all for start delays that had ended and for slow workers; each report in the first second of a term counted all three times over, which is N squared for N workers. The registry now counts silent, awaited and avoided workers at each change, and keeps the workers whose starts are delayed. Which of them are silent is still read from the records.

Same decisions.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/FirstReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/FirstReports.java
@@ -1,7 +1,5 @@
 package org.wheatwall.core.batch.decision;
 
-import java.util.List;
-
 /**
  * Decides whether a new decider waits for the first reports of its workers. If it scheduled while
  * few of them have reported, it would preempt or scatter work for which other workers have free
@@ -41,11 +39,9 @@
     if (nowMs - startMs >= MAX_WAIT_MS) {
       return false;
     }
-    List<WorkerRecord> all = workers.all();
-    long silent = all.stream().filter(WorkerRecord::silent).count();
-    long awaited = all.stream().filter(WorkerRecord::awaitsFirstResponse).count();
-    boolean enoughReported = (all.size() - silent) * REPORTED_SHARE_DIVISOR >= all.size();
-    boolean fewAwaited = awaited * AWAITED_SHARE_DIVISOR <= all.size();
+    int all = workers.size();
+    boolean enoughReported = (all - workers.silentCount()) * REPORTED_SHARE_DIVISOR >= all;
+    boolean fewAwaited = workers.awaitedCount() * AWAITED_SHARE_DIVISOR <= all;
     boolean quiet = nowMs - workers.lastRecoveryMs() >= QUIET_PERIOD_MS;
     return !enoughReported || !(fewAwaited || quiet);
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/ReachabilityRule.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/ReachabilityRule.java
@@ -61,7 +61,7 @@
   private boolean mostAreUnreachable() {
     int unreachable = 0;
     int responding = 0;
-    for (WorkerRecord record : term.workers.all()) {
+    for (WorkerRecord record : term.workers.records()) {
       if (record.listed() && record.suspected()) {
         unreachable++;
       } else if (record.listed() && term.nowMs - record.lastResponseMs() <= RECENT_RESPONSE_MS) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -288,7 +288,12 @@
 
   /** Returns the listed workers that have not reported, or have stopped responding. */
   public List<String> silentWorkers() {
-    return term.workers.all().stream().filter(WorkerRecord::silent).map(WorkerRecord::id).toList();
+    return term.workers.silentCount() == 0
+        ? List.of()
+        : term.workers.records().stream()
+            .filter(WorkerRecord::silent)
+            .map(WorkerRecord::id)
+            .toList();
   }
 
   /** Returns the workers of an availability zone that can receive new work. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
@@ -80,7 +80,7 @@
     }
     int listed = 0;
     int usable = 0;
-    for (WorkerRecord record : term.workers.all()) {
+    for (WorkerRecord record : term.workers.records()) {
       listed += record.listed() ? 1 : 0;
       usable += record.usable() ? 1 : 0;
     }
@@ -152,7 +152,7 @@
 
   private String workersByState() {
     Map<WorkerState, Integer> counts = new EnumMap<>(WorkerState.class);
-    for (WorkerRecord record : term.workers.all()) {
+    for (WorkerRecord record : term.workers.records()) {
       counts.merge(record.state(), 1, Integer::sum);
     }
     return "workers "
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -1,8 +1,12 @@
 package org.wheatwall.core.batch.decision;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +32,11 @@
   private Set<String> evacuatedZones = Set.of();
   private int version;
   private long lastRecoveryMs;
+  // Workers whose starts are delayed; some delays may have ended early.
+  private final Set<String> delayed = new LinkedHashSet<>();
+  private int silentCount;
+  private int awaitedCount;
+  private int avoidedCount;
 
   /**
    * Creates an empty registry.
@@ -53,6 +62,7 @@
     WorkerRecord fresh = new WorkerRecord(id, earlierCommandsUntilMs);
     if (!incarnations.isSuperseded(id)) {
       workers.put(id, fresh);
+      count(fresh, 1);
       incarnations.add(id);
     }
     return fresh;
@@ -71,6 +81,35 @@
     return new ArrayList<>(workers.values());
   }
 
+  /** Returns the records as a view, for loops that change no worker. */
+  Collection<WorkerRecord> records() {
+    return Collections.unmodifiableCollection(workers.values());
+  }
+
+  /** Returns the number of records. */
+  int size() {
+    return workers.size();
+  }
+
+  /** Returns the number of silent workers, see {@link WorkerRecord#silent}. */
+  int silentCount() {
+    return silentCount;
+  }
+
+  /** Returns the number of workers whose first response is awaited. */
+  int awaitedCount() {
+    return awaitedCount;
+  }
+
+  // Called with -1 before a change of a record and with 1 after it.
+  private void count(WorkerRecord record, int sign) {
+    if (workers.get(record.id()) == record) {
+      silentCount += record.silent() ? sign : 0;
+      awaitedCount += record.awaitsFirstResponse() ? sign : 0;
+      avoidedCount += record.avoided() ? sign : 0;
+    }
+  }
+
   /** Applies an entry of the platform's list; returns whether the worker was not listed before. */
   boolean updateListing(WorkerInfo info) {
     WorkerRecord record = getOrCreate(info.id());
@@ -80,7 +119,9 @@
     if (!record.info().filter(info::hasSameRoom).isPresent()) {
       rackCapacities.clear();
     }
+    count(record, -1);
     record.updateListing(info);
+    count(record, 1);
     record.setEvacuated(evacuatedZones.contains(info.zone()));
     version += fresh || !sameCapacity ? 1 : 0;
     scheduler
@@ -124,7 +165,9 @@
     if (record == null || !record.listed()) {
       return false;
     }
+    count(record, -1);
     record.markUnlisted(nowMs);
+    count(record, 1);
     refresh(record);
     return true;
   }
@@ -134,7 +177,9 @@
     WorkerRecord record = getOrCreate(id);
     boolean wasSilent = record.silent();
     boolean wasUsable = record.usable();
+    count(record, -1);
     record.onResponse(nowMs);
+    count(record, 1);
     if (!wasUsable) {
       refresh(record);
     }
@@ -150,7 +195,9 @@
   /** Marks a worker that does not respond as suspected; returns whether it was not before. */
   boolean markSuspected(String id) {
     WorkerRecord record = getOrCreate(id);
+    count(record, -1);
     boolean fresh = record.markSuspected();
+    count(record, 1);
     refresh(record);
     return fresh;
   }
@@ -162,6 +209,7 @@
   int onStartRefused(String id, long nowMs) {
     WorkerRecord record = getOrCreate(id);
     int delayMs = record.backoff().recordRefusal(nowMs);
+    delayed.add(id);
     refresh(record);
     return delayMs;
   }
@@ -176,11 +224,15 @@
   /** Ends start delays whose time is over; returns whether there were any. */
   boolean endStartDelays(long nowMs) {
     boolean ended = false;
-    for (WorkerRecord record : workers.values()) {
-      if (record.backoff().endIfElapsed(nowMs)) {
+    for (Iterator<String> ids = delayed.iterator(); ids.hasNext(); ) {
+      WorkerRecord record = workers.get(ids.next());
+      if (record != null && record.backoff().endIfElapsed(nowMs)) {
         refresh(record);
         ended = true;
       }
+      if (record == null || !record.backoff().active()) {
+        ids.remove();
+      }
     }
     return ended;
   }
@@ -192,24 +244,27 @@
   boolean setAvoided(String id, boolean slow) {
     WorkerRecord record = getOrCreate(id);
     boolean allowed =
-        !slow
-            || record.avoided()
-            || avoidedWorkers().size() < workers.size() / AVOIDED_SHARE_DIVISOR;
+        !slow || record.avoided() || avoidedCount < workers.size() / AVOIDED_SHARE_DIVISOR;
     if (record.avoided() == slow || !allowed) {
       return false;
     }
+    count(record, -1);
     record.setAvoided(slow);
+    count(record, 1);
     refresh(record);
     return true;
   }
 
   /** Returns the workers that are avoided because they are slow. */
   List<String> avoidedWorkers() {
-    return workers.values().stream().filter(WorkerRecord::avoided).map(WorkerRecord::id).toList();
+    return avoidedCount == 0
+        ? List.of()
+        : workers.values().stream().filter(WorkerRecord::avoided).map(WorkerRecord::id).toList();
   }
 
   /** Removes a worker on which nothing can run any more. */
   void remove(String id) {
+    find(id).ifPresent(record -> count(record, -1));
     workers.remove(id);
     rackCapacities.clear();
     incarnations.remove(id);
