--- a/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
@@ -12,7 +12,6 @@
 import java.util.stream.Collectors;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.job.model.WaitReason;
-import org.wheatwall.core.job.policy.QueuedJob;
 
 /**
  * Tracks the wait times of groups of tasks and logs groups that have waited for long, with the
@@ -66,9 +65,7 @@
       return;
     }
     lastScanAtMs = term.nowMs;
-    Set<String> waiting =
-        term.scheduler.waiting().stream().map(QueuedJob::name).collect(Collectors.toSet());
-    waits.keySet().retainAll(waiting);
+    waits.keySet().removeIf(name -> !term.scheduler.isWaiting(name));
     summary = summarize();
     logLongestWaits();
   }
@@ -102,8 +99,11 @@
     String workers = workersByState();
     Set<String> loggedJobs = new HashSet<>();
     for (Map.Entry<String, Wait> entry : due) {
+      if (loggedJobs.size() >= MAX_GROUPS_LOGGED_PER_SCAN) {
+        return;
+      }
       GroupKey group = GroupKey.parse(entry.getKey()).orElseThrow();
-      if (loggedJobs.size() < MAX_GROUPS_LOGGED_PER_SCAN && loggedJobs.add(group.jobId())) {
+      if (loggedJobs.add(group.jobId())) {
         logWait(group, entry.getValue(), counts, workers);
       }
     }
