--- a/wire/src/main/java/org/wheatwall/wire/settings/SettingsSection.java
+++ b/wire/src/main/java/org/wheatwall/wire/settings/SettingsSection.java
@@ -85,6 +85,19 @@
     return fallback;
   }
 
+  /** Returns a truth value. */
+  public boolean flag(String key, boolean fallback) {
+    SettingsNode node = node(key, false, "true or false");
+    if (node == null) {
+      return fallback;
+    }
+    if (node.value() instanceof Boolean value) {
+      return value;
+    }
+    addFault(node.line(), key, "is " + node.value(), "write true or false");
+    return fallback;
+  }
+
   /** Returns a list of strings; empty if absent. */
   public List<String> texts(String key) {
     SettingsNode node = node(key, false, "a list");
