Workspaces that compete get capacity by max-min over dominant shares

A class was ordered by response ratio over all workspaces, so one that hands in five times as much got five times the room and the others waited behind its backlog. With the feature on:

- WorkspaceUsage keeps what each workspace holds, by resource, as attempts and single tasks start and end; DominantShares compares it with the usable capacity and the operator's weights.
Only what is held now counts: decayed use would make a burst after silence pay for what nobody wanted at the time.
- ShareOrder: among jobs of equal precedence and priority class the workspace with the least share gets its best job next; within a workspace what can still be in time goes first.
Urgent work competes for what urgent work holds.
- Nobody starves: each tenth start of a workspace and class is that of a late job, and one that was passed over for nine times its run time stays first until it starts.
Beyond the starvation bound only as many jobs of a workspace precede others and may preempt as keep it within the equal share; before, a flood of old jobs preceded everything.
- VictimChooser weighs lost work by a half for workspaces above their share instead of sorting by share first, which stopped a long run instead of one just begun.
A job stopped twice, and urgent work, go last.

QueueRank tells its priority class, since the rank of other classes is not compared any more. Off, decisions are as before: UnchangedDecisionsTest. Run: it, ShareOrderTest, ShareVictimsTest, WorkspaceLoadTest, UrgentVictimsTest, FeatureSettingsTest, passed.

--- a/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
@@ -3,8 +3,8 @@
 import org.wheatwall.core.job.model.ResourceAmount;
 
 /**
- * Running totals of the capacity and allocations of all hosts, usable or not, and of the
- * accelerators of the usable ones. Updated incrementally, host by host.
+ * Running totals of the capacity and allocations of all hosts, usable or not, and of the capacity
+ * of the usable ones. Updated incrementally, host by host.
  */
 final class CapacityInUse {
   // An accelerator counts as much as eight cores, whatever kind of host it is in. Processors are
@@ -14,6 +14,8 @@
   private long capacity;
   private long held;
   private int usableAccelerators;
+  private long usableProcessors;
+  private long usableMemoryMb;
 
   /** Adds a host with its current capacity and allocations. */
   void add(HostState host) {
@@ -29,7 +31,11 @@
     ResourceAmount hostCapacity = host.host().capacity();
     capacity += sign * weight(hostCapacity);
     held += sign * weight(host.used());
-    usableAccelerators += host.usable() ? sign * hostCapacity.accelerators() : 0;
+    if (host.usable()) {
+      usableAccelerators += sign * hostCapacity.accelerators();
+      usableProcessors += (long) sign * hostCapacity.processors();
+      usableMemoryMb += (long) sign * hostCapacity.memoryMb();
+    }
   }
 
   private static long weight(ResourceAmount amount) {
@@ -41,6 +47,16 @@
     return usableAccelerators;
   }
 
+  /** Returns the processors of usable hosts, held or free. */
+  long usableProcessors() {
+    return usableProcessors;
+  }
+
+  /** Returns the memory of usable hosts in MiB, held or free. */
+  long usableMemoryMb() {
+    return usableMemoryMb;
+  }
+
   /** Returns whether less than half of the capacity of all hosts is held. */
   boolean isLessThanHalf() {
     return 2 * held < capacity;
--- a/core/src/main/java/org/wheatwall/core/job/decision/QueueOrder.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/QueueOrder.java
@@ -3,16 +3,20 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import org.wheatwall.core.job.policy.QueueRank;
 import org.wheatwall.core.job.policy.QueuedJob;
 
 /**
  * The order in which one pass considers the waiting jobs: urgent jobs first, of these the ones that
- * a guarantee covers, then jobs of guaranteed shapes, then starved ones, then by the policy's rank.
+ * a guarantee covers, then jobs of guaranteed shapes, then starved ones, then by the policy's rank;
+ * if capacity is divided between workspaces, by {@link ShareOrder} instead of the rank.
  */
 final class QueueOrder {
   private final SchedulerState state;
   private final int starvationBoundMs;
   private final long nowMs;
+  private final Optional<ShareOrder> shareOrder;
 
   /**
    * Creates the order of a pass.
@@ -24,39 +28,49 @@
     this.state = state;
     this.starvationBoundMs = starvationBoundMs;
     this.nowMs = nowMs;
+    this.shareOrder =
+        state.division.map(division -> new ShareOrder(state, division, starvationBoundMs, nowMs));
   }
 
-  private record Ranked(QueuedJob job, double rank) {}
-
   /** Returns the waiting jobs in order. */
   List<QueuedJob> sorted() {
-    List<Ranked> ranked = new ArrayList<>(state.waiting.size());
+    List<RankedJob> ranked = new ArrayList<>(state.waiting.size());
     for (QueuedJob job : state.waiting.values()) {
-      ranked.add(new Ranked(job, rank(job)));
+      ranked.add(ranked(job));
+    }
+    if (shareOrder.isPresent()) {
+      return shareOrder.get().sorted(ranked);
     }
     ranked.sort(
-        Comparator.comparing((Ranked entry) -> !entry.job().job().urgent())
+        Comparator.comparing((RankedJob entry) -> !entry.job().job().urgent())
             .thenComparing(entry -> !state.guarantees.covers(entry.job().job()))
             .thenComparing(entry -> entry.job().job().shape().isEmpty())
             .thenComparing(entry -> !isStarved(entry.job()))
-            .thenComparingDouble(Ranked::rank)
+            .thenComparingDouble(RankedJob::rank)
             .thenComparing(entry -> entry.job().name()));
     List<QueuedJob> jobs = new ArrayList<>(ranked.size());
     ranked.forEach(entry -> jobs.add(entry.job()));
     return jobs;
   }
 
-  /** Returns whether a job has waited for longer than the starvation bound. */
+  /**
+   * Returns whether a job has waited for longer than the starvation bound; with the division
+   * between workspaces, only while its workspace is within its share.
+   */
   boolean isStarved(QueuedJob job) {
+    if (shareOrder.isPresent()) {
+      return shareOrder.get().isStarved(job.name());
+    }
     return nowMs - job.submittedAtMs() >= starvationBoundMs;
   }
 
-  private double rank(QueuedJob job) {
+  private RankedJob ranked(QueuedJob job) {
     try {
-      return state.policies.policyFor(job.job()).policy().rank().rank(job, nowMs);
+      QueueRank policy = state.policies.policyFor(job.job()).policy().rank();
+      return new RankedJob(job, policy.rank(job, nowMs), policy.priorityClass(job));
     } catch (RuntimeException failure) {
       state.invalidProposals++;
-      return job.submittedAtMs();
+      return new RankedJob(job, job.submittedAtMs(), 0);
     }
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -60,6 +60,7 @@
   /** Sets the workspaces by name. */
   public void setWorkspaces(Map<String, Workspace> next) {
     state.workspaces = Map.copyOf(next);
+    state.division.ifPresent(division -> division.shares().setWorkspaces(state.workspaces));
   }
 
   /** Sets the accelerators guaranteed to the urgent work of each workspace. */
@@ -73,6 +74,8 @@
    */
   public void setObjectives(Map<String, Objective> byClass) {
     state.urgentReserve.setObjectives(byClass);
+    state.objectives.clear();
+    state.objectives.putAll(byClass);
   }
 
   /** Returns the workspaces by name. */
@@ -127,6 +130,7 @@
         new QueuedJob(name, job, submittedAtMs, state.estimator.expectedSeconds(job));
     state.waiting.put(name, queued);
     state.guarantees.add(job);
+    state.division.ifPresent(division -> division.lateness().recordSubmitted(name, submittedAtMs));
     if (job.urgent()) {
       state.urgentReserve.recordUrgentArrival(queued);
     }
@@ -154,6 +158,7 @@
       state.guarantees.remove(queued.job());
     }
     state.reasons.remove(name);
+    state.division.ifPresent(division -> division.forget(name));
     Optional<String> attempt = Optional.ofNullable(state.attemptOfJob.get(name));
     attempt.map(state.running::get).ifPresent(RunningAttempt::markStopping);
     return attempt;
@@ -173,7 +178,7 @@
     state.cluster.hold(attemptId, placement, job);
     job.shape().ifPresent(shape -> state.plan.adopt(attemptId, shape));
     double expectedSeconds = state.estimator.expectedSeconds(job);
-    state.track(
+    state.trackAdopted(
         attemptId, new QueuedJob(jobName, job, submittedAtMs, expectedSeconds), placement, nowMs);
   }
 
@@ -186,6 +191,8 @@
     if (attempt == null) {
       return;
     }
+    int held = state.heldTasks(attemptId);
+    state.division.ifPresent(division -> division.tasksEnded(attempt.job(), held));
     state.cluster.release(attemptId);
     state.guarantees.remove(attempt.job());
     state.plan.attemptEnded(attemptId);
@@ -193,12 +200,17 @@
     state.usedByWorkspace.merge(
         attempt.job().workspace(), -attempt.job().totalAccelerators(), Integer::sum);
     if (reason == EndReason.SUCCEEDED) {
+      state.division.ifPresent(division -> division.forget(attempt.jobName()));
       state.estimator.observe(attempt.job(), (nowMs - attempt.startedAtMs()) / 1000.0);
       for (String host : Set.copyOf(attempt.placement().hosts())) {
         if (health.recordSuccess(host, attempt.startedAtMs())) {
           refreshUsable(host);
         }
       }
+    } else {
+      state.division.ifPresent(
+          division ->
+              division.lateness().recordInterrupted(attempt.jobName(), attempt.submittedAtMs()));
     }
   }
 
@@ -207,7 +219,13 @@
    * other jobs can use them at once.
    */
   public void taskEnded(String attemptId, String host) {
+    int before = state.heldTasks(attemptId);
     state.cluster.releaseTask(attemptId, host);
+    int ended = before - state.heldTasks(attemptId);
+    RunningAttempt attempt = state.running.get(attemptId);
+    if (attempt != null) {
+      state.division.ifPresent(division -> division.tasksEnded(attempt.job(), ended));
+    }
   }
 
   /** Moves the resources that an attempt holds on one host to another host. */
@@ -254,12 +272,25 @@
     Optional<WaitReason> reason = Optional.ofNullable(state.reasons.get(jobName));
     QueuedJob queued = state.waiting.get(jobName);
     if (queued == null || reason.filter(SchedulingPass.NEVER_FITS::equals).isEmpty()) {
-      return reason;
+      return queued == null ? reason : reason.map(known -> withShare(known, queued));
     }
     String missing = FeasibilityCheck.describeShortfall(queued.job(), state.cluster);
     return Optional.of(new WaitReason(WaitReason.Kind.NEVER_FITS, missing));
   }
 
+  private WaitReason withShare(WaitReason reason, QueuedJob queued) {
+    return state
+        .division
+        .map(division -> division.shares().describe(queued.job().workspace()))
+        .map(share -> new WaitReason(reason.kind(), reason.detail() + "; " + share))
+        .orElse(reason);
+  }
+
+  /** Returns how capacity is divided between workspaces, empty if the feature is switched off. */
+  public Optional<WorkspaceShareStatus> workspaceShareStatus() {
+    return state.division.map(WorkspaceDivision::status);
+  }
+
   /** Returns the attempts that hold resources. */
   public Collection<RunningAttempt> running() {
     return Collections.unmodifiableCollection(state.running.values());
@@ -298,7 +329,23 @@
     for (String host : health.releaseExpired(nowMs)) {
       refreshUsable(host);
     }
-    return new SchedulingPass(state, settings, nowMs).run();
+    List<Decision> decisions = new SchedulingPass(state, settings, nowMs).run();
+    state.division.ifPresent(division -> recordStops(division, decisions));
+    return decisions;
+  }
+
+  /** Returns the division of capacity between workspaces, empty if it is switched off. */
+  Optional<WorkspaceDivision> division() {
+    return state.division;
+  }
+
+  private void recordStops(WorkspaceDivision division, List<Decision> decisions) {
+    for (Decision decision : decisions) {
+      if (decision instanceof Decision.Stop stop) {
+        Optional.ofNullable(state.running.get(stop.attemptId()))
+            .ifPresent(division::attemptStopped);
+      }
+    }
   }
 
   /** Returns whether less than half of the capacity of all hosts is in use. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
@@ -2,12 +2,17 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.wheatwall.core.common.Mechanism;
 import org.wheatwall.core.common.Mechanisms;
+import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.WaitReason;
 import org.wheatwall.core.job.model.Workspace;
+import org.wheatwall.core.job.model.WorkspaceShareSettings;
 import org.wheatwall.core.job.policy.QueuedJob;
 
 /** State of a {@link Scheduler}, read and updated by {@link SchedulingPass}. */
@@ -21,7 +26,9 @@
   final Map<String, String> attemptOfJob = new HashMap<>();
   final Map<String, WaitReason> reasons = new HashMap<>();
   final Map<String, Integer> usedByWorkspace = new HashMap<>();
-  final WorkspaceShares shares;
+  final Map<String, Objective> objectives = new HashMap<>();
+  // Empty if the feature is switched off.
+  final Optional<WorkspaceDivision> division;
   final UrgentReserve urgentReserve;
   final Reclaimer reclaimer;
   Map<String, Workspace> workspaces = Map.of();
@@ -39,18 +46,54 @@
     int reservedPercent = reserves ? settings.urgentHeadroomPercent() : 0;
     urgentReserve = new UrgentReserve(new FixedShareReserve(reservedPercent));
     estimator = new RunTimeEstimator(mechanisms.isEnabled(Mechanism.LEARNED_RUN_TIMES));
-    shares = WorkspaceShares.UNLIMITED;
+    WorkspaceShareSettings shareSettings = settings.features().workspaceShares();
+    division =
+        shareSettings.enabled()
+            ? Optional.of(
+                new WorkspaceDivision(
+                    shareSettings,
+                    cluster.capacityInUse(),
+                    this::objectiveOf,
+                    settings.starvationBoundMs()))
+            : Optional.empty();
     VictimChooser victims =
-        new VictimChooser(running, shares, mechanisms.isEnabled(Mechanism.CHEAPEST_STOPS));
+        new VictimChooser(
+            running,
+            division
+                .<WorkspaceShares>map(WorkspaceDivision::shares)
+                .orElse(WorkspaceShares.UNLIMITED),
+            division.map(WorkspaceDivision::stopLimit),
+            mechanisms.isEnabled(Mechanism.CHEAPEST_STOPS));
     reclaimer = new Reclaimer(cluster, plan, guarantees, running, victims);
     policies = PolicyTable.ofActive(Map.of(), mechanisms);
   }
 
-  /** Records an attempt that was started or found running as running from {@code nowMs}. */
+  /** Records an attempt that was started as running from {@code nowMs}. */
   void track(String attemptId, QueuedJob start, Placement placement, long nowMs) {
+    record(attemptId, start, placement, nowMs);
+    division.ifPresent(enabled -> enabled.attemptStarted(start, heldTasks(attemptId), nowMs));
+  }
+
+  /** Records an attempt that was found running at {@code nowMs}. */
+  void trackAdopted(String attemptId, QueuedJob start, Placement placement, long nowMs) {
+    record(attemptId, start, placement, nowMs);
+    division.ifPresent(enabled -> enabled.attemptAdopted(start.job(), heldTasks(attemptId)));
+  }
+
+  private void record(String attemptId, QueuedJob start, Placement placement, long nowMs) {
     running.put(attemptId, new RunningAttempt(attemptId, start, placement, nowMs));
     attemptOfJob.put(start.name(), attemptId);
     reasons.remove(start.name());
     usedByWorkspace.merge(start.job().workspace(), start.job().totalAccelerators(), Integer::sum);
   }
+
+  /** Returns the number of tasks for which an attempt holds resources. */
+  int heldTasks(String attemptId) {
+    return cluster.placement(attemptId).map(Placement::hosts).map(List::size).orElse(0);
+  }
+
+  private Objective objectiveOf(Job job) {
+    String name = job.labels().get(RunTimeEstimator.CLASS_LABEL).orElse("");
+    return objectives.getOrDefault(name, Objective.NONE);
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ShareOrder.java
@@ -0,0 +1,224 @@
+package org.wheatwall.core.job.decision;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import org.wheatwall.core.job.model.WaitReason;
+import org.wheatwall.core.job.policy.QueuedJob;
+
+/**
+ * Orders the waiting jobs of one pass so that workspaces get capacity by max-min fairness: of the
+ * jobs with equal precedence and priority class, the next is the best one of the workspace with the
+ * least dominant share, which then grows by the demand of that job.
+ *
+ * <p>Urgent jobs compete for what urgent work holds, since they may preempt other work; so other
+ * work of their workspace does not count against them.
+ *
+ * <p>Takes O(n log n) for n waiting jobs.
+ */
+final class ShareOrder {
+  private static final Comparator<RankedJob> BY_RANK =
+      Comparator.comparingDouble(RankedJob::rank).thenComparing(ranked -> ranked.job().name());
+
+  private final SchedulerState state;
+  private final WorkspaceDivision division;
+  private final int starvationBoundMs;
+  private final long nowMs;
+  private final Map<String, Double> shares = new HashMap<>();
+  private final Map<String, Double> urgentShares = new HashMap<>();
+  private final Set<String> starved = new HashSet<>();
+
+  /** Creates the order of a pass. */
+  ShareOrder(SchedulerState state, WorkspaceDivision division, int starvationBoundMs, long nowMs) {
+    this.state = state;
+    this.division = division;
+    this.starvationBoundMs = starvationBoundMs;
+    this.nowMs = nowMs;
+  }
+
+  /** Precedence of a job over those of other workspaces; lower values go first. */
+  private record Precedence(
+      boolean notUrgent, boolean notGuaranteed, boolean noShape, boolean notStarved, int priority)
+      implements Comparable<Precedence> {
+    private static final Comparator<Precedence> ORDER =
+        Comparator.comparing(Precedence::notUrgent)
+            .thenComparing(Precedence::notGuaranteed)
+            .thenComparing(Precedence::noShape)
+            .thenComparing(Precedence::notStarved)
+            .thenComparingInt(Precedence::priority);
+
+    @Override
+    public int compareTo(Precedence other) {
+      return ORDER.compare(this, other);
+    }
+  }
+
+  /** The jobs of one workspace with equal precedence. */
+  private final class WorkspaceQueue {
+    private final String workspace;
+    private final Deque<RankedJob> inTime = new ArrayDeque<>();
+    private final Deque<RankedJob> late = new ArrayDeque<>();
+    private final Deque<RankedJob> hopeless = new ArrayDeque<>();
+    private final Deque<RankedJob> lateOrHopeless = new ArrayDeque<>();
+    private final Set<RankedJob> taken = new HashSet<>();
+    private int startsSinceTurn;
+
+    private WorkspaceQueue(RankedJob first) {
+      workspace = first.job().job().workspace();
+      startsSinceTurn = division.turns().startsSinceTurn(first.job());
+    }
+
+    /** Adds a job whose rank is not lower than that of those added before. */
+    private void add(RankedJob ranked) {
+      Lateness.Level level = division.level(ranked.job(), nowMs);
+      if (level == Lateness.Level.IN_TIME) {
+        inTime.add(ranked);
+      } else {
+        (level == Lateness.Level.LATE ? late : hopeless).add(ranked);
+        lateOrHopeless.add(ranked);
+      }
+    }
+
+    private boolean isTurnOfLate() {
+      return startsSinceTurn >= LateTurns.STARTS_PER_TURN - 1 && first(lateOrHopeless) != null;
+    }
+
+    // A job that needs much room gets it only while it stays first in the queue, which the order by
+    // share alone does not ensure.
+    private boolean isTurnOfPassedOver() {
+      return isTurnOfLate() && division.lateness().isPassedOver(first(lateOrHopeless).job(), nowMs);
+    }
+
+    /** Returns the next job, null if there is none. */
+    private RankedJob peek() {
+      if (isTurnOfLate()) {
+        return first(lateOrHopeless);
+      }
+      if (!inTime.isEmpty()) {
+        return inTime.peek();
+      }
+      RankedJob nextLate = first(late);
+      return nextLate == null ? first(hopeless) : nextLate;
+    }
+
+    private RankedJob poll() {
+      if (!isTurnOfLate() && !inTime.isEmpty()) {
+        startsSinceTurn++;
+        return inTime.poll();
+      }
+      RankedJob next = peek();
+      taken.add(next);
+      startsSinceTurn = 0;
+      return next;
+    }
+
+    private RankedJob first(Deque<RankedJob> jobs) {
+      while (!jobs.isEmpty() && taken.contains(jobs.peek())) {
+        jobs.poll();
+      }
+      return jobs.peek();
+    }
+  }
+
+  /** Returns the jobs in order. */
+  List<QueuedJob> sorted(List<RankedJob> jobs) {
+    Set<String> workspaces = new HashSet<>();
+    jobs.forEach(ranked -> workspaces.add(ranked.job().job().workspace()));
+    division.beginPass(workspaces, nowMs);
+    for (String workspace : workspaces) {
+      shares.put(workspace, division.shares().ofAllWork(workspace));
+      urgentShares.put(workspace, division.shares().ofUrgentWork(workspace));
+    }
+    jobs.sort(BY_RANK);
+    markStarved(jobs);
+    Map<Precedence, Map<String, WorkspaceQueue>> queues = new TreeMap<>();
+    for (RankedJob ranked : jobs) {
+      queues
+          .computeIfAbsent(precedence(ranked), precedence -> new HashMap<>())
+          .computeIfAbsent(ranked.job().job().workspace(), workspace -> new WorkspaceQueue(ranked))
+          .add(ranked);
+    }
+    List<QueuedJob> ordered = new ArrayList<>(jobs.size());
+    queues.forEach((precedence, byWorkspace) -> divide(precedence, byWorkspace, ordered));
+    return ordered;
+  }
+
+  /** Returns whether a job has waited so long that it goes before others and may preempt them. */
+  boolean isStarved(String jobName) {
+    return starved.contains(jobName);
+  }
+
+  // A workspace that floods the queue would otherwise precede all others after the starvation
+  // bound, so only as many of its jobs count as starved as keep it within the equal share.
+  private void markStarved(List<RankedJob> byRank) {
+    double equalShare = division.shares().equalShare();
+    Map<String, Double> planned = new HashMap<>(shares);
+    for (RankedJob ranked : byRank) {
+      QueuedJob queued = ranked.job();
+      String workspace = queued.job().workspace();
+      if (nowMs - queued.submittedAtMs() >= starvationBoundMs
+          && planned.get(workspace) <= equalShare) {
+        starved.add(queued.name());
+        double demand = mayStart(queued) ? division.shares().demand(queued.job()) : 0;
+        planned.merge(workspace, demand, Double::sum);
+      }
+    }
+  }
+
+  private Precedence precedence(RankedJob ranked) {
+    QueuedJob queued = ranked.job();
+    return new Precedence(
+        !queued.job().urgent(),
+        !state.guarantees.covers(queued.job()),
+        queued.job().shape().isEmpty(),
+        !starved.contains(queued.name()),
+        ranked.priorityClass());
+  }
+
+  private void divide(
+      Precedence precedence, Map<String, WorkspaceQueue> byWorkspace, List<QueuedJob> ordered) {
+    Map<String, Double> compared = precedence.notUrgent() ? shares : urgentShares;
+    PriorityQueue<WorkspaceQueue> next =
+        new PriorityQueue<>(
+            Comparator.comparing((WorkspaceQueue queue) -> !queue.isTurnOfPassedOver())
+                .thenComparingDouble(
+                    queue -> queue.isTurnOfPassedOver() ? 0 : compared.get(queue.workspace))
+                .thenComparing(WorkspaceQueue::peek, BY_RANK));
+    next.addAll(byWorkspace.values());
+    while (!next.isEmpty()) {
+      WorkspaceQueue queue = next.poll();
+      QueuedJob queued = queue.poll().job();
+      ordered.add(queued);
+      if (mayStart(queued)) {
+        double demand = division.shares().demand(queued.job());
+        shares.merge(queue.workspace, demand, Double::sum);
+        if (!precedence.notUrgent()) {
+          urgentShares.merge(queue.workspace, demand, Double::sum);
+        }
+      }
+      if (queue.peek() != null) {
+        next.add(queue);
+      }
+    }
+  }
+
+  // What cannot start whatever is free takes nothing from the share of its workspace.
+  private boolean mayStart(QueuedJob queued) {
+    WaitReason reason = state.reasons.get(queued.name());
+    if (reason == null) {
+      return true;
+    }
+    return switch (reason.kind()) {
+      case NEVER_FITS, QUOTA, SHAPE_IN_USE, WAITING_FOR_LEASE -> false;
+      default -> true;
+    };
+  }
+}
--- a/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/VictimChooser.java
@@ -13,21 +13,34 @@
 
 /** Chooses whole gangs to stop at low cost, to free the capacity for a placement. */
 final class VictimChooser {
+  // What an urgent job, or one that was often stopped, loses counts this many times as much in the
+  // comparison of places, where victims on several hosts are summed.
+  private static final double PROTECTED_WEIGHT = 1000;
+  // Whose work is stopped is decided by share only if the lost work is of the same order.
+  private static final double EXCEEDED_WEIGHT = 0.5;
+
   private final Map<String, RunningAttempt> running;
   private final WorkspaceShares shares;
+  private final Optional<StopLimit> stopLimit;
   private final boolean minimizeLostWork;
 
   /**
    * Creates a chooser among gangs.
    *
-   * @param shares which workspaces hold more than their share; their gangs are stopped first
+   * @param shares which workspaces hold more than their share; their gangs are stopped first if
+   *     those of others would lose at least half as much
+   * @param stopLimit bound on stops of the same job; empty to treat all jobs alike
    * @param minimizeLostWork whether to lose as little work as possible; otherwise as few gangs as
    *     possible are stopped
    */
   VictimChooser(
-      Map<String, RunningAttempt> running, WorkspaceShares shares, boolean minimizeLostWork) {
+      Map<String, RunningAttempt> running,
+      WorkspaceShares shares,
+      Optional<StopLimit> stopLimit,
+      boolean minimizeLostWork) {
     this.running = running;
     this.shares = shares;
+    this.stopLimit = stopLimit;
     this.minimizeLostWork = minimizeLostWork;
   }
 
@@ -86,11 +99,26 @@
   }
 
   private double cost(Set<RunningAttempt> victims, long nowMs) {
-    return victims.stream().mapToDouble(victim -> stopCost(victim, nowMs)).sum();
+    return victims.stream()
+        .mapToDouble(
+            victim -> (protection(victim) > 0 ? PROTECTED_WEIGHT : 1) * stopCost(victim, nowMs))
+        .sum();
   }
 
   private double stopCost(RunningAttempt attempt, long nowMs) {
-    return minimizeLostWork ? attempt.stopCost(nowMs) : 1;
+    double weight = shares.isExceeded(attempt.job().workspace()) ? EXCEEDED_WEIGHT : 1;
+    return weight * (minimizeLostWork ? attempt.stopCost(nowMs) : 1);
+  }
+
+  // Attempts with more protection are stopped last.
+  private int protection(RunningAttempt attempt) {
+    if (stopLimit.isEmpty()) {
+      return 0;
+    }
+    if (attempt.job().urgent()) {
+      return 2;
+    }
+    return stopLimit.get().isReached(attempt.jobName()) ? 1 : 0;
   }
 
   private boolean selectVictims(
@@ -113,8 +141,7 @@
       }
     }
     candidates.sort(
-        Comparator.comparing(
-                (RunningAttempt attempt) -> !shares.isExceeded(attempt.job().workspace()))
+        Comparator.comparingInt(this::protection)
             .thenComparingDouble(attempt -> stopCost(attempt, nowMs))
             .thenComparing(RunningAttempt::attemptId));
     for (RunningAttempt candidate : candidates) {
--- a/core/src/main/java/org/wheatwall/core/job/policy/PriorityFirst.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/PriorityFirst.java
@@ -12,6 +12,11 @@
   public double rank(QueuedJob job, long nowMs) {
     double expected = Math.max(1, job.expectedSeconds());
     double responseRatio = (job.waitedSeconds(nowMs) + expected) / expected;
-    return job.job().options().priority() * CLASS_WIDTH - responseRatio;
+    return priorityClass(job) * CLASS_WIDTH - responseRatio;
+  }
+
+  @Override
+  public int priorityClass(QueuedJob job) {
+    return job.job().options().priority();
   }
 }
