--- a/core/src/main/java/org/wheatwall/core/job/decision/ShareOrder.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ShareOrder.java
@@ -44,35 +44,22 @@
     this.nowMs = nowMs;
   }
 
-  /** Precedence of a job over those of other workspaces; lower values go first. */
-  private record Precedence(
-      boolean notUrgent, boolean notGuaranteed, boolean noShape, boolean notStarved, int priority)
-      implements Comparable<Precedence> {
-    private static final Comparator<Precedence> ORDER =
-        Comparator.comparing(Precedence::notUrgent)
-            .thenComparing(Precedence::notGuaranteed)
-            .thenComparing(Precedence::noShape)
-            .thenComparing(Precedence::notStarved)
-            .thenComparingInt(Precedence::priority);
-
-    @Override
-    public int compareTo(Precedence other) {
-      return ORDER.compare(this, other);
-    }
-  }
-
   /** The jobs of one workspace with equal precedence. */
-  private final class WorkspaceQueue {
+  private final class WorkspaceQueue implements Comparable<WorkspaceQueue> {
     private final String workspace;
     private final Deque<RankedJob> inTime = new ArrayDeque<>();
     private final Deque<RankedJob> late = new ArrayDeque<>();
     private final Deque<RankedJob> hopeless = new ArrayDeque<>();
     private final Deque<RankedJob> lateOrHopeless = new ArrayDeque<>();
-    private final Set<RankedJob> taken = new HashSet<>();
+    private final Set<String> taken = new HashSet<>();
+    private final boolean urgent;
+    private double share;
+    private double demanded;
     private int startsSinceTurn;
 
     private WorkspaceQueue(RankedJob first) {
       workspace = first.job().job().workspace();
+      urgent = first.job().job().urgent();
       startsSinceTurn = division.turns().startsSinceTurn(first.job());
     }
 
@@ -83,8 +70,20 @@
         inTime.add(ranked);
       } else {
         (level == Lateness.Level.LATE ? late : hopeless).add(ranked);
-        lateOrHopeless.add(ranked);
+        if (mayStart(ranked.job())) {
+          lateOrHopeless.add(ranked);
+        }
+      }
+    }
+
+    @Override
+    public int compareTo(WorkspaceQueue other) {
+      boolean passedOver = isTurnOfPassedOver();
+      if (passedOver != other.isTurnOfPassedOver()) {
+        return passedOver ? -1 : 1;
       }
+      int byShare = passedOver ? 0 : Double.compare(share, other.share);
+      return byShare == 0 ? BY_RANK.compare(peek(), other.peek()) : byShare;
     }
 
     private boolean isTurnOfLate() {
@@ -115,13 +114,13 @@
         return inTime.poll();
       }
       RankedJob next = peek();
-      taken.add(next);
+      taken.add(next.job().name());
       startsSinceTurn = 0;
       return next;
     }
 
     private RankedJob first(Deque<RankedJob> jobs) {
-      while (!jobs.isEmpty() && taken.contains(jobs.peek())) {
+      while (!jobs.isEmpty() && taken.contains(jobs.peek().job().name())) {
         jobs.poll();
       }
       return jobs.peek();
@@ -139,7 +138,7 @@
     }
     jobs.sort(BY_RANK);
     markStarved(jobs);
-    Map<Precedence, Map<String, WorkspaceQueue>> queues = new TreeMap<>();
+    Map<Long, Map<String, WorkspaceQueue>> queues = new TreeMap<>();
     for (RankedJob ranked : jobs) {
       queues
           .computeIfAbsent(precedence(ranked), precedence -> new HashMap<>())
@@ -147,7 +146,7 @@
           .add(ranked);
     }
     List<QueuedJob> ordered = new ArrayList<>(jobs.size());
-    queues.forEach((precedence, byWorkspace) -> divide(precedence, byWorkspace, ordered));
+    queues.values().forEach(byWorkspace -> divide(byWorkspace, ordered));
     return ordered;
   }
 
@@ -173,44 +172,44 @@
     }
   }
 
-  private Precedence precedence(RankedJob ranked) {
+  // Lower values go first. The priority class takes the lower half.
+  private long precedence(RankedJob ranked) {
     QueuedJob queued = ranked.job();
-    return new Precedence(
-        !queued.job().urgent(),
-        !state.guarantees.covers(queued.job()),
-        queued.job().shape().isEmpty(),
-        !starved.contains(queued.name()),
-        ranked.priorityClass());
+    long precedence = queued.job().urgent() ? 0 : 1;
+    precedence = 2 * precedence + (state.guarantees.covers(queued.job()) ? 0 : 1);
+    precedence = 2 * precedence + (queued.job().shape().isPresent() ? 0 : 1);
+    precedence = 2 * precedence + (starved.contains(queued.name()) ? 0 : 1);
+    return (precedence << Integer.SIZE) + ranked.priorityClass();
   }
 
-  private void divide(
-      Precedence precedence, Map<String, WorkspaceQueue> byWorkspace, List<QueuedJob> ordered) {
-    Map<String, Double> compared = precedence.notUrgent() ? shares : urgentShares;
-    PriorityQueue<WorkspaceQueue> next =
-        new PriorityQueue<>(
-            Comparator.comparing((WorkspaceQueue queue) -> !queue.isTurnOfPassedOver())
-                .thenComparingDouble(
-                    queue -> queue.isTurnOfPassedOver() ? 0 : compared.get(queue.workspace))
-                .thenComparing(WorkspaceQueue::peek, BY_RANK));
-    next.addAll(byWorkspace.values());
+  private void divide(Map<String, WorkspaceQueue> byWorkspace, List<QueuedJob> ordered) {
+    for (WorkspaceQueue queue : byWorkspace.values()) {
+      queue.share = (queue.urgent ? urgentShares : shares).get(queue.workspace);
+    }
+    PriorityQueue<WorkspaceQueue> next = new PriorityQueue<>(byWorkspace.values());
     while (!next.isEmpty()) {
       WorkspaceQueue queue = next.poll();
       QueuedJob queued = queue.poll().job();
       ordered.add(queued);
       if (mayStart(queued)) {
         double demand = division.shares().demand(queued.job());
-        shares.merge(queue.workspace, demand, Double::sum);
-        if (!precedence.notUrgent()) {
-          urgentShares.merge(queue.workspace, demand, Double::sum);
-        }
+        queue.share += demand;
+        queue.demanded += demand;
       }
       if (queue.peek() != null) {
         next.add(queue);
       }
     }
+    for (WorkspaceQueue queue : byWorkspace.values()) {
+      shares.merge(queue.workspace, queue.demanded, Double::sum);
+      if (queue.urgent) {
+        urgentShares.merge(queue.workspace, queue.demanded, Double::sum);
+      }
+    }
   }
 
-  // What cannot start whatever is free takes nothing from the share of its workspace.
+  // What cannot start whatever is free takes nothing from the share of its workspace, and has no
+  // turn before others.
   private boolean mayStart(QueuedJob queued) {
     WaitReason reason = state.reasons.get(queued.name());
     if (reason == null) {
--- a/core/src/test/java/org/wheatwall/core/job/decision/ShareOrderTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/ShareOrderTest.java
@@ -281,6 +281,30 @@
     }
   }
 
+  // Guards against a turn that is kept for a job that cannot take it.
+  @Test
+  void aJobThatNeverFitsDoesNotTakeTheTurnOfLateOnes() {
+    ShareFixture fixture = ShareFixture.withShares(1);
+    fixture.setObjective(new Objective(2, 0));
+    fixture.submit("never", "a", HOST.times(2));
+    fixture.nowMs += 1000;
+    fixture.submit("late", "a", HALF);
+    fixture.submit("first-1", "a", HALF);
+    fixture.submit("first-2", "a", HALF);
+    List<String> started = fixture.startedNow();
+    fixture.nowMs += 60_000;
+    String late = List.copyOf(fixture.scheduler.waiting()).get(1).name();
+    for (int starts = started.size(); !started.contains(late); starts += started.size()) {
+      assertThat(starts).isAtMost(LateTurns.STARTS_PER_TURN);
+      started.forEach(fixture::end);
+      for (int i = 0; i < 3; i++) {
+        fixture.submit("new-" + fixture.nowMs + "-" + i, "a", HALF);
+      }
+      started = fixture.startedNow();
+      fixture.nowMs += ShareFixture.RUN_MS;
+    }
+  }
+
   // Guards against an order that changes with every end: the room of one host never came together
   // for the gang while single tasks of other workspaces kept filling it.
   @Test
