Equal tasks that wait get one proposal

While work is kept for urgent gangs, a pass asked the policy for a place for each of hundreds of equal tasks of wide steps, only to let each wait. A task equal to the one before it now gets the same proposal, if the policy is the same and nothing has started since: nothing that a policy sees has changed. The search counts as before, so that the limits of a pass act at the same job. Checking the reserve before the placement was weighed: it changes the reasons and the count of searches, and with them decisions. The edit is one call in startIfPlaced and a reset in start.

--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
@@ -35,6 +35,7 @@
   private final QueueOrder order;
   private final Set<String> blockedPolicies = new HashSet<>();
   private final Map<String, BackfillWindow> windows = new HashMap<>();
+  private Optional<Proposal> lastProposal = Optional.empty();
   private int searches;
   private int started;
 
@@ -173,7 +174,7 @@
       return noFreeCapacityReason();
     }
     searches++;
-    Optional<Placement> placement = propose(job.job(), policy);
+    Optional<Placement> placement = proposeOnce(job.job(), policy);
     if (placement.isEmpty()) {
       known.noFreeCapacity = true;
       return noFreeCapacityReason();
@@ -208,6 +209,15 @@
             + " accelerators free in the zone, not in a fitting place");
   }
 
+  // The tasks of a wide step are equal and follow each other in the queue. If one of them must wait
+  // although it has a place, the next gets the same proposal, as nothing has started meanwhile.
+  private Optional<Placement> proposeOnce(Job job, PolicyTable.Entry policy) {
+    if (lastProposal.filter(last -> last.isFor(job, policy)).isEmpty()) {
+      lastProposal = propose(job, policy).map(placement -> new Proposal(job, policy, placement));
+    }
+    return lastProposal.map(Proposal::placement);
+  }
+
   // A policy that throws or proposes an invalid placement counts as having found none.
   private Optional<Placement> propose(Job job, PolicyTable.Entry policy) {
     Optional<Placement> placement;
@@ -247,6 +257,7 @@
   }
 
   private boolean start(QueuedJob queued, Placement placement, List<RunningAttempt> victims) {
+    lastProposal = Optional.empty();
     Job job = queued.job();
     String attemptId = queued.name() + "." + state.attemptPrefix + "." + state.attemptCounter;
     if (job.reclaimable()) {
@@ -280,6 +291,13 @@
     }
   }
 
+  /** A valid proposal of a policy, while nothing has started since. */
+  private record Proposal(Job job, PolicyTable.Entry policy, Placement placement) {
+    boolean isFor(Job otherJob, PolicyTable.Entry otherPolicy) {
+      return policy.name().equals(otherPolicy.name()) && job.equals(otherJob);
+    }
+  }
+
   /** The properties of a gang that decide whether it fits. */
   private record GangRequirements(
       int tasks, ResourceAmount amount, Adjacency adjacency, JobOptions options) {
