Jobs of lower priority are rejected at once while they could not end in time

Cause: every job was accepted, so under a lasting overload by work of higher priorities a submitter learned of it only when its result was of no more use. Every entry host now derives the waiting work from its replica of the job log; the deciding host adds the usable accelerators to renewals of its term.

Off by default.

--- a/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
@@ -1,6 +1,7 @@
 package org.wheatwall.core.batch.model;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** Content of a job log record. */
 public sealed interface LogContent {
@@ -37,6 +38,8 @@
    * @param term number of the term, or 0 in a claim, whose offset determines the number
    * @param released whether the holder has released the term
    * @param successor name of the host that shall claim the released term, if the holder chose one
+   * @param usableAccelerators accelerators of the workers that can receive new work, if the holder
+   *     knows them
    */
   record Term(
       String holder,
@@ -44,8 +47,20 @@
       String incarnation,
       long term,
       boolean released,
-      Optional<String> successor)
+      Optional<String> successor,
+      OptionalInt usableAccelerators)
       implements LogContent {
+    /** Creates the record of a term without known capacity. */
+    public Term(
+        String holder,
+        String address,
+        String incarnation,
+        long term,
+        boolean released,
+        Optional<String> successor) {
+      this(holder, address, incarnation, term, released, successor, OptionalInt.empty());
+    }
+
     /** Creates the record of a term without a chosen successor. */
     public Term(String holder, String address, String incarnation, long term, boolean released) {
       this(holder, address, incarnation, term, released, Optional.empty());
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -353,6 +353,11 @@
     return state.cluster.capacityInUse().isLessThanHalf();
   }
 
+  /** Returns the accelerators of the usable hosts, held or free. */
+  public int usableAccelerators() {
+    return state.cluster.capacityInUse().usableAccelerators();
+  }
+
   /** Returns whether the last pass reached its limits, so that another pass is due. */
   public boolean passIncomplete() {
     return state.passIncomplete;
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -58,6 +58,7 @@
   private final JobIntake intake;
   private final TermElection election;
   private final HostRoster roster;
+  private final AdmissionControl admission;
   private final JobEndWaiters endWaiters;
   private boolean announcing;
   private volatile long logRespondedAtMs;
@@ -99,7 +100,8 @@
             new LogContent.Host(settings.peerAddress(), settings.zone()),
             clock.nowMs());
     this.endWaiters = new JobEndWaiters(timer);
-    this.replica = new JobReplica(rule, roster, endWaiters, clock, decisions);
+    this.admission = new AdmissionControl(settings.features(), context);
+    this.replica = new JobReplica(rule, roster, endWaiters, admission, clock, decisions);
     this.election = new TermElection(settings, process, context, ports, rule, replica, roster);
     this.replica.setListener(election);
     this.follower =
@@ -130,8 +132,8 @@
 
   /**
    * Accepts a job; completes once the job is stored durably. Fails with a {@link Refusal}:
-   * UNAVAILABLE if the job was not accepted and never runs, UNKNOWN if that could not be
-   * determined.
+   * UNAVAILABLE if the job was not accepted and never runs, LIMIT if it could not end in time,
+   * UNKNOWN if that could not be determined.
    *
    * @param deadlineMs time on the monotonic clock until which the caller waits, milliseconds
    */
@@ -224,7 +226,13 @@
 
   /** Applies the scheduling rules of the operator's configuration. */
   public void setRules(SchedulingRules rules) {
-    context.loop().execute(() -> election.setRules(rules));
+    context
+        .loop()
+        .execute(
+            () -> {
+              admission.setRules(rules);
+              election.setRules(rules);
+            });
   }
 
   /** Applies a change of the operator's evacuations. */
@@ -315,7 +323,27 @@
     if (replica.table().job(job.id()).isPresent()) {
       return CompletableFuture.completedFuture(null);
     }
-    return intake.accept(job, deadlineMs);
+    return admission.check(job, roster.peers().size() + 1).isPresent()
+        ? rejectUnlessAccepted(job, deadlineMs)
+        : intake.accept(job, deadlineMs);
+  }
+
+  // An earlier attempt may have been accepted elsewhere since this host last read the log, so the
+  // log is read to its end before the rejection says that the job does not run.
+  private CompletableFuture<Void> rejectUnlessAccepted(BatchJob job, long deadlineMs) {
+    return logCatchUp
+        .catchUp()
+        .thenComposeAsync(
+            done -> {
+              if (replica.table().job(job.id()).isPresent()) {
+                return CompletableFuture.completedFuture(null);
+              }
+              Optional<Refusal> refusal = admission.check(job, roster.peers().size() + 1);
+              return refusal.isPresent()
+                  ? CompletableFuture.failedFuture(refusal.get())
+                  : intake.accept(job, deadlineMs);
+            },
+            context.loop());
   }
 
   private void logRecovered() {
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -35,6 +35,7 @@
   private final Clock clock;
   private final DecisionLog decisions;
   private final RunTimeTracker runTimes = new RunTimeTracker();
+  private final AdmissionControl admission;
   private JobTable table = new JobTable();
   private Listener listener;
   private Runnable onLogRecovered = () -> {};
@@ -58,11 +59,13 @@
       TermRule rule,
       HostRoster roster,
       JobEndWaiters endWaiters,
+      AdmissionControl admission,
       Clock clock,
       DecisionLog decisions) {
     this.rule = rule;
     this.roster = roster;
     this.endWaiters = endWaiters;
+    this.admission = admission;
     this.clock = clock;
     this.decisions = decisions;
   }
@@ -96,7 +99,9 @@
     }
     rule.onDeciderRecord(clock.nowMs());
     table.hosts().keySet().forEach(name -> roster.recordSeen(name, clock.nowMs()));
+    admission.onReset();
     for (JobRecord record : List.copyOf(table.jobs())) {
+      addToBacklog(record);
       record.job().filter(job -> record.end().isEmpty()).ifPresent(listener::onJob);
       if (record.cancelled()) {
         listener.onCancellation(record.id());
@@ -113,6 +118,7 @@
     }
     LogEntry entry = decoded.get();
     long termBefore = table.termNumber();
+    Optional<GroupState> groupBefore = groupState(entry.key());
     table.apply(entry, offset);
     if (table.termNumber() != termBefore) {
       runTimes.discardOpenRuns();
@@ -122,23 +128,56 @@
       rule.onDeciderRecord(clock.nowMs());
     }
     switch (key.kind()) {
-      case TERM -> listener.onTerm((LogContent.Term) entry.content().orElseThrow(), offset);
-      case JOB ->
-          table
-              .job(key.name())
-              .filter(known -> known.end().isEmpty())
-              .flatMap(JobRecord::job)
-              .ifPresent(listener::onJob);
-      case CANCEL -> listener.onCancellation(key.name());
+      case TERM -> onTerm((LogContent.Term) entry.content().orElseThrow(), offset);
+      case JOB -> table.job(key.name()).ifPresent(this::onJob);
+      case CANCEL -> {
+        admission.onJobClosed(key.name());
+        listener.onCancellation(key.name());
+      }
       case HOST -> roster.recordSeen(key.name(), clock.nowMs());
-      case END -> endWaiters.jobEnded(key.name());
-      case GROUP -> GroupKey.parse(key.name()).ifPresent(group -> recordRunTime(group, entry));
+      case END -> {
+        admission.onJobClosed(key.name());
+        endWaiters.jobEnded(key.name());
+      }
+      case GROUP ->
+          GroupKey.parse(key.name()).ifPresent(group -> onGroup(group, groupBefore, entry));
+    }
+  }
+
+  private void onTerm(LogContent.Term term, long offset) {
+    admission.onTerm(term);
+    listener.onTerm(term, offset);
+  }
+
+  private void onJob(JobRecord record) {
+    if (record.end().isEmpty()) {
+      addToBacklog(record);
+      record.job().ifPresent(listener::onJob);
+    }
+  }
+
+  private void addToBacklog(JobRecord record) {
+    if (record.job().isPresent() && record.end().isEmpty() && !record.cancelled()) {
+      admission.onJob(record.job().get());
+      record
+          .groups()
+          .forEach(
+              (group, state) ->
+                  admission.onGroupChanged(group, Optional.empty(), Optional.of(state)));
     }
   }
 
-  private void recordRunTime(GroupKey group, LogEntry entry) {
+  private Optional<GroupState> groupState(LogKey key) {
+    return key.kind() == LogKey.Kind.GROUP
+        ? GroupKey.parse(key.name())
+            .flatMap(group -> table.job(group.jobId()).map(record -> record.groups().get(group)))
+        : Optional.empty();
+  }
+
+  private void onGroup(GroupKey group, Optional<GroupState> before, LogEntry entry) {
     Optional<GroupState> state =
         entry.content().map(content -> ((LogContent.Group) content).state());
+    admission.onGroupChanged(group, before, state);
     runTimes.onGroupRecord(group, state, clock.nowMs());
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.decision.ActingTerm;
@@ -269,7 +270,7 @@
     if (decider.isPresent() && !stopping && rule.holdsTerm() && decider.get().isWriterIdle()) {
       long now = context.clock().leaseTimeMs();
       if (!rule.mayAct(now + settings.term().actMs() - settings.term().renewMs())) {
-        decider.get().write(termEntry(rule.term(), false));
+        decider.get().write(renewalEntry(decider.get()));
       }
     }
   }
@@ -385,6 +386,21 @@
     actingTerm = ActingTerm.NONE;
   }
 
+  private LogEntry renewalEntry(BatchDecider current) {
+    return LogEntry.of(
+        LogKey.TERM,
+        new LogContent.Term(
+            settings.host(),
+            settings.address(),
+            process.incarnation(),
+            rule.term(),
+            false,
+            Optional.empty(),
+            settings.features().admission().enabled()
+                ? OptionalInt.of(current.supervisor().scheduler().usableAccelerators())
+                : OptionalInt.empty()));
+  }
+
   private LogEntry termEntry(long term, boolean released) {
     return termEntry(term, released, Optional.empty());
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -8,6 +8,7 @@
 import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.common.Mechanisms;
+import org.wheatwall.core.job.model.SchedulingFeatures;
 import org.wheatwall.entry.batch.worker.WorkerDirectory;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.MachineClock;
@@ -27,6 +28,7 @@
   private Optional<SimulatedProcessor.CostModel> costModel = Optional.empty();
   private Optional<SimulatedProcessor> processor = Optional.empty();
   private Optional<SimulatedOperator> operator = Optional.empty();
+  private SchedulingFeatures features = SchedulingFeatures.NONE;
   private BatchHost batch;
   private int incarnation;
   private long frozenUntilMs;
@@ -79,6 +81,11 @@
     operator = Optional.of(newOperator);
   }
 
+  /** Switches features on for processes started from now on. */
+  void setFeatures(SchedulingFeatures newFeatures) {
+    features = newFeatures;
+  }
+
   boolean isFrozen() {
     return remainingFreezeMs() > 0;
   }
@@ -101,7 +108,8 @@
             leaseMs,
             600_000,
             TermSettings.DEFAULT,
-            Mechanisms.ALL);
+            Mechanisms.ALL,
+            features);
     batch =
         new BatchHost(
             settings,
--- a/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
@@ -309,14 +310,16 @@
   }
 
   private static TermRecord term(LogContent.Term term) {
-    return TermRecord.newBuilder()
-        .setHolder(term.holder())
-        .setAddress(term.address())
-        .setLife(term.incarnation())
-        .setTerm(term.term())
-        .setReleased(term.released())
-        .setSuccessor(term.successor().orElse(""))
-        .build();
+    TermRecord.Builder record =
+        TermRecord.newBuilder()
+            .setHolder(term.holder())
+            .setAddress(term.address())
+            .setLife(term.incarnation())
+            .setTerm(term.term())
+            .setReleased(term.released())
+            .setSuccessor(term.successor().orElse(""));
+    term.usableAccelerators().ifPresent(record::setUsableAccelerators);
+    return record.build();
   }
 
   private static LogContent.Term term(TermRecord record) {
@@ -326,6 +329,9 @@
         record.getLife(),
         record.getTerm(),
         record.getReleased(),
-        text(record.getSuccessor()));
+        text(record.getSuccessor()),
+        record.hasUsableAccelerators()
+            ? OptionalInt.of(record.getUsableAccelerators())
+            : OptionalInt.empty());
   }
 }
--- a/wire/src/main/java/org/wheatwall/wire/message/TermRecord.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/TermRecord.java
@@ -24,6 +24,7 @@
     life_ = "";
     successor_ = "";
   }
+  private int bitField0_;
   public static final int HOLDER_FIELD_NUMBER = 1;
   private java.lang.String holder_;
   /**
@@ -284,6 +285,56 @@
 
   }
 
+  public static final int USABLE_ACCELERATORS_FIELD_NUMBER = 7;
+  private int usableAccelerators_;
+  /**
+   * <pre>
+   * Accelerators of the workers that can receive new work; missing where they are not known.
+   * </pre>
+   *
+   * <code>optional uint32 usable_accelerators = 7;</code>
+   * @return Whether the usableAccelerators field is set.
+   */
+  @java.lang.Override
+  public boolean hasUsableAccelerators() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Accelerators of the workers that can receive new work; missing where they are not known.
+   * </pre>
+   *
+   * <code>optional uint32 usable_accelerators = 7;</code>
+   * @return The usableAccelerators.
+   */
+  @java.lang.Override
+  public int getUsableAccelerators() {
+    return usableAccelerators_;
+  }
+  /**
+   * <pre>
+   * Accelerators of the workers that can receive new work; missing where they are not known.
+   * </pre>
+   *
+   * <code>optional uint32 usable_accelerators = 7;</code>
+   * @param value The usableAccelerators to set.
+   */
+  private void setUsableAccelerators(int value) {
+    bitField0_ |= 0x00000001;
+    usableAccelerators_ = value;
+  }
+  /**
+   * <pre>
+   * Accelerators of the workers that can receive new work; missing where they are not known.
+   * </pre>
+   *
+   * <code>optional uint32 usable_accelerators = 7;</code>
+   */
+  private void clearUsableAccelerators() {
+    bitField0_ = (bitField0_ & ~0x00000001);
+    usableAccelerators_ = 0;
+  }
+
   public static org.wheatwall.wire.message.TermRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -657,6 +708,58 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Accelerators of the workers that can receive new work; missing where they are not known.
+     * </pre>
+     *
+     * <code>optional uint32 usable_accelerators = 7;</code>
+     * @return Whether the usableAccelerators field is set.
+     */
+    @java.lang.Override
+    public boolean hasUsableAccelerators() {
+      return instance.hasUsableAccelerators();
+    }
+    /**
+     * <pre>
+     * Accelerators of the workers that can receive new work; missing where they are not known.
+     * </pre>
+     *
+     * <code>optional uint32 usable_accelerators = 7;</code>
+     * @return The usableAccelerators.
+     */
+    @java.lang.Override
+    public int getUsableAccelerators() {
+      return instance.getUsableAccelerators();
+    }
+    /**
+     * <pre>
+     * Accelerators of the workers that can receive new work; missing where they are not known.
+     * </pre>
+     *
+     * <code>optional uint32 usable_accelerators = 7;</code>
+     * @param value The usableAccelerators to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUsableAccelerators(int value) {
+      copyOnWrite();
+      instance.setUsableAccelerators(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Accelerators of the workers that can receive new work; missing where they are not known.
+     * </pre>
+     *
+     * <code>optional uint32 usable_accelerators = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUsableAccelerators() {
+      copyOnWrite();
+      instance.clearUsableAccelerators();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.TermRecord)
   }
   @java.lang.Override
@@ -673,16 +776,18 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "holder_",
             "address_",
             "life_",
             "term_",
             "released_",
             "successor_",
+            "usableAccelerators_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0208\u0004\u0002\u0005\u0007\u0006\u0208";
+              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0208\u0004\u0002\u0005\u0007\u0006\u0208\u0007\u100b\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/TermRecordOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/TermRecordOrBuilder.java
@@ -77,4 +77,23 @@
    */
   com.google.protobuf.ByteString
       getSuccessorBytes();
+
+  /**
+   * <pre>
+   * Accelerators of the workers that can receive new work; missing where they are not known.
+   * </pre>
+   *
+   * <code>optional uint32 usable_accelerators = 7;</code>
+   * @return Whether the usableAccelerators field is set.
+   */
+  boolean hasUsableAccelerators();
+  /**
+   * <pre>
+   * Accelerators of the workers that can receive new work; missing where they are not known.
+   * </pre>
+   *
+   * <code>optional uint32 usable_accelerators = 7;</code>
+   * @return The usableAccelerators.
+   */
+  int getUsableAccelerators();
 }
--- a/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -105,4 +106,18 @@
           .hasValue(entry);
     }
   }
+
+  @Test
+  void theCapacityInARenewalOfATermIsReadAsItWasWritten() {
+    for (OptionalInt accelerators :
+        List.of(OptionalInt.empty(), OptionalInt.of(0), OptionalInt.of(20_000))) {
+      LogContent.Term term =
+          new LogContent.Term(
+              "host-1", "10.0.0.1", "life", 7, false, Optional.empty(), accelerators);
+      LogEntry entry = LogEntry.of(LogKey.TERM, term);
+      Optional<LogEntry> read =
+          JobLogCodec.decode(entry.key().text(), JobLogCodec.encodeValue(entry));
+      assertThat(read).isEqualTo(Optional.of(entry));
+    }
+  }
 }
