Placement by expected completion on hosts of unequal speed

A gang is as slow as its slowest member, so urgent gangs with a member on a slow host were late whatever else was decided. A job's slack ratio now decides which hosts are fast enough; racks are indexed by the free accelerators of each class of run time, so that no placement sorts more than one rack. Objectives by class move out of UrgentReserve, which shares them now.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -37,6 +37,9 @@
   private final Map<String, Allocation> allocations = new HashMap<>();
   private final NavigableMap<Integer, NavigableSet<HostState>> hostsByFree = new TreeMap<>();
   private final NavigableMap<Integer, NavigableSet<RackState>> racksByFree = new TreeMap<>();
+  // Built when run times first differ, so that equal hosts cost nothing.
+  private Optional<RunTimeIndex> runTimeIndex = Optional.empty();
+  private int hostsOfOtherRunTime;
   private int totalAccelerators;
   private int freeAccelerators;
   private final CapacityInUse capacityInUse = new CapacityInUse();
@@ -88,6 +91,7 @@
     hosts.put(host.name(), state);
     RackState rack = racks.computeIfAbsent(host.rack(), name -> new RackState(name, nextIndex++));
     rack.hosts().add(state);
+    adjustClass(rack, state.runTimeClass(), state.free().accelerators(), 1);
     totalAccelerators += host.capacity().accelerators();
     capacityInUse.add(state);
     indexHost(state);
@@ -113,6 +117,8 @@
     unindexHost(state);
     capacityInUse.remove(state);
     rack.hosts().remove(state);
+    adjustClass(rack, state.runTimeClass(), -state.free().accelerators(), -1);
+    hostsOfOtherRunTime -= state.runTimeRatio() == 1 ? 0 : 1;
     adjustRack(rack, -state.free().accelerators());
     totalAccelerators -= state.host().capacity().accelerators();
     if (rack.hosts().isEmpty()) {
@@ -140,7 +146,19 @@
     if (!(ratio > 0) || Double.isInfinite(ratio)) {
       throw new IllegalArgumentException("a run time ratio is positive and finite, not " + ratio);
     }
-    update(name, host -> host.setRunTimeRatio(ratio));
+    HostState host = hosts.get(name);
+    if (host == null || host.runTimeRatio() == ratio) {
+      return;
+    }
+    hostsOfOtherRunTime += (host.runTimeRatio() == 1 ? 1 : 0) - (ratio == 1 ? 1 : 0);
+    RackState rack = racks.get(host.host().rack());
+    int free = host.free().accelerators();
+    adjustClass(rack, host.runTimeClass(), -free, -1);
+    host.setRunTimeRatio(ratio);
+    adjustClass(rack, host.runTimeClass(), free, 1);
+    if (runTimeIndex.isEmpty()) {
+      runTimeIndex = Optional.of(new RunTimeIndex(racks.values()));
+    }
   }
 
   /** Sets whether a host gets only one task at a time, and only work that tolerates a failure. */
@@ -292,6 +310,18 @@
     return racksByFree.tailMap(accelerators, true).values();
   }
 
+  @Override
+  public boolean runTimesDiffer() {
+    return hostsOfOtherRunTime > 0;
+  }
+
+  @Override
+  public NavigableMap<Integer, NavigableSet<RackState>> racksByFree(int runTimeClass) {
+    return runTimeIndex
+        .map(index -> index.byFree(runTimeClass))
+        .orElseGet(Collections::emptyNavigableMap);
+  }
+
   /** Returns whether new work may be placed on some host. */
   boolean anyUsable() {
     return hosts.values().stream().anyMatch(HostState::usable);
@@ -353,7 +383,9 @@
     indexHost(host);
     int difference = host.free().accelerators() - before;
     if (difference != 0) {
-      adjustRack(racks.get(host.host().rack()), difference);
+      RackState rack = racks.get(host.host().rack());
+      adjustRack(rack, difference);
+      adjustClass(rack, host.runTimeClass(), difference, 0);
     }
   }
 
@@ -372,6 +404,13 @@
     }
   }
 
+  private void adjustClass(
+      RackState rack, int runTimeClass, int freeDifference, int hostsDifference) {
+    runTimeIndex.ifPresent(index -> index.remove(rack, runTimeClass));
+    rack.adjustClass(runTimeClass, freeDifference, hostsDifference);
+    runTimeIndex.ifPresent(index -> index.add(rack, runTimeClass));
+  }
+
   private void adjustRack(RackState rack, int difference) {
     NavigableSet<RackState> group = racksByFree.get(rack.freeAccelerators());
     if (group != null) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/ClusterView.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ClusterView.java
@@ -1,6 +1,7 @@
 package org.wheatwall.core.job.decision;
 
 import java.util.Collection;
+import java.util.NavigableMap;
 import java.util.NavigableSet;
 import java.util.Optional;
 
@@ -20,4 +21,13 @@
 
   /** Returns racks with at least {@code accelerators} free, grouped by free accelerators. */
   Collection<NavigableSet<RackState>> racksWithFree(int accelerators);
+
+  /** Returns whether the expected run time of a task differs between hosts. */
+  boolean runTimesDiffer();
+
+  /**
+   * Returns racks with hosts of a {@link RunTimeClass}, by the accelerators that are free on these
+   * hosts. Empty as long as run times have never differed.
+   */
+  NavigableMap<Integer, NavigableSet<RackState>> racksByFree(int runTimeClass);
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -28,6 +28,7 @@
   private boolean onProbation;
   private HostSpeed speed = HostSpeed.USUAL;
   private double runTimeRatio = 1;
+  private int runTimeClass = RunTimeClass.of(1);
 
   /** Resources that one attempt holds on this host. */
   record HostAllocation(ResourceAmount amount, boolean reclaimable) {}
@@ -65,6 +66,11 @@
     return runTimeRatio;
   }
 
+  /** Returns the {@link RunTimeClass} of the expected run time. */
+  public int runTimeClass() {
+    return runTimeClass;
+  }
+
   /** Returns whether new work may be placed on this host. */
   public boolean usable() {
     return usable;
@@ -210,6 +216,7 @@
 
   void setRunTimeRatio(double next) {
     runTimeRatio = next;
+    runTimeClass = RunTimeClass.of(next);
   }
 
   void setLabels(Labels next) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Reclaimer.java
@@ -76,7 +76,8 @@
     double slowdown =
         candidate.hosts().stream()
             .flatMap(name -> cluster.host(name).stream())
-            .mapToDouble(host -> slowdown(host.speed()))
+            .mapToDouble(
+                host -> cluster.runTimesDiffer() ? host.runTimeRatio() - 1 : slowdown(host.speed()))
             .max()
             .orElse(0);
     return slowdown * queued.expectedSeconds() * Math.max(1, queued.job().totalAccelerators());
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -72,7 +72,7 @@
    * RunTimeEstimator#CLASS_LABEL}.
    */
   public void setObjectives(Map<String, Objective> byClass) {
-    state.urgentReserve.setObjectives(byClass);
+    state.objectives.set(byClass);
   }
 
   /** Returns the workspaces by name. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
@@ -22,7 +22,9 @@
   final Map<String, WaitReason> reasons = new HashMap<>();
   final Map<String, Integer> usedByWorkspace = new HashMap<>();
   final WorkspaceShares shares;
+  final JobObjectives objectives = new JobObjectives();
   final UrgentReserve urgentReserve;
+  final ExpectedCompletion completion;
   final Reclaimer reclaimer;
   Map<String, Workspace> workspaces = Map.of();
   PolicyTable policies;
@@ -37,11 +39,13 @@
     Mechanisms mechanisms = settings.mechanisms();
     boolean reserves = mechanisms.isEnabled(Mechanism.URGENT_ROOM);
     int reservedPercent = reserves ? settings.urgentHeadroomPercent() : 0;
-    urgentReserve = new UrgentReserve(new FixedShareReserve(reservedPercent));
+    urgentReserve = new UrgentReserve(new FixedShareReserve(reservedPercent), objectives);
     estimator = new RunTimeEstimator(mechanisms.isEnabled(Mechanism.LEARNED_RUN_TIMES));
     shares = WorkspaceShares.UNLIMITED;
     VictimChooser victims =
         new VictimChooser(running, shares, mechanisms.isEnabled(Mechanism.CHEAPEST_STOPS));
+    boolean speedAware = settings.features().speedAware().enabled();
+    completion = new ExpectedCompletion(speedAware, cluster, guarantees, objectives, running);
     reclaimer = new Reclaimer(cluster, plan, guarantees, running, victims);
     policies = PolicyTable.ofActive(Map.of(), mechanisms);
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
@@ -16,7 +16,9 @@
 import org.wheatwall.core.job.model.WaitReason;
 import org.wheatwall.core.job.model.Workspace;
 import org.wheatwall.core.job.policy.Backfill;
+import org.wheatwall.core.job.policy.PlacementRule;
 import org.wheatwall.core.job.policy.QueuedJob;
+import org.wheatwall.core.job.policy.SpeedDemand;
 
 /**
  * One pass over the queue of a {@link Scheduler}, which decides what starts where and what is
@@ -101,11 +103,20 @@
     }
     PolicyTable.Entry policy = state.policies.policyFor(job.job());
     Optional<WaitReason> notStarted = startIfPlaced(job, policy, known);
+    if (notStarted.filter(SchedulingPass::isForFasterHosts).isPresent()) {
+      // Jobs behind it may use the slower hosts that it leaves free.
+      state.reasons.put(job.name(), notStarted.get());
+      return;
+    }
     if (notStarted.isPresent() && !reclaim(job, known)) {
       block(job, policy, notStarted.get());
     }
   }
 
+  private static boolean isForFasterHosts(WaitReason reason) {
+    return reason.kind() == WaitReason.Kind.FASTER_HOSTS_EXPECTED;
+  }
+
   private Findings findingsFor(Job job) {
     return findings.computeIfAbsent(GangRequirements.of(job), need -> new Findings());
   }
@@ -173,11 +184,19 @@
       return noFreeCapacityReason();
     }
     searches++;
-    Optional<Placement> placement = propose(job.job(), policy);
+    boolean considersSpeed = state.completion.applies();
+    Optional<Placement> placement =
+        considersSpeed
+            ? proposeFastEnough(job, policy, known)
+            : propose(job.job(), policy, Optional.empty());
     if (placement.isEmpty()) {
       known.noFreeCapacity = true;
       return noFreeCapacityReason();
     }
+    if (considersSpeed && state.completion.shouldWait(job, placement.get(), nowMs)) {
+      return waitReason(
+          WaitReason.Kind.FASTER_HOSTS_EXPECTED, "it would be late on the hosts that are free");
+    }
     BackfillWindow window = windows.get(policy.name());
     if (state.urgentReserve.mustWait(job, state.cluster, nowMs)) {
       return waitReason(
@@ -208,11 +227,30 @@
             + " accelerators free in the zone, not in a fitting place");
   }
 
+  // Proposes hosts that are fast enough, otherwise the least slow ones.
+  private Optional<Placement> proposeFastEnough(
+      QueuedJob job, PolicyTable.Entry policy, Findings known) {
+    SpeedDemand demand = state.completion.demand(job, nowMs);
+    if (demand.maxRunTimeRatio() > known.noneUpToRunTimeRatio) {
+      Optional<Placement> placement = propose(job.job(), policy, Optional.of(demand));
+      if (placement.isPresent()) {
+        return placement;
+      }
+      known.noneUpToRunTimeRatio = demand.maxRunTimeRatio();
+    }
+    return propose(job.job(), policy, Optional.of(SpeedDemand.LEAST_SLOW));
+  }
+
   // A policy that throws or proposes an invalid placement counts as having found none.
-  private Optional<Placement> propose(Job job, PolicyTable.Entry policy) {
+  private Optional<Placement> propose(
+      Job job, PolicyTable.Entry policy, Optional<SpeedDemand> demand) {
+    PlacementRule rule = policy.policy().placement();
     Optional<Placement> placement;
     try {
-      placement = policy.policy().placement().place(job, state.cluster);
+      placement =
+          demand.isPresent()
+              ? rule.place(job, state.cluster, demand.get())
+              : rule.place(job, state.cluster);
     } catch (RuntimeException failure) {
       state.invalidProposals++;
       return Optional.empty();
@@ -295,6 +333,7 @@
   private static final class Findings {
     private Optional<Boolean> fitsEmptyZone = Optional.empty();
     private boolean noFreeCapacity;
+    private double noneUpToRunTimeRatio;
     private boolean nothingToReclaim;
     private boolean nothingToReclaimIfGuaranteed;
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
@@ -1,9 +1,6 @@
 package org.wheatwall.core.job.decision;
 
-import java.util.HashMap;
-import java.util.Map;
 import org.wheatwall.core.job.model.Job;
-import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.core.job.policy.QueuedJob;
 
 /**
@@ -21,17 +18,12 @@
   private static final int MS_PER_SECOND = 1000;
 
   private final ReservedCapacity reserved;
-  private final Map<String, Objective> objectives = new HashMap<>();
+  private final JobObjectives objectives;
 
   /** Creates a reserve of the given capacity. */
-  UrgentReserve(ReservedCapacity reserved) {
+  UrgentReserve(ReservedCapacity reserved, JobObjectives objectives) {
     this.reserved = reserved;
-  }
-
-  /** Sets the objectives of jobs, by the value of the label that names their class. */
-  void setObjectives(Map<String, Objective> byClass) {
-    objectives.clear();
-    objectives.putAll(byClass);
+    this.objectives = objectives;
   }
 
   /** Records that urgent work was submitted. */
@@ -52,14 +44,11 @@
   }
 
   private boolean mustStartNow(QueuedJob queued, long nowMs) {
-    String name = queued.job().labels().get(RunTimeEstimator.CLASS_LABEL).orElse("");
-    Objective objective = objectives.getOrDefault(name, Objective.NONE);
-    if (objective.equals(Objective.NONE)) {
+    if (!objectives.hasObjective(queued)) {
       return false;
     }
-    double expectedMs = queued.expectedSeconds() * MS_PER_SECOND;
-    long dueMs = queued.submittedAtMs() + objective.allowedMs(Math.round(expectedMs));
-    double endMs = nowMs + expectedMs;
+    long dueMs = objectives.dueMs(queued);
+    double endMs = nowMs + queued.expectedSeconds() * MS_PER_SECOND;
     return endMs >= dueMs && endMs < dueMs + MAX_LATENESS_MS;
   }
 }
--- a/core/src/main/java/org/wheatwall/core/job/model/WaitReason.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/WaitReason.java
@@ -12,6 +12,8 @@
     QUEUED,
     /** Enough capacity exists but is in use. */
     NO_FREE_CAPACITY,
+    /** It would be late on the hosts that are free, and faster ones are expected to be in time. */
+    FASTER_HOSTS_EXPECTED,
     /** The free capacity that it needs is reserved for urgent work. */
     KEPT_FOR_URGENT_WORK,
     /** The free capacity that it needs is reserved for an earlier job. */
--- a/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/RackPacking.java
@@ -38,6 +38,13 @@
     return spansRacks ? bestFit.place(job, cluster) : inRack;
   }
 
+  @Override
+  public Optional<Placement> place(Job job, ClusterView cluster, SpeedDemand demand) {
+    return cluster.runTimesDiffer()
+        ? new FastEnoughPlacement(job, cluster, demand).find()
+        : place(job, cluster);
+  }
+
   private static Optional<Placement> inOneRack(Job job, ClusterView cluster) {
     Optional<Placement> best = Optional.empty();
     int bestRank = Integer.MAX_VALUE;
--- a/core/src/test/java/org/wheatwall/core/job/decision/LoadSimulation.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/LoadSimulation.java
@@ -51,14 +51,24 @@
    * Speeds of the hosts.
    *
    * @param slowFactor factor by which tasks take longer on every third host
-   * @param speedsKnown whether the scheduler is given the speeds
+   * @param fastFactor factor by which tasks take longer on every other third host
+   * @param speedsKnown whether the scheduler is given the speeds, as classes
+   * @param ratiosKnown whether the scheduler is given the run time ratios
    */
-  record Hosts(double slowFactor, boolean speedsKnown) {
+  record Hosts(double slowFactor, double fastFactor, boolean speedsKnown, boolean ratiosKnown) {
     static final Hosts EQUAL = new Hosts(1, false);
 
+    Hosts(double slowFactor, boolean speedsKnown) {
+      this(slowFactor, 1, speedsKnown, false);
+    }
+
     boolean isSlow(int number) {
       return number % 3 == 2;
     }
+
+    double runTimeRatio(int number) {
+      return isSlow(number) ? slowFactor : number % 3 == 0 ? fastFactor : 1;
+    }
   }
 
   /** Results of a simulation. */
@@ -115,9 +125,12 @@
           .add(new WorkerHost("host-" + i, "zone", "rack-" + i / HOSTS_PER_RACK, capacity));
       boolean slower = hosts.speedsKnown() && hosts.isSlow(i);
       scheduler.cluster().setSpeed("host-" + i, slower ? HostSpeed.SLOWER : HostSpeed.USUAL);
+      if (hosts.ratiosKnown()) {
+        scheduler.cluster().setRunTimeRatio("host-" + i, hosts.runTimeRatio(i));
+      }
     }
     scheduler.hostsChanged();
-    scheduler.setObjectives(Map.of("long", OTHER, "wide", OTHER));
+    scheduler.setObjectives(Map.of("live", LIVE, "long", OTHER, "wide", OTHER));
     scheduler.setPolicies(
         Map.of(
             "policy",
@@ -222,10 +235,10 @@
 
   // The members of a gang end together, with the slowest one.
   private double slowestFactor(Placement placement) {
-    boolean anySlow =
-        placement.hosts().stream()
-            .anyMatch(host -> hosts.isSlow(Integer.parseInt(host.substring("host-".length()))));
-    return anySlow ? hosts.slowFactor() : 1;
+    return placement.hosts().stream()
+        .mapToDouble(host -> hosts.runTimeRatio(Integer.parseInt(host.substring("host-".length()))))
+        .max()
+        .orElse(1);
   }
 
   private void finish(String attemptId, SimulatedJob simulated) {
--- a/core/src/test/java/org/wheatwall/core/job/decision/UrgentReserveTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/UrgentReserveTest.java
@@ -23,7 +23,8 @@
   private static final int SEEDS = 8;
   private static final long SUBMITTED_MS = 1000;
 
-  private final UrgentReserve reserve = new UrgentReserve(new FixedShareReserve(50));
+  private final JobObjectives objectives = new JobObjectives();
+  private final UrgentReserve reserve = new UrgentReserve(new FixedShareReserve(50), objectives);
   private final Cluster cluster = new Cluster();
 
   private static SchedulerSettings withReserve(int percent) {
@@ -69,7 +70,7 @@
   @Test
   void jobThatMustStartNowUsesTheReserve() {
     holdHalf();
-    reserve.setObjectives(Map.of("batch", new Objective(3, 1000)));
+    objectives.set(Map.of("batch", new Objective(3, 1000)));
     assertThat(mustWaitDuringUrgentArrivals(SUBMITTED_MS + 20_999)).isTrue();
     assertThat(mustWaitDuringUrgentArrivals(SUBMITTED_MS + 21_000)).isFalse();
   }
@@ -77,7 +78,7 @@
   @Test
   void jobThatIsTooLateLeavesTheReserveFree() {
     holdHalf();
-    reserve.setObjectives(Map.of("batch", new Objective(3, 1000)));
+    objectives.set(Map.of("batch", new Objective(3, 1000)));
     assertThat(mustWaitDuringUrgentArrivals(SUBMITTED_MS + 22_999)).isFalse();
     assertThat(mustWaitDuringUrgentArrivals(SUBMITTED_MS + 23_000)).isTrue();
   }
