--- a/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
+++ b/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
@@ -22,7 +22,9 @@
   @Override
   public int run(List<String> arguments, Console console) throws ParseException {
     VerbOptions options =
-        new VerbOptions("bench capacity | bench decider | bench process --pid PID [--seconds N]")
+        new VerbOptions(
+                "bench capacity | bench decider | bench placement"
+                    + " | bench process --pid PID [--seconds N]")
             .value("pid", "process: the process to watch")
             .value("seconds", "process: how long to watch, default 10");
     if (!options.parse(arguments, console)) {
@@ -35,8 +37,12 @@
       SupervisorBench.run().forEach(slope -> console.out(slope.row()));
       return DONE;
     }
+    if (options.positionalArguments().equals(List.of("placement"))) {
+      PlacementBench.run().forEach(slope -> console.out(slope.row()));
+      return DONE;
+    }
     if (!options.positionalArguments().equals(List.of("capacity"))) {
-      throw new ParseException("name what to measure: capacity, decider or process");
+      throw new ParseException("name what to measure: capacity, decider, placement or process");
     }
     List<Slope> slopes = new ArrayList<>(StateBench.run());
     slopes.addAll(MessageBench.run());
--- a/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
@@ -25,6 +25,9 @@
   private static final double MAX_RATIO_OF_CHOICE = 2;
   // No host is that fast, so that a job with less slack is late anywhere.
   private static final double MIN_RATIO = 0.01;
+  // A job that has waited for longer found no room: capacity is short, and is used for the least
+  // time on the fastest hosts. Some passes are made within this time.
+  private static final int MAX_WAIT_OF_FREE_CAPACITY_MS = 500;
   // Hosts may not stand idle beside waiting work for longer, if less than half of the capacity is
   // in use.
   private static final int MAX_WAIT_BESIDE_IDLE_HOSTS_MS = 1000;
@@ -71,7 +74,8 @@
   SpeedDemand demand(QueuedJob queued, long nowMs) {
     double slack = slackRatio(queued, nowMs).orElse(MAX_RATIO_OF_CHOICE);
     double maxRatio = Math.max(MIN_RATIO, Math.min(MAX_RATIO_OF_CHOICE, slack));
-    return new SpeedDemand(maxRatio, queued.job().urgent());
+    boolean hadToWait = nowMs - queued.submittedAtMs() > MAX_WAIT_OF_FREE_CAPACITY_MS;
+    return new SpeedDemand(maxRatio, queued.job().urgent() || hadToWait);
   }
 
   /**
