Join placement by expected completion

The queue's order and the placement share one class of objectives. Equal tasks that wait are asked for once where speeds do not matter.

--- a/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
+++ b/app/src/main/java/org/wheatwall/app/bench/BenchVerb.java
@@ -23,8 +23,9 @@
   public int run(List<String> arguments, Console console) throws ParseException {
     VerbOptions options =
         new VerbOptions(
-                "bench capacity | bench decider | bench contended [--workers N] [--seconds N]"
-                    + " [--load PERCENT] [--run-time PERCENT] [--reserve PERCENT] [--core PERCENT] | bench process --pid PID [--seconds N]")
+                "bench capacity | bench decider | bench placement | bench contended [--workers N]"
+                    + " [--seconds N] [--load PERCENT] [--run-time PERCENT] [--reserve PERCENT]"
+                    + " [--core PERCENT] | bench process --pid PID [--seconds N]")
             .value("pid", "process: the process to watch")
             .value("workers", "contended: number of workers, default 1000")
             .value("load", "contended: arrivals, percent of the usual rate, default 100")
@@ -56,8 +57,13 @@
       ContendedBench.run(load, options.integer("core", 0) / 100.0).forEach(console::out);
       return DONE;
     }
+    if (options.positionalArguments().equals(List.of("placement"))) {
+      PlacementBench.run().forEach(slope -> console.out(slope.row()));
+      return DONE;
+    }
     if (!options.positionalArguments().equals(List.of("capacity"))) {
-      throw new ParseException("name what to measure: capacity, decider, contended or process");
+      throw new ParseException(
+          "name what to measure: capacity, decider, placement, contended or process");
     }
     List<Slope> slopes = new ArrayList<>(StateBench.run());
     slopes.addAll(MessageBench.run());
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -29,6 +29,7 @@
   private HostSpeed speed = HostSpeed.USUAL;
   private double runTimeRatio = 1;
   private HeldWork heldWork;
+  private int runTimeClass = RunTimeClass.of(1);
 
   /** Resources that one attempt holds on this host. */
   record HostAllocation(ResourceAmount amount, boolean reclaimable) {}
@@ -66,6 +67,11 @@
     return runTimeRatio;
   }
 
+  /** Returns the {@link RunTimeClass} of the expected run time. */
+  public int runTimeClass() {
+    return runTimeClass;
+  }
+
   /** Returns whether new work may be placed on this host. */
   public boolean usable() {
     return usable;
@@ -233,6 +239,7 @@
 
   void setRunTimeRatio(double next) {
     runTimeRatio = next;
+    runTimeClass = RunTimeClass.of(next);
   }
 
   void setLabels(Labels next) {
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
@@ -7,8 +7,6 @@
 import java.util.Optional;
 import org.wheatwall.core.common.Mechanism;
 import org.wheatwall.core.common.Mechanisms;
-import org.wheatwall.core.job.model.Job;
-import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.core.job.model.Placement;
 import org.wheatwall.core.job.model.WaitReason;
 import org.wheatwall.core.job.model.Workspace;
@@ -26,10 +24,11 @@
   final Map<String, String> attemptOfJob = new HashMap<>();
   final Map<String, WaitReason> reasons = new HashMap<>();
   final Map<String, Integer> usedByWorkspace = new HashMap<>();
-  final Map<String, Objective> objectives = new HashMap<>();
+  final JobObjectives objectives = new JobObjectives();
   // Empty if the feature is switched off.
   final Optional<WorkspaceDivision> division;
   final UrgentReserve urgentReserve;
+  final ExpectedCompletion completion;
   final Reclaimer reclaimer;
   Map<String, Workspace> workspaces = Map.of();
   PolicyTable policies;
@@ -44,7 +43,7 @@
     Mechanisms mechanisms = settings.mechanisms();
     boolean reserves = mechanisms.isEnabled(Mechanism.URGENT_ROOM);
     int reservedPercent = reserves ? settings.urgentHeadroomPercent() : 0;
-    urgentReserve = new UrgentReserve(new FixedShareReserve(reservedPercent));
+    urgentReserve = new UrgentReserve(new FixedShareReserve(reservedPercent), objectives);
     estimator = new RunTimeEstimator(mechanisms.isEnabled(Mechanism.LEARNED_RUN_TIMES));
     WorkspaceShareSettings shareSettings = settings.features().workspaceShares();
     division =
@@ -53,7 +52,7 @@
                 new WorkspaceDivision(
                     shareSettings,
                     cluster.capacityInUse(),
-                    this::objectiveOf,
+                    objectives::of,
                     settings.starvationBoundMs()))
             : Optional.empty();
     VictimChooser victims =
@@ -64,6 +63,8 @@
                 .orElse(WorkspaceShares.UNLIMITED),
             division.map(WorkspaceDivision::stopLimit),
             mechanisms.isEnabled(Mechanism.CHEAPEST_STOPS));
+    boolean speedAware = settings.features().speedAware().enabled();
+    completion = new ExpectedCompletion(speedAware, cluster, guarantees, objectives, running);
     reclaimer = new Reclaimer(cluster, plan, guarantees, running, victims);
     policies = PolicyTable.ofActive(Map.of(), mechanisms);
   }
@@ -91,9 +92,4 @@
   int heldTasks(String attemptId) {
     return cluster.placement(attemptId).map(Placement::hosts).map(List::size).orElse(0);
   }
-
-  private Objective objectiveOf(Job job) {
-    String name = job.labels().get(RunTimeEstimator.CLASS_LABEL).orElse("");
-    return objectives.getOrDefault(name, Objective.NONE);
-  }
 }
