--- a/core/src/main/java/org/wheatwall/core/job/policy/FastEnoughPlacement.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/FastEnoughPlacement.java
@@ -24,6 +24,9 @@
   // rack, so that the search could examine every one in vain.
   private static final int MAX_RACKS_OF_MIXED_CLASS = 16;
   private static final int MAX_RACKS_COMPARED = 16;
+  // A search for hosts that are fast enough is followed by one without that demand, so it must cost
+  // little also if it is in vain.
+  private static final int MAX_RACKS_EXAMINED = 64;
 
   private static final Comparator<HostState> FULLEST_FIRST =
       Comparator.comparingInt((HostState host) -> host.free().accelerators())
@@ -108,16 +111,17 @@
   private Optional<Paced> onMixedHosts(int limit) {
     Optional<Paced> best = Optional.empty();
     int compared = 0;
+    int examined = 0;
     int bound = limit;
     for (NavigableSet<RackState> group : cluster.racksWithFree(job.totalAccelerators())) {
       for (RackState rack : group) {
-        if (bound < 0 || compared >= MAX_RACKS_COMPARED) {
+        boolean examinedEnough = demand.isBounded() && examined >= MAX_RACKS_EXAMINED;
+        if (bound < 0 || compared >= MAX_RACKS_COMPARED || examinedEnough) {
           return best;
         }
-        Optional<Paced> found =
-            rack.freeUpTo(bound) >= job.totalAccelerators()
-                ? onMixedHosts(rack, bound)
-                : Optional.empty();
+        boolean mayFit = rack.freeUpTo(bound) >= job.totalAccelerators();
+        examined += mayFit ? 1 : 0;
+        Optional<Paced> found = mayFit ? onMixedHosts(rack, bound) : Optional.empty();
         if (found.isPresent()) {
           if (demand.isBounded()) {
             return found;
