Expected ends from progress; learned run times without the speed of hosts

The expected end of a run was fixed at its start. Scheduler#observeRemaining moves it to that of the slowest member by progress; before, the expected run time is multiplied by the run time ratio of the slowest host, and learned run times are divided by it. The ratio is 1 unless one was applied, so nothing changes without the feature. A run that ended before any sibling is compared once there is one: the fastest host of each step was not measured otherwise.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -143,6 +143,16 @@
     update(name, host -> host.setRunTimeRatio(ratio));
   }
 
+  /** Returns the run time ratio of the slowest host of a placement, 1 if none is known. */
+  double runTimeRatio(Placement placement) {
+    double slowest = 0;
+    for (String name : placement.hosts()) {
+      HostState host = hosts.get(name);
+      slowest = Math.max(slowest, host == null ? 1 : host.runTimeRatio());
+    }
+    return slowest > 0 ? slowest : 1;
+  }
+
   /** Sets whether a host gets only one task at a time, and only work that tolerates a failure. */
   void setOnProbation(String name, boolean onProbation) {
     update(name, host -> host.setOnProbation(onProbation));
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostRunTimes.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostRunTimes.java
@@ -15,6 +15,7 @@
   private static final double CHANGE_DEVIATIONS = 1.5;
   private static final double CHANGE_DECAY = 0.5;
 
+  private final String name;
   private double endedWeight;
   private double endedSum;
   private double openWeight;
@@ -27,6 +28,15 @@
   private double lastDeviations;
   private double appliedRatio = 1;
 
+  /** Creates a host without evidence. */
+  HostRunTimes(String name) {
+    this.name = name;
+  }
+
+  String name() {
+    return name;
+  }
+
   /** Returns the sum of the inverse variances of all differences, 0 if there are none. */
   double weight() {
     return endedWeight + openWeight;
--- a/core/src/main/java/org/wheatwall/core/job/decision/RunTimeRatios.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunTimeRatios.java
@@ -48,16 +48,16 @@
 
   /** One run of a task on a host. */
   public static final class Run {
-    private final String hostName;
     private final HostRunTimes host;
     private final SiblingRunTimes siblings;
     private final SiblingRunTimes.Contribution contribution = new SiblingRunTimes.Contribution();
     private double difference;
     private double weight;
     private double errorVariance;
+    private double totalMs;
+    private double relativeError;
 
-    private Run(String hostName, HostRunTimes host, SiblingRunTimes siblings) {
-      this.hostName = hostName;
+    private Run(HostRunTimes host, SiblingRunTimes siblings) {
       this.host = host;
       this.siblings = siblings;
     }
@@ -80,8 +80,7 @@
    */
   public Run start(String step, String host) {
     return new Run(
-        host,
-        hosts.computeIfAbsent(host, name -> new HostRunTimes()),
+        hosts.computeIfAbsent(host, HostRunTimes::new),
         steps.computeIfAbsent(step, name -> new SiblingRunTimes()));
   }
 
@@ -94,6 +93,8 @@
    */
   public void measure(Run run, double totalMs, double relativeError, long nowMs) {
     withdraw(run);
+    run.totalMs = totalMs;
+    run.relativeError = relativeError;
     HostRunTimes host = run.host;
     host.fade(nowMs);
     double logMs = Math.log(Math.max(1, totalMs));
@@ -114,10 +115,22 @@
         logMs - expected,
         fleet.siblingVariance() + measurementVariance + expectedVariance);
     updates++;
-    updateApplied(run.hostName, host);
+    updateApplied(host);
+    compareEarlier(run.siblings, nowMs);
     refreshIfDue(nowMs);
   }
 
+  // The first run of a step may end before there is a sibling on another host to compare it with;
+  // otherwise the fastest host of each step would not be compared.
+  private void compareEarlier(SiblingRunTimes siblings, long nowMs) {
+    Run earlier = siblings.uncompared();
+    if (earlier != null && siblings.meanFor(earlier.host).isPresent()) {
+      siblings.setUncompared(null);
+      measure(earlier, earlier.totalMs, earlier.relativeError, nowMs);
+      finish(earlier, nowMs);
+    }
+  }
+
   private void compare(Run run, double difference, double baseVariance) {
     double limit = FleetSpread.MAX_DIFFERENCE;
     double aboveReference = difference - fleet.reference();
@@ -146,7 +159,9 @@
       run.weight = 0;
       run.host.fade(nowMs);
       run.host.addEnded(run.difference, weight, run.errorVariance, fleet);
-      updateApplied(run.hostName, run.host);
+      updateApplied(run.host);
+    } else if (run.contribution.exists()) {
+      run.siblings.setUncompared(run);
     }
     return run.contribution.exists();
   }
@@ -167,7 +182,7 @@
   /** Ends a run whose observation does not count. */
   public void discard(Run run) {
     withdraw(run);
-    updateApplied(run.hostName, run.host);
+    updateApplied(run.host);
   }
 
   /** Returns the run time ratio of a host, 1 unless its difference is significant. */
@@ -217,16 +232,16 @@
       }
     }
     fleet.refresh(Arrays.copyOf(means, measured), Arrays.copyOf(weights, measured));
-    hosts.forEach(this::updateApplied);
+    hosts.values().forEach(this::updateApplied);
   }
 
-  private void updateApplied(String name, HostRunTimes host) {
+  private void updateApplied(HostRunTimes host) {
     double target = target(host);
     double before = host.appliedRatio();
     boolean differs = (target == 1) != (before == 1);
     if (differs || Math.abs(Math.log(target / before)) > MIN_CHANGE) {
       host.setAppliedRatio(target);
-      changed.add(name);
+      changed.add(host.name());
     }
   }
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
@@ -18,17 +18,27 @@
   private final Placement placement;
   private final long startedAtMs;
   private final long submittedAtMs;
-  private final double expectedSeconds;
+  private double expectedEndMs;
   private boolean stopping;
 
-  RunningAttempt(String attemptId, QueuedJob start, Placement placement, long startedAtMs) {
+  /**
+   * Creates an attempt that starts now.
+   *
+   * @param runTimeRatio run time on the slowest of its hosts, relative to the median host
+   */
+  RunningAttempt(
+      String attemptId,
+      QueuedJob start,
+      Placement placement,
+      long startedAtMs,
+      double runTimeRatio) {
     this.attemptId = attemptId;
     this.jobName = start.name();
     this.job = start.job();
     this.placement = placement;
     this.startedAtMs = startedAtMs;
     this.submittedAtMs = start.submittedAtMs();
-    this.expectedSeconds = start.expectedSeconds();
+    this.expectedEndMs = startedAtMs + start.expectedSeconds() * runTimeRatio * 1000;
   }
 
   /** Returns the identifier of this attempt. */
@@ -70,7 +80,11 @@
 
   /** Returns when it is expected to end, milliseconds of the decision loop's clock. */
   public double expectedEndMs() {
-    return startedAtMs + expectedSeconds * 1000;
+    return expectedEndMs;
+  }
+
+  void setExpectedEndMs(double next) {
+    expectedEndMs = next;
   }
 
   /** Returns whether it has been ordered to stop. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -193,7 +193,8 @@
     state.usedByWorkspace.merge(
         attempt.job().workspace(), -attempt.job().totalAccelerators(), Integer::sum);
     if (reason == EndReason.SUCCEEDED) {
-      state.estimator.observe(attempt.job(), (nowMs - attempt.startedAtMs()) / 1000.0);
+      double ratio = state.cluster.runTimeRatio(attempt.placement());
+      state.estimator.observe(attempt.job(), (nowMs - attempt.startedAtMs()) / 1000.0 / ratio);
       for (String host : Set.copyOf(attempt.placement().hosts())) {
         if (health.recordSuccess(host, attempt.startedAtMs())) {
           refreshUsable(host);
@@ -273,6 +274,18 @@
         : OptionalLong.of((long) attempt.expectedEndMs() - attempt.startedAtMs());
   }
 
+  /**
+   * Updates the expected end of an attempt from its progress.
+   *
+   * @param remainingMs remaining run time of its slowest task, milliseconds
+   */
+  public void observeRemaining(String attemptId, long remainingMs, long nowMs) {
+    RunningAttempt attempt = state.running.get(attemptId);
+    if (attempt != null) {
+      attempt.setExpectedEndMs((double) (nowMs + remainingMs));
+    }
+  }
+
   /** Returns the waiting jobs. */
   public Collection<QueuedJob> waiting() {
     return Collections.unmodifiableCollection(state.waiting.values());
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
@@ -48,7 +48,9 @@
 
   /** Records an attempt that was started or found running as running from {@code nowMs}. */
   void track(String attemptId, QueuedJob start, Placement placement, long nowMs) {
-    running.put(attemptId, new RunningAttempt(attemptId, start, placement, nowMs));
+    running.put(
+        attemptId,
+        new RunningAttempt(attemptId, start, placement, nowMs, cluster.runTimeRatio(placement)));
     attemptOfJob.put(start.name(), attemptId);
     reasons.remove(start.name());
     usedByWorkspace.merge(start.job().workspace(), start.job().totalAccelerators(), Integer::sum);
--- a/core/src/main/java/org/wheatwall/core/job/decision/SiblingRunTimes.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SiblingRunTimes.java
@@ -16,6 +16,7 @@
   private double sum;
   private Object onlyHost;
   private boolean severalHosts;
+  private RunTimeRatios.Run uncompared;
 
   /** What one task has added to the mean. */
   static final class Contribution {
@@ -44,6 +45,15 @@
         : OptionalDouble.empty();
   }
 
+  /** Returns the last run that ended before there was another to compare it with, null if none. */
+  RunTimeRatios.Run uncompared() {
+    return uncompared;
+  }
+
+  void setUncompared(RunTimeRatios.Run run) {
+    uncompared = run;
+  }
+
   /** Adds a task, limited by the mean of the others. */
   void add(Contribution contribution, Object host, double value, double variance) {
     double limited = value;
