Judge workers by progress in one place, and apply run time ratios

WorkerProgress takes a report and feeds SlowWorkerDetector and, with speed-aware placement switched on, ProgressMeasurements: nothing is learned from a worker that is slow for seconds. RunTimeTracker learns ratios from ended single tasks in the job log, unless progress has measured the run, and is handed to the supervisor whole instead of its HostSpeeds. Removed workers are forgotten: SlowWorkerDetector#remove was never called. FailedCallbackTest: the constructor's argument changed its type.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -1,6 +1,7 @@
 package org.wheatwall.core.batch.decision;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +26,8 @@
   private GroupState state;
   private boolean launched;
   private boolean stopping;
+  private long[] expectedEndsMs = {};
+  private int slowestMember;
   private long nextBlockedLogAtMs;
   private int blockedLogDelayMs = FIRST_BLOCKED_LOG_DELAY_MS;
 
@@ -171,6 +174,27 @@
     return due;
   }
 
+  /**
+   * Records when the member at a position is expected to end; returns when the last of those known
+   * is.
+   */
+  long recordExpectedEnd(int position, long endMs) {
+    if (expectedEndsMs.length == 0) {
+      expectedEndsMs = new long[members.size()];
+      Arrays.fill(expectedEndsMs, Long.MIN_VALUE);
+      slowestMember = position;
+    }
+    expectedEndsMs[position] = endMs;
+    if (position == slowestMember) {
+      for (int i = 0; i < expectedEndsMs.length; i++) {
+        slowestMember = expectedEndsMs[i] > expectedEndsMs[slowestMember] ? i : slowestMember;
+      }
+    } else if (endMs > expectedEndsMs[slowestMember]) {
+      slowestMember = position;
+    }
+    return expectedEndsMs[slowestMember];
+  }
+
   boolean allEnded() {
     return members.stream().allMatch(MemberRun::ended);
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -34,6 +34,9 @@
     WORKER_SLOW,
     WORKER_AT_SPEED,
     WORKER_PACE,
+    WORKER_RUN_TIME_RATIO,
+    WORKERS_UNEQUAL,
+    WORKERS_EQUAL,
     STRAY_RUN
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -21,7 +21,6 @@
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.core.common.Names;
-import org.wheatwall.core.job.decision.HostSpeeds;
 import org.wheatwall.core.job.decision.Scheduler;
 import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.Objective;
@@ -49,6 +48,8 @@
   private final UnansweredStarts unansweredStarts;
   private final FirstReports firstReports;
   private final HostSpeedUpdater hostSpeedUpdater;
+  private final Optional<RunTimeRatioUpdater> runTimeRatioUpdater;
+  private final WorkerProgress progress;
   private final ReachabilityRule reachabilityRule;
   private final PendingStarts pendingStarts;
   private final DecisionExecutor decisionExecutor;
@@ -57,7 +58,7 @@
   private long lastSweepAtMs;
 
   /**
-   * Creates a supervisor for a term that starts now, without host speeds from earlier terms.
+   * Creates a supervisor for a term that starts now, without run times from earlier terms.
    *
    * @param number number of the term, part of the identifiers of attempts
    * @param overlapMs how much longer the previous decider may send commands, milliseconds
@@ -69,7 +70,14 @@
       long number,
       long startMs,
       long overlapMs) {
-    this(settings, scheduling, effects, number, startMs, overlapMs, new HostSpeeds());
+    this(
+        settings,
+        scheduling,
+        effects,
+        number,
+        startMs,
+        overlapMs,
+        new RunTimeTracker(scheduling.features().speedAware().enabled()));
   }
 
   /**
@@ -77,7 +85,7 @@
    *
    * @param number number of the term, part of the identifiers of attempts
    * @param overlapMs how much longer the previous decider may send commands, milliseconds
-   * @param speeds host speeds learned before this term; during the term only this supervisor
+   * @param runTimes run times learned before this term; during the term only this supervisor
    *     consumes changes from it
    */
   public RunSupervisor(
@@ -87,13 +95,19 @@
       long number,
       long startMs,
       long overlapMs,
-      HostSpeeds speeds) {
+      RunTimeTracker runTimes) {
     Scheduler scheduler = new Scheduler(scheduling);
     scheduler.setAttemptPrefix("t" + number);
     this.term = new TermState(settings, effects, scheduler, startMs, startMs + overlapMs);
     this.lifecycle = new RunLifecycle(term);
-    this.hostSpeedUpdater = new HostSpeedUpdater(term, speeds, scheduling.mechanisms());
-    this.reports = new WorkerReports(term, lifecycle, scheduling.mechanisms());
+    this.hostSpeedUpdater =
+        new HostSpeedUpdater(term, runTimes.hostSpeeds(), scheduling.mechanisms());
+    Optional<RunTimeTracker> ratioSource =
+        Optional.of(runTimes).filter(all -> scheduling.features().speedAware().enabled());
+    this.runTimeRatioUpdater =
+        ratioSource.map(source -> new RunTimeRatioUpdater(term, source.runTimeRatios()));
+    this.progress = new WorkerProgress(term, scheduling.mechanisms(), ratioSource);
+    this.reports = new WorkerReports(term, lifecycle, progress);
     this.unansweredStarts = new UnansweredStarts(term);
     this.restarts = new WorkerRestarts(term, lifecycle, unansweredStarts);
     this.firstReports = new FirstReports(term.workers, startMs);
@@ -208,6 +222,7 @@
       term.effects.requestReport(info.id());
     }
     hostSpeedUpdater.onListed(info.id());
+    runTimeRatioUpdater.ifPresent(updater -> updater.onListed(info.id()));
     term.dirty = true;
     term.flush();
   }
@@ -401,6 +416,11 @@
         .toList();
   }
 
+  /** Returns the number of workers for which progress of tasks is kept. */
+  int workersWithProgress() {
+    return progress.workers();
+  }
+
   /** Returns a summary of the waiting groups, updated once per second. */
   public WaitSummary waitSummary() {
     return term.waits.summary();
@@ -459,6 +479,7 @@
     term.refreshDescriptions();
     lastDecisionAtMs = term.nowMs;
     hostSpeedUpdater.applyChanges();
+    runTimeRatioUpdater.ifPresent(RunTimeRatioUpdater::applyChanges);
     decisionExecutor.execute(term.scheduler.decide(term.nowMs));
     term.dirty |= term.scheduler.passIncomplete();
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/SlowWorkerDetector.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/SlowWorkerDetector.java
@@ -131,6 +131,11 @@
         .map(worker -> worker.relativeSpeed);
   }
 
+  /** Returns the number of workers for which progress is kept. */
+  int workers() {
+    return workers.size();
+  }
+
   /** Removes a worker. */
   void remove(String id) {
     workers.remove(id);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.common.Labels;
@@ -24,6 +25,7 @@
   private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
   private final WorkerIncarnations incarnations = new WorkerIncarnations();
   private final long earlierCommandsUntilMs;
+  private Consumer<String> removalListener = worker -> {};
   private Set<String> evacuatedZones = Set.of();
   private int version;
   private long lastRecoveryMs;
@@ -204,9 +206,15 @@
     return workers.values().stream().filter(WorkerRecord::avoided).map(WorkerRecord::id).toList();
   }
 
+  /** Sets what is called with the identifier of each worker that is removed. */
+  void onRemoved(Consumer<String> listener) {
+    removalListener = listener;
+  }
+
   /** Removes a worker on which nothing can run any more. */
   void remove(String id) {
     workers.remove(id);
+    removalListener.accept(id);
     incarnations.remove(id);
     version++;
     scheduler.cluster().remove(id);
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,27 +15,23 @@
 import org.wheatwall.core.batch.model.StopCommand;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.batch.model.WorkerInventory;
-import org.wheatwall.core.common.Mechanism;
-import org.wheatwall.core.common.Mechanisms;
 
 /** Processes reports of workers: ended tasks, running tasks, and tasks that are missing. */
 final class WorkerReports {
-  private static final int PERCENT = 100;
   private static final int ORPHAN_GRACE_MS = 1500;
   // A worker lists at most so many ends in a report; a report with as many may be incomplete.
   private static final int MAX_ENDS_LISTED = 500;
 
   private final TermState term;
   private final RunLifecycle lifecycle;
-  private final boolean avoidsSlowWorkers;
-  private final SlowWorkerDetector slowWorkers = new SlowWorkerDetector();
+  private final WorkerProgress progress;
   // Time of the first report of each orphaned run, by worker and run.
   private final Map<String, Map<String, Long>> orphanedRuns = new HashMap<>();
 
-  WorkerReports(TermState term, RunLifecycle lifecycle, Mechanisms mechanisms) {
+  WorkerReports(TermState term, RunLifecycle lifecycle, WorkerProgress progress) {
     this.term = term;
     this.lifecycle = lifecycle;
-    this.avoidsSlowWorkers = mechanisms.isEnabled(Mechanism.SLOW_WORKERS);
+    this.progress = progress;
   }
 
   /** Returns whether processed ends of a worker have not been acknowledged yet. */
@@ -59,7 +54,7 @@
    */
   void onReport(String worker, WorkerInventory report, long requestedAtMs) {
     term.onWorkerReported(worker);
-    observeSpeed(worker, report);
+    progress.onReport(worker, report);
     Set<GroupRun> changed = new LinkedHashSet<>();
     long lastProcessed = term.workers.getOrCreate(worker).lastProcessedEnd();
     long last = lastProcessed;
@@ -108,41 +103,9 @@
     }
   }
 
-  private void observeSpeed(String worker, WorkerInventory report) {
-    if (avoidsSlowWorkers) {
-      slowWorkers.observe(worker, withoutStoppingTasks(report), term.nowMs);
-      updateAvoided(worker);
-    }
-  }
-
-  // A task that is being stopped makes no progress, whatever the speed of its worker.
-  private WorkerInventory withoutStoppingTasks(WorkerInventory report) {
-    List<WorkerInventory.RunningTask> progressing =
-        report.running().stream().filter(task -> !isStopping(task)).toList();
-    return new WorkerInventory(report.startedAtMs(), report.clockMs(), progressing, report.ended());
-  }
-
-  private boolean isStopping(WorkerInventory.RunningTask task) {
-    return term.findRun(task.task(), task.run()).filter(GroupRun::stopping).isPresent();
-  }
-
   /** Uses avoided workers again once they no longer count as slow. */
   void tick() {
-    term.workers.avoidedWorkers().forEach(this::updateAvoided);
-  }
-
-  private void updateAvoided(String worker) {
-    Optional<Double> relativeSpeed = slowWorkers.relativeSpeedIfSlow(worker, term.nowMs);
-    if (term.workers.setAvoided(worker, relativeSpeed.isPresent())) {
-      term.dirty = true;
-      RunEvent.Kind kind =
-          relativeSpeed.isPresent() ? RunEvent.Kind.WORKER_SLOW : RunEvent.Kind.WORKER_AT_SPEED;
-      Optional<String> reason =
-          relativeSpeed.map(
-              known -> "its tasks move at " + Math.round(known * PERCENT) + "% of before");
-      term.logEvent(
-          kind, "", worker, reason.orElse("its tasks move as before, or it is tried again"));
-    }
+    progress.tick();
   }
 
   private void processEnd(String worker, WorkerInventory.EndedTask end, Set<GroupRun> changed) {
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -13,6 +13,7 @@
 import org.wheatwall.core.batch.decision.RunEffects;
 import org.wheatwall.core.batch.decision.RunEvent;
 import org.wheatwall.core.batch.decision.RunSupervisor;
+import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.SupervisorSettings;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.model.BatchJob;
@@ -24,7 +25,6 @@
 import org.wheatwall.core.batch.model.StopCommand;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.common.Mechanism;
-import org.wheatwall.core.job.decision.HostSpeeds;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogWriter;
 import org.wheatwall.entry.batch.permit.PermitRequestQueue;
@@ -77,7 +77,7 @@
    *
    * @param firstSequence sequence number of the first append after the claim
    * @param overlapMs how much longer the previous decider may send commands, milliseconds
-   * @param speeds speeds of workers, as learned from the log
+   * @param runTimes run times on workers, as learned from the log
    * @param onLost run when the store or a worker has rejected the term
    */
   BatchDecider(
@@ -87,7 +87,7 @@
       TermRule rule,
       long firstSequence,
       long overlapMs,
-      HostSpeeds speeds,
+      RunTimeTracker runTimes,
       Runnable onLost) {
     this.context = context;
     this.rule = rule;
@@ -113,7 +113,7 @@
             term,
             context.clock().nowMs(),
             overlapMs,
-            speeds);
+            runTimes);
     this.supervisor.scheduler().setPolicies(Map.of("batch", BatchScheduling.POLICY));
     this.poller =
         new WorkerPoller(
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.WaitSummary;
 import org.wheatwall.core.batch.model.BatchJob;
@@ -99,7 +100,8 @@
             new LogContent.Host(settings.peerAddress(), settings.zone()),
             clock.nowMs());
     this.endWaiters = new JobEndWaiters(timer);
-    this.replica = new JobReplica(rule, roster, endWaiters, clock, decisions);
+    RunTimeTracker runTimes = new RunTimeTracker(settings.features().speedAware().enabled());
+    this.replica = new JobReplica(rule, roster, endWaiters, clock, decisions, runTimes);
     this.election = new TermElection(settings, process, context, ports, rule, replica, roster);
     this.replica.setListener(election);
     this.follower =
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -15,7 +15,6 @@
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.common.Refusal;
-import org.wheatwall.core.job.decision.HostSpeeds;
 import org.wheatwall.entry.batch.log.KeyedLog;
 import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogFollower;
@@ -34,7 +33,7 @@
   private final JobEndWaiters endWaiters;
   private final Clock clock;
   private final DecisionLog decisions;
-  private final RunTimeTracker runTimes = new RunTimeTracker();
+  private final RunTimeTracker runTimes;
   private JobTable table = new JobTable();
   private Listener listener;
   private Runnable onLogRecovered = () -> {};
@@ -59,12 +58,14 @@
       HostRoster roster,
       JobEndWaiters endWaiters,
       Clock clock,
-      DecisionLog decisions) {
+      DecisionLog decisions,
+      RunTimeTracker runTimes) {
     this.rule = rule;
     this.roster = roster;
     this.endWaiters = endWaiters;
     this.clock = clock;
     this.decisions = decisions;
+    this.runTimes = runTimes;
   }
 
   /** Sets the listener; must be called before the log is read. */
@@ -82,9 +83,9 @@
     return table;
   }
 
-  /** Returns the speeds of workers, as learned from the records that were read. */
-  HostSpeeds speeds() {
-    return runTimes.hostSpeeds();
+  /** Returns the run times on workers, as learned from the records that were read. */
+  RunTimeTracker runTimes() {
+    return runTimes;
   }
 
   @Override
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -365,7 +365,7 @@
             rule,
             process.claimSequence() + 1,
             rule.overlapMs(),
-            replica.speeds(),
+            replica.runTimes(),
             () -> endTerm("the term was refused"));
     decider = Optional.of(newDecider);
     newDecider.setRules(rules);
--- a/entry/src/test/java/org/wheatwall/entry/batch/FailedCallbackTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/FailedCallbackTest.java
@@ -9,10 +9,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.core.common.Mechanisms;
-import org.wheatwall.core.job.decision.HostSpeeds;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.MachineClock;
 
@@ -60,7 +60,7 @@
         new TermRule(settings.term(), "host", "address", "life", clock.nowMs()),
         1,
         0,
-        new HostSpeeds(),
+        new RunTimeTracker(),
         () -> {});
   }
 
