Join worker speeds

The expected end of a run already contains the speed of its hosts, so the forecast of faster hosts does not apply it again. Run: the tests of core, wire, entry and platform, passed.

--- a/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
@@ -146,7 +146,7 @@
     ResourceAmount available = host.free();
     for (String attemptId : host.attempts()) {
       RunningAttempt attempt = running.get(attemptId);
-      if (attempt != null && endsBetween(attempt, host, nowMs, latestStartMs)) {
+      if (attempt != null && endsBetween(attempt, nowMs, latestStartMs)) {
         available = available.plus(host.held(attemptId));
       }
     }
@@ -155,10 +155,8 @@
 
   // Nothing is known of the end of an attempt that has taken longer than expected. The capacity of
   // one that is being stopped is taken already.
-  private static boolean endsBetween(
-      RunningAttempt attempt, HostState host, long nowMs, double latestMs) {
-    double expectedMs = attempt.expectedEndMs() - attempt.startedAtMs();
-    double endMs = attempt.startedAtMs() + expectedMs * host.runTimeRatio();
+  private static boolean endsBetween(RunningAttempt attempt, long nowMs, double latestMs) {
+    double endMs = attempt.expectedEndMs();
     return !attempt.stopping() && endMs > nowMs && endMs <= latestMs;
   }
 }
--- a/core/src/test/java/org/wheatwall/core/job/decision/IndexesTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/IndexesTest.java
@@ -113,7 +113,7 @@
     running.put(
         id,
         new RunningAttempt(
-            id, new QueuedJob(id, job, startedAtMs, expectedSeconds), placement, startedAtMs));
+            id, new QueuedJob(id, job, startedAtMs, expectedSeconds), placement, startedAtMs, 1));
   }
 
   private Optional<RunningAttempt> anyAttempt() {
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.WaitSummary;
 import org.wheatwall.core.batch.model.BatchJob;
@@ -101,7 +102,8 @@
             clock.nowMs());
     this.endWaiters = new JobEndWaiters(timer);
     this.admission = new AdmissionControl(settings.features(), context);
-    this.replica = new JobReplica(rule, roster, endWaiters, admission, clock, decisions);
+    RunTimeTracker runTimes = new RunTimeTracker(settings.features().speedAware().enabled());
+    this.replica = new JobReplica(rule, roster, endWaiters, admission, clock, decisions, runTimes);
     this.election = new TermElection(settings, process, context, ports, rule, replica, roster);
     this.replica.setListener(election);
     this.follower =
