Simulation: tasks of cancelled jobs are swept

The schedules record their faults and the acknowledged cancellations; a task of a cancelled job that runs on 200 ms after 3 s of the cancellation, of its start or of the last fault is a violation. New faults: workers cut off from hosts and directory, commands that are late for a short time, term holders that are killed.

--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,7 @@
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.standin.permit.PermitModel;
+import org.wheatwall.standin.task.TaskLedger;
 import org.wheatwall.standin.task.TaskPlan;
 import org.wheatwall.wire.http.Problems;
 
@@ -45,6 +47,7 @@
   private final SimulatedStore store;
   private final SimulatedWorkers workers;
   private final StuckJobsCheck stuckJobs;
+  private final SweptTasksCheck sweptTasks = new SweptTasksCheck();
   private final boolean permitsNeeded;
   private final SimulatedPeers peers;
   private final List<SimulatedHost> hosts = new ArrayList<>();
@@ -53,6 +56,8 @@
   private final Set<String> crashingJobs = new HashSet<>();
   private int jobsPerCrashingJob;
   private int acceptancesPerPowerLoss;
+  private int jobsPerCancellation = 8;
+  private boolean otherFaults = true;
 
   BatchFaultSchedule(long seed, Optional<PermitModel> permits) {
     this.seed = seed;
@@ -74,6 +79,56 @@
     jobsPerCrashingJob = jobs;
   }
 
+  /** Injects no faults but those that are requested. */
+  void injectNoOtherFaults() {
+    otherFaults = false;
+  }
+
+  /** Cancels one in {@code jobs} jobs, instead of one in eight. */
+  void cancelOneJobIn(int jobs) {
+    jobsPerCancellation = jobs;
+  }
+
+  /** Cuts workers off from all hosts and from the store, which drops their entries meanwhile. */
+  void cutOffWorkers(int times) {
+    for (int i = 0; i < times; i++) {
+      int worker = time.random().nextInt(WORKERS);
+      long delayMs = time.random().nextInt(FAULT_PHASE_MS);
+      long durationMs = 500L + time.random().nextInt(MAX_PATH_FAULT_MS);
+      addFault(delayMs, durationMs);
+      time.after(delayMs, () -> workers.cutOff(worker, durationMs));
+    }
+  }
+
+  /** Makes commands to workers late and their responses lost for short times. */
+  void delayCommands(int times) {
+    for (int i = 0; i < times; i++) {
+      long delayMs = time.random().nextInt(FAULT_PHASE_MS);
+      long durationMs = 100L + time.random().nextInt(1500);
+      addFault(delayMs, durationMs);
+      time.after(delayMs, () -> workers.setLossProbability(0.7));
+      time.after(delayMs + durationMs, () -> workers.setLossProbability(0));
+    }
+  }
+
+  /** Kills the host that holds the term at random times; it starts again soon. */
+  void killTermHolders(int times) {
+    for (int i = 0; i < times; i++) {
+      long delayMs = time.random().nextInt(FAULT_PHASE_MS);
+      addFault(delayMs, 1000);
+      time.after(delayMs, this::killTermHolder);
+    }
+  }
+
+  private void killTermHolder() {
+    SimulatedHost holder =
+        hosts.stream().max(Comparator.comparingLong(store::confirmedAtMs)).orElseThrow();
+    if (holder.isAlive()) {
+      holder.kill();
+      time.after(1000, () -> startIfDown(holder));
+    }
+  }
+
   /** Makes workers restart under their previous identifier after a crash. */
   void reuseWorkerIdentifiers() {
     workers.reuseIdentifiers();
@@ -101,7 +156,9 @@
   void restartWorkers(int times) {
     for (int i = 0; i < times; i++) {
       int worker = time.random().nextInt(WORKERS);
-      time.after(time.random().nextInt(FAULT_PHASE_MS), () -> workers.restart(worker));
+      long delayMs = time.random().nextInt(FAULT_PHASE_MS);
+      addFault(delayMs, 0);
+      time.after(delayMs, () -> workers.restart(worker));
     }
   }
 
@@ -109,7 +166,9 @@
   void crashWorkers(int times) {
     for (int i = 0; i < times; i++) {
       int worker = time.random().nextInt(WORKERS);
-      time.after(time.random().nextInt(FAULT_PHASE_MS), () -> workers.crash(worker));
+      long delayMs = time.random().nextInt(FAULT_PHASE_MS);
+      addFault(delayMs, SimulatedWorkers.MAX_DOWN_MS);
+      time.after(delayMs, () -> workers.crash(worker));
     }
   }
 
@@ -118,7 +177,9 @@
     for (int i = 0; i < times; i++) {
       SimulatedHost host = randomHost();
       long durationMs = 300L + time.random().nextInt(9000);
-      time.after(time.random().nextInt(FAULT_PHASE_MS), () -> host.suspend(durationMs));
+      long delayMs = time.random().nextInt(FAULT_PHASE_MS);
+      addFault(delayMs, durationMs);
+      time.after(delayMs, () -> host.suspend(durationMs));
     }
   }
 
@@ -128,8 +189,9 @@
       SimulatedHost host = randomHost();
       long durationMs = 300L + time.random().nextInt(9000);
       long stepMs = time.random().nextInt(6000) - 3000L;
-      time.after(
-          time.random().nextInt(FAULT_PHASE_MS), () -> host.stepWallClock(stepMs, durationMs));
+      long delayMs = time.random().nextInt(FAULT_PHASE_MS);
+      addFault(delayMs, durationMs);
+      time.after(delayMs, () -> host.stepWallClock(stepMs, durationMs));
     }
   }
 
@@ -147,6 +209,7 @@
   }
 
   private void losePower() {
+    addFault(0, 3500);
     hosts.forEach(SimulatedHost::kill);
     hosts.forEach(host -> time.after(500L + time.random().nextInt(3000), () -> startIfDown(host)));
   }
@@ -162,6 +225,7 @@
     long slotMs = FAULT_PHASE_MS / times;
     for (int i = 0; i < times; i++) {
       SimulatedHost host = randomHost();
+      addFault(2000 + i * slotMs, slotMs);
       time.after(
           2000 + i * slotMs + time.random().nextLong(slotMs / 2), () -> setPartitioned(host, true));
       time.after(2000 + (i + 1) * slotMs, () -> setPartitioned(host, false));
@@ -179,6 +243,7 @@
       int affectedWorkers = 1 + time.random().nextInt(WORKERS);
       long fromMs = time.random().nextInt(FAULT_PHASE_MS);
       long durationMs = 1000L + time.random().nextInt(MAX_PATH_FAULT_MS);
+      addFault(fromMs, durationMs);
       long endMs = time.nowMs() + fromMs + durationMs;
       int flapIntervalMs = 100 + time.random().nextInt(1000);
       for (int j = 0; j < affectedHosts; j++) {
@@ -229,6 +294,16 @@
     return checkFinalStates();
   }
 
+  /**
+   * Runs the schedule; checks that tasks of cancelled jobs are stopped, and the final state of each
+   * job.
+   */
+  int runCheckingSweptTasks() {
+    simulate();
+    checkSweptTasks();
+    return checkFinalStates();
+  }
+
   /** Runs the schedule; checks only the final state of each job. */
   int runCheckingFinalStates() {
     simulate();
@@ -243,7 +318,7 @@
       String id = String.format("%016x", seed * 1000 + i);
       time.after(delayMs, () -> submit(id));
     }
-    int faults = 4 + time.random().nextInt(8);
+    int faults = otherFaults ? 4 + time.random().nextInt(8) : 0;
     for (int i = 0; i < faults; i++) {
       time.after(time.random().nextInt(FAULT_PHASE_MS), this::injectFault);
     }
@@ -301,7 +376,7 @@
                 onJobAccepted();
               }
             });
-    if (time.random().nextInt(8) == 0) {
+    if (time.random().nextInt(jobsPerCancellation) == 0) {
       time.after(200L + time.random().nextInt(3000), () -> cancel(id));
     }
   }
@@ -319,6 +394,9 @@
                 if (refused || (failure == null && !known)) {
                   cancelledJobs.remove(id);
                 }
+                if (failure == null && known) {
+                  sweptTasks.onCancelled(id, time.nowMs());
+                }
               });
     }
   }
@@ -375,6 +453,8 @@
     long durationMs = 500L + time.random().nextInt(8000);
     SimulatedHost host = randomHost();
     int worker = time.random().nextInt(WORKERS);
+    // Some faults last twice as long.
+    addFault(0, 2 * durationMs);
     switch (time.random().nextInt(11)) {
       case 0 -> {
         host.kill();
@@ -415,7 +495,19 @@
     }
   }
 
+  // A fault that begins after a time from now.
+  private void addFault(long delayMs, long durationMs) {
+    sweptTasks.addFault(time.nowMs() + delayMs, time.nowMs() + delayMs + durationMs);
+  }
+
+  private void checkSweptTasks() {
+    List<TaskLedger.Event> events = workers.ledger().events();
+    List<String> violations = sweptTasks.findViolations(events, time.nowMs());
+    assertWithMessage("seed " + seed + " tasks of cancelled jobs").that(violations).isEmpty();
+  }
+
   private void checkLedger() {
+    checkSweptTasks();
     List<String> violations = workers.ledger().violations();
     String events =
         eventsWhere(task -> violations.stream().anyMatch(text -> text.contains(task.toString())));
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -36,7 +36,10 @@
   private static final int MAX_RACKS = 5;
   private static final int MAX_LISTING_DELAY_MS = 4000;
   private static final int MAX_PERMIT_DELAY_MS = 60;
-  private static final int MAX_DOWN_MS = 7000;
+
+  /** Longest time that a crashed worker is down, milliseconds. */
+  static final int MAX_DOWN_MS = 7000;
+
   private static final int ENTRY_EXPIRY_MS = 4500;
   // How long starts may still rely on the previous capacity. Covers frozen hosts and commands in
   // flight; far shorter than the run time of tasks.
@@ -185,6 +188,26 @@
     }
   }
 
+  /**
+   * Cuts a worker off from all hosts and from the directory, in which its entry may expire. It goes
+   * on running.
+   */
+  void cutOff(int index, long durationMs) {
+    setWorkerPartitioned(index, true);
+    String id = infos.get(index).id();
+    if (durationMs > ENTRY_EXPIRY_MS) {
+      time.after(ENTRY_EXPIRY_MS, () -> unlist(index, id));
+    }
+    time.after(
+        durationMs,
+        () -> {
+          setWorkerPartitioned(index, false);
+          expiredEntries.remove(index);
+          List.copyOf(listeners.values())
+              .forEach(listener -> listener.onWorkerListed(infos.get(index)));
+        });
+  }
+
   /** Crashes a worker; it is down for some time, and its directory entry may expire meanwhile. */
   void crash(int index) {
     if (!down.contains(index)) {
