Stop runs that the decider does not know at their second report

OrphanedRuns takes them over from WorkerReports. A run whose job has ended or is unknown is stopped when it is reported again, which is asked for at once; a report may be older than the end that was processed last, so one report alone is not enough. Runs of open jobs keep their 1.5 s. PendingStops, taken out of UnansweredStarts, repeats each such stop every 500 ms until it is acknowledged, also that of a start which may still be carried out when its run was given up for expired leases. An unlisted worker stays known while such a run is on it, until its leases are over: before, it was forgotten and nobody could stop the run.

Weighed: looking at idle workers again. A worker that has answered this term refuses the starts of earlier terms, and one that acknowledged a stop refuses that run, so looks would find nothing that a stop does not prevent.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/MemberRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/MemberRun.java
@@ -97,6 +97,11 @@
     return unansweredStarts > 0;
   }
 
+  /** Returns whether a start may still be executed, as far as this decider knows. */
+  boolean isStartPossible() {
+    return !isStopAcknowledged() && (phase == Phase.ORDERED || (!ended() && mayStartLate()));
+  }
+
   void confirmStart(long nowMs) {
     if (phase == Phase.ORDERED || phase == Phase.INHERITED) {
       phase = Phase.RUNNING;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -1,5 +1,6 @@
 package org.wheatwall.core.batch.decision;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.function.BiFunction;
@@ -208,11 +209,26 @@
           .getOrCreate(worker)
           .leasesExpired(term.nowMs, term.settings.leaseExpiryMs())) {
         String reason = "every lease at its worker has run out";
+        List<StopCommand> stops = stopsOfPossibleStarts(worker);
         endMembersOn(worker, reason, (run, member) -> lostRuns.classifyExpired(worker));
+        stops.forEach(term.pendingStops::send);
       }
     }
   }
 
+  // A start without a response may still be executed, and its lease depends on the worker's clock.
+  private List<StopCommand> stopsOfPossibleStarts(String worker) {
+    List<StopCommand> stops = new ArrayList<>();
+    for (GroupRun run : term.runs.onWorker(worker)) {
+      for (MemberRun member : run.members()) {
+        if (member.worker().equals(worker) && member.isStartPossible()) {
+          stops.add(new StopCommand(worker, run.task(member), run.state().run()));
+        }
+      }
+    }
+    return stops;
+  }
+
   void resendDueCommands() {
     for (GroupRun run : term.runs.resendCandidates()) {
       if (run.isBlockedLogDue(term.nowMs)) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -274,7 +274,7 @@
   public boolean needsReports(String worker) {
     return term.runs.isWorkerInUse(worker)
         || reports.hasUnacknowledgedEnds(worker)
-        || reports.hasOrphanedRuns(worker);
+        || term.orphanedRuns.isAnyOn(worker);
   }
 
   /**
@@ -357,7 +357,7 @@
     if (!stopped) {
       return;
     }
-    unansweredStarts.onStopAcknowledged(command);
+    term.pendingStops.onAcknowledged(command);
     term.findRun(command.task(), command.run())
         .map(run -> run.member(command.task()))
         .filter(member -> member.worker().equals(command.worker()))
@@ -378,6 +378,8 @@
     pendingStarts.tick();
     reachabilityRule.tick();
     unansweredStarts.tick();
+    term.orphanedRuns.tick();
+    term.pendingStops.tick();
     term.permits.tick();
     term.waits.tick();
     term.flush();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -32,6 +32,8 @@
   final Map<String, JobProgress> jobs = new LinkedHashMap<>();
   final Set<JobProgress> recurring = new LinkedHashSet<>();
   final RunIndex runs = new RunIndex();
+  final PendingStops pendingStops = new PendingStops(this);
+  final OrphanedRuns orphanedRuns = new OrphanedRuns(this);
   final PermitManager permits = new PermitManager(this);
   final WaitTracker waits = new WaitTracker(this);
   final PreferenceRelaxation preferenceRelaxation = new PreferenceRelaxation(this);
@@ -182,7 +184,7 @@
   }
 
   void removeWorkerIfIdle(String worker) {
-    boolean idle = !runs.isWorkerInUse(worker);
+    boolean idle = !runs.isWorkerInUse(worker) && !orphanedRuns.isAnyOn(worker);
     if (idle && workers.find(worker).filter(record -> !record.listed()).isPresent()) {
       workers.remove(worker);
     }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/UnansweredStarts.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/UnansweredStarts.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.wheatwall.core.batch.model.StartCommand;
@@ -20,12 +19,8 @@
 
   private record UnansweredStart(StartCommand command, long recordedAtMs) {}
 
-  private record PendingStop(long sentAtMs, long untilMs) {}
-
   private final TermState term;
   private final Map<String, List<UnansweredStart>> byWorker = new HashMap<>();
-  // Stops that have not been acknowledged.
-  private final Map<StopCommand, PendingStop> pendingStops = new LinkedHashMap<>();
 
   UnansweredStarts(TermState term) {
     this.term = term;
@@ -55,36 +50,13 @@
   }
 
   private void stop(StartCommand command, String laterIncarnation) {
-    sendStop(
-        new StopCommand(laterIncarnation, command.task(), command.run()),
-        term.nowMs + MAX_EXECUTION_DELAY_MS);
-  }
-
-  private void sendStop(StopCommand stop, long untilMs) {
-    pendingStops.put(stop, new PendingStop(term.nowMs, untilMs));
-    term.effects.sendStop(stop);
-  }
-
-  /** Records that a stop was acknowledged. */
-  void onStopAcknowledged(StopCommand stop) {
-    pendingStops.remove(stop);
+    term.pendingStops.send(new StopCommand(laterIncarnation, command.task(), command.run()));
   }
 
-  /** Resends stops, and removes starts that can no longer be executed. */
+  /** Removes starts that can no longer be executed. */
   void tick() {
     byWorker.values().forEach(starts -> starts.removeIf(this::isExpired));
     byWorker.values().removeIf(List::isEmpty);
-    pendingStops.entrySet().removeIf(entry -> isObsolete(entry.getKey(), entry.getValue()));
-    for (Map.Entry<StopCommand, PendingStop> entry : List.copyOf(pendingStops.entrySet())) {
-      if (term.nowMs - entry.getValue().sentAtMs() >= term.settings.stopRepeatMs()) {
-        sendStop(entry.getKey(), entry.getValue().untilMs());
-      }
-    }
-  }
-
-  private boolean isObsolete(StopCommand stop, PendingStop pendingStop) {
-    return term.nowMs >= pendingStop.untilMs()
-        || term.workers.incarnations().isSuperseded(stop.worker());
   }
 
   private boolean isExpired(UnansweredStart start) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -1,10 +1,9 @@
 package org.wheatwall.core.batch.decision;
 
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.wheatwall.core.batch.model.EndKind;
@@ -13,7 +12,6 @@
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.StepSpec;
-import org.wheatwall.core.batch.model.StopCommand;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.core.common.Mechanism;
@@ -22,7 +20,6 @@
 /** Processes reports of workers: ended tasks, running tasks, and tasks that are missing. */
 final class WorkerReports {
   private static final int PERCENT = 100;
-  private static final int ORPHAN_GRACE_MS = 1500;
   // A worker lists at most so many ends in a report; a report with as many may be incomplete.
   private static final int MAX_ENDS_LISTED = 500;
 
@@ -30,8 +27,6 @@
   private final RunLifecycle lifecycle;
   private final boolean avoidsSlowWorkers;
   private final SlowWorkerDetector slowWorkers = new SlowWorkerDetector();
-  // Time of the first report of each orphaned run, by worker and run.
-  private final Map<String, Map<String, Long>> orphanedRuns = new HashMap<>();
 
   WorkerReports(TermState term, RunLifecycle lifecycle, Mechanisms mechanisms) {
     this.term = term;
@@ -47,11 +42,6 @@
         .isPresent();
   }
 
-  /** Returns whether a worker has reported runs that are unknown to this decider. */
-  boolean hasOrphanedRuns(String worker) {
-    return orphanedRuns.containsKey(worker);
-  }
-
   /**
    * Processes the report of a worker.
    *
@@ -170,42 +160,24 @@
     }
   }
 
-  // Confirms known runs, and stops runs that have been unknown for some time.
+  // Confirms known runs and passes the others on as orphaned.
   private Set<String> processRunning(String worker, WorkerInventory report) {
     Set<String> reported = new HashSet<>();
-    Map<String, Long> unknownSince = new HashMap<>();
+    List<WorkerInventory.RunningTask> unknown = new ArrayList<>();
     for (WorkerInventory.RunningTask task : report.running()) {
-      String key = keyOf(task.task(), task.run());
-      reported.add(key);
+      reported.add(keyOf(task.task(), task.run()));
       Optional<GroupRun> run = term.findRun(task.task(), task.run());
       MemberRun member = run.map(found -> found.member(task.task())).orElse(null);
       if (member != null && member.worker().equals(worker) && !member.ended()) {
         member.recordReported(term.nowMs);
       } else {
-        unknownSince.put(key, stopOrphan(worker, task, key));
+        unknown.add(task);
       }
     }
-    if (unknownSince.isEmpty()) {
-      orphanedRuns.remove(worker);
-    } else {
-      orphanedRuns.put(worker, unknownSince);
-    }
+    term.orphanedRuns.onReported(worker, unknown);
     return reported;
   }
 
-  // Stops an orphaned run once it has been reported for some time; returns since when it counts as
-  // reported.
-  private long stopOrphan(String worker, WorkerInventory.RunningTask task, String key) {
-    long since = orphanedRuns.getOrDefault(worker, Map.of()).getOrDefault(key, term.nowMs);
-    if (term.nowMs - since < ORPHAN_GRACE_MS) {
-      return since;
-    }
-    term.logEvent(
-        RunEvent.Kind.STRAY_RUN, task.task().jobId(), worker, "run " + task.run() + " unknown");
-    term.effects.sendStop(new StopCommand(worker, task.task(), task.run()));
-    return term.nowMs;
-  }
-
   private void endMissing(
       String worker,
       WorkerInventory report,
