--- a/core/src/main/java/org/wheatwall/core/batch/decision/OrphanedRuns.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/OrphanedRuns.java
@@ -50,24 +50,25 @@
   void onReported(String worker, List<WorkerInventory.RunningTask> unknown) {
     Map<RunName, Orphan> before = byWorker.getOrDefault(worker, Map.of());
     Map<RunName, Orphan> now = new HashMap<>();
+    boolean confirm = false;
     for (WorkerInventory.RunningTask task : unknown) {
       RunName name = new RunName(task.task(), task.run());
       Orphan known = before.get(name);
-      now.put(
-          name, known == null ? onFirstReport(worker, name) : onReportedAgain(worker, name, known));
+      confirm |= known == null && !isJobOpen(name.task());
+      Orphan next =
+          known == null
+              ? new Orphan(term.nowMs, Optional.empty())
+              : onReportedAgain(worker, name, known);
+      now.put(name, next);
     }
     if (now.isEmpty()) {
       byWorker.remove(worker);
     } else {
       byWorker.put(worker, now);
     }
-  }
-
-  private Orphan onFirstReport(String worker, RunName name) {
-    if (!isJobOpen(name.task())) {
+    if (confirm) {
       term.effects.requestReport(worker);
     }
-    return new Orphan(term.nowMs, Optional.empty());
   }
 
   private Orphan onReportedAgain(String worker, RunName name, Orphan known) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -277,6 +277,14 @@
         || term.orphanedRuns.isAnyOn(worker);
   }
 
+  /**
+   * Returns whether a worker has reported orphaned runs and none of this decider's runs is there:
+   * its leases need not be extended, so that these runs expire even if no stop reaches them.
+   */
+  public boolean hasOnlyOrphanedRuns(String worker) {
+    return term.orphanedRuns.isAnyOn(worker) && !term.runs.isWorkerInUse(worker);
+  }
+
   /**
    * Returns whether ends reported by a worker are not yet logged and acknowledged. Until they are,
    * the worker includes them in every report and returns it at once, ignoring the wait time of the
--- a/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StartChecks.java
@@ -35,11 +35,7 @@
 
   /** Returns whether the operator allows starts on a worker, as far as this host knows. */
   boolean isAllowedOn(String worker) {
-    boolean evacuated =
-        term.workers
-            .find(worker)
-            .filter(record -> record.state() == WorkerState.EVACUATED)
-            .isPresent();
+    boolean evacuated = term.workers.find(worker).filter(WorkerRecord::evacuated).isPresent();
     return term.evacuationsKnown && !evacuated;
   }
 
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -119,6 +119,11 @@
     evacuated = next;
   }
 
+  /** Returns whether the operator evacuates its availability zone, whatever else its state is. */
+  boolean evacuated() {
+    return evacuated;
+  }
+
   void onResponse(long nowMs) {
     responded = true;
     suspected = false;
--- a/core/src/test/java/org/wheatwall/core/batch/decision/EvacuatedZonesTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/EvacuatedZonesTest.java
@@ -73,6 +73,18 @@
     assertThat(effects.stops).isNotEmpty();
   }
 
+  @Test
+  void anUnansweredStartIsNotRepeatedAtAWorkerThatIsUnlistedMeanwhile() {
+    listWorker("a");
+    accept(job(1, false, 2));
+    effects.acknowledgeAll();
+    evacuate(Optional.of(ZONE));
+    supervisor.unlistWorker("a", nowMs);
+    resolveStarts(CommandOutcome.UNKNOWN);
+    assertThat(effects.starts).hasSize(1);
+    assertThat(supervisor.isStartAllowedOn("a")).isFalse();
+  }
+
   @Test
   void aFailedTaskIsNotStartedAgainThere() {
     listWorker("a");
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
@@ -213,7 +213,10 @@
     }
     boolean firstCall = !session.clockKnown;
     firstCallsInFlight += firstCall ? 1 : 0;
-    boolean extendLeases = session.clockKnown && !isSilentFor(session, STOP_EXTENDING_AFTER_MS);
+    boolean extendLeases =
+        session.clockKnown
+            && !isSilentFor(session, STOP_EXTENDING_AFTER_MS)
+            && !supervisor.hasOnlyOrphanedRuns(worker);
     if (extendLeases) {
       supervisor.onLeaseSent(worker, sentMs);
     }
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
@@ -137,6 +137,7 @@
     final List<String> polled = new ArrayList<>();
     final List<Integer> waitMs = new ArrayList<>();
     final List<Long> acknowledged = new ArrayList<>();
+    final List<Boolean> extendsLeases = new ArrayList<>();
 
     @Override
     public CompletableFuture<CommandOutcome> start(
@@ -157,6 +158,7 @@
       polled.add(worker.id());
       waitMs.add(call.waitMs());
       acknowledged.add(call.acknowledged());
+      extendsLeases.add(call.untilMs().isPresent());
       return response;
     }
 
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
@@ -121,6 +121,25 @@
     assertThat(port.polled.size() - before).isAtMost(21);
   }
 
+  @Test
+  void theLeaseOfAnUnknownTaskIsNotExtended() {
+    listAndPollOne();
+    poller.pollSoon("worker-0");
+    port.respondToOne(
+        new WorkerInventory(
+            5, List.of(new WorkerInventory.RunningTask(TASK, 1, "", 0)), List.of()));
+    int before = port.extendsLeases.size() - port.inFlight.size();
+    for (int i = 0; i < 3; i++) {
+      fixture.clock.advance(RENEWAL_MS);
+      port.respondToOne(
+          new WorkerInventory(
+              5, List.of(new WorkerInventory.RunningTask(TASK, 1, "", 0)), List.of()));
+    }
+    List<Boolean> later = port.extendsLeases.subList(before, port.extendsLeases.size());
+    assertThat(later).hasSize(4);
+    assertThat(later).doesNotContain(true);
+  }
+
   // No task runs on most of the workers, so only the missing responses of the others show that the
   // zone is partitioned.
   @Test
