--- a/app/src/main/java/org/wheatwall/app/soak/Invariant.java
+++ b/app/src/main/java/org/wheatwall/app/soak/Invariant.java
@@ -10,6 +10,8 @@
   NEVER_TWICE,
   /** No task of a job starts later than a limit after its cancellation was acknowledged. */
   CANCELLED_STARTS_NOTHING,
+  /** A task of a cancelled job is stopped within a limit, also if a worker started it late. */
+  CANCELLED_IS_SWEPT,
   /** A process never returns to an older configuration. */
   CONFIGURATION_NEVER_BACK,
   /** An undisturbed host acts on a published configuration within a time limit. */
--- a/app/src/main/java/org/wheatwall/app/soak/InvariantChecks.java
+++ b/app/src/main/java/org/wheatwall/app/soak/InvariantChecks.java
@@ -20,6 +20,7 @@
   private final TaskLedger ledger;
   private final Map<String, Long> lastStartMs = new HashMap<>();
   private final List<Violation> violations = new ArrayList<>();
+  private final SweptTaskFinder sweptTasks;
 
   InvariantChecks(RunClock clock, DisturbancePlan plan, TaskLedger ledger) {
     this.plan = plan;
@@ -30,6 +31,18 @@
         lastStartMs.merge(event.task().jobId(), atMs, Math::max);
       }
     }
+    List<TaskLedger.Event> events =
+        ledger.events().stream()
+            .map(
+                event ->
+                    new TaskLedger.Event(
+                        clock.sinceStart(event.atMs()),
+                        event.worker(),
+                        event.task(),
+                        event.run(),
+                        event.kind()))
+            .toList();
+    this.sweptTasks = new SweptTaskFinder(plan, events, clock.nowMs());
   }
 
   /** Checks what workers observed. */
@@ -85,6 +98,9 @@
           job,
           "was cancelled at " + cancelledAtMs + " and started a task at " + lastMs);
     }
+    sweptTasks
+        .find(job.id(), cancelledAtMs)
+        .forEach(text -> addViolation(Invariant.CANCELLED_IS_SWEPT, job, text));
   }
 
   /**
