--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -289,7 +289,15 @@
   public boolean needsReports(String worker) {
     return term.runs.isWorkerInUse(worker)
         || reports.hasUnacknowledgedEnds(worker)
-        || reports.hasOrphanedRuns(worker);
+        || term.orphanedRuns.isAnyOn(worker);
+  }
+
+  /**
+   * Returns whether a worker has reported orphaned runs and none of this decider's runs is there:
+   * its leases need not be extended, so that these runs expire even if no stop reaches them.
+   */
+  public boolean hasOnlyOrphanedRuns(String worker) {
+    return term.orphanedRuns.isAnyOn(worker) && !term.runs.isWorkerInUse(worker);
   }
 
   /**
@@ -377,7 +385,7 @@
     if (!stopped) {
       return;
     }
-    unansweredStarts.onStopAcknowledged(command);
+    term.pendingStops.onAcknowledged(command);
     term.findRun(command.task(), command.run())
         .map(run -> run.member(command.task()))
         .filter(member -> member.worker().equals(command.worker()))
@@ -398,6 +406,8 @@
     pendingStarts.tick();
     reachabilityRule.tick();
     unansweredStarts.tick();
+    term.orphanedRuns.tick();
+    term.pendingStops.tick();
     term.permits.tick();
     term.waits.tick();
     term.flush();
