The turn of late jobs goes to the oldest, not to the best by rank

A whole-host job of a workspace with other late work was passed over for more than 160 s: by response ratio shorter late jobs of the same workspace kept taking its turn. The test had the job alone in its workspace, which passed without the precedence of passed-over jobs as well; it shares its workspace now, failed before this change and passes.

Run: ShareOrderTest, ShareVictimsTest, WorkspaceLoadTest, UnchangedDecisionsTest, passed.

--- a/core/src/main/java/org/wheatwall/core/job/decision/ShareOrder.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ShareOrder.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import java.util.TreeMap;
 import org.wheatwall.core.job.model.WaitReason;
@@ -28,6 +29,11 @@
   private static final Comparator<RankedJob> BY_RANK =
       Comparator.comparingDouble(RankedJob::rank).thenComparing(ranked -> ranked.job().name());
 
+  // By the policy's rank, shorter jobs that keep coming could pass over a late one forever.
+  private static final Comparator<RankedJob> BY_AGE =
+      Comparator.comparingLong((RankedJob ranked) -> ranked.job().submittedAtMs())
+          .thenComparing(ranked -> ranked.job().name());
+
   private final SchedulerState state;
   private final WorkspaceDivision division;
   private final int starvationBoundMs;
@@ -50,7 +56,7 @@
     private final Deque<RankedJob> inTime = new ArrayDeque<>();
     private final Deque<RankedJob> late = new ArrayDeque<>();
     private final Deque<RankedJob> hopeless = new ArrayDeque<>();
-    private final Deque<RankedJob> lateOrHopeless = new ArrayDeque<>();
+    private final PriorityQueue<RankedJob> lateOrHopeless = new PriorityQueue<>(BY_AGE);
     private final Set<String> taken = new HashSet<>();
     private final boolean urgent;
     private double share;
@@ -82,7 +88,10 @@
       if (passedOver != other.isTurnOfPassedOver()) {
         return passedOver ? -1 : 1;
       }
-      int byShare = passedOver ? 0 : Double.compare(share, other.share);
+      if (passedOver) {
+        return BY_AGE.compare(peek(), other.peek());
+      }
+      int byShare = Double.compare(share, other.share);
       return byShare == 0 ? BY_RANK.compare(peek(), other.peek()) : byShare;
     }
 
@@ -119,7 +128,7 @@
       return next;
     }
 
-    private RankedJob first(Deque<RankedJob> jobs) {
+    private RankedJob first(Queue<RankedJob> jobs) {
       while (!jobs.isEmpty() && taken.contains(jobs.peek().job().name())) {
         jobs.poll();
       }
--- a/core/src/test/java/org/wheatwall/core/job/decision/ShareOrderTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/ShareOrderTest.java
@@ -316,7 +316,7 @@
       fixture.submit("single-" + submitted++, "workspace-" + i % 4, ONE);
     }
     fixture.startedNow();
-    fixture.submit("whole", "whole", HOST);
+    fixture.submit("whole", "workspace-0", HOST);
     long submittedMs = fixture.nowMs;
     while (fixture.scheduler.isWaiting("whole")) {
       fixture.nowMs += 1000;
