--- a/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
@@ -103,7 +103,8 @@
   private boolean mayWait(QueuedJob queued, long nowMs) {
     boolean idle = cluster.capacityInUse().isLessThanHalf();
     boolean waitedLong = nowMs - queued.submittedAtMs() >= MAX_WAIT_BESIDE_IDLE_HOSTS_MS;
-    return !(idle && waitedLong) && !guarantees.covers(queued.job());
+    boolean guaranteed = guarantees.covers(queued.job()) || queued.job().shape().isPresent();
+    return !(idle && waitedLong) && !guaranteed;
   }
 
   // Examines the racks with most free capacity on hosts that are fast enough now; the others are
