--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -130,7 +130,7 @@
     state.guarantees.add(job);
     state.division.ifPresent(division -> division.lateness().recordSubmitted(name, submittedAtMs));
     if (job.urgent()) {
-      state.urgentReserve.recordUrgentArrival(queued);
+      state.urgentReserve.recordUrgentArrival(submittedAtMs);
     }
     state.reasons.put(name, new WaitReason(WaitReason.Kind.QUEUED, "not looked at yet"));
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulerState.java
@@ -43,7 +43,7 @@
     Mechanisms mechanisms = settings.mechanisms();
     boolean reserves = mechanisms.isEnabled(Mechanism.URGENT_ROOM);
     int reservedPercent = reserves ? settings.urgentHeadroomPercent() : 0;
-    urgentReserve = new UrgentReserve(new FixedShareReserve(reservedPercent), objectives);
+    urgentReserve = new UrgentReserve(reservedPercent, objectives);
     estimator = new RunTimeEstimator(mechanisms.isEnabled(Mechanism.LEARNED_RUN_TIMES));
     WorkspaceShareSettings shareSettings = settings.features().workspaceShares();
     division =
--- a/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
@@ -9,7 +9,8 @@
  * as its objective is not at risk: a job that must start now to meet its objective may use the
  * reserve, unless it will be late in any case.
  *
- * <p>No job waits for the reserve while less than half of the capacity is in use.
+ * <p>The reserve is a share of the usable accelerators, and no job waits for it while less than
+ * half of the capacity is in use.
  */
 final class UrgentReserve {
   // A job that would end later than this after its objective is late in any case. If all late work
@@ -17,30 +18,39 @@
   private static final int MAX_LATENESS_MS = 2000;
   private static final int MS_PER_SECOND = 1000;
 
-  private final ReservedCapacity reserved;
+  private static final int PERCENT = 100;
+
+  private final int percent;
+  private final ArrivalPredictor urgentArrivals = new ArrivalPredictor();
   private final JobObjectives objectives;
 
-  /** Creates a reserve of the given capacity. */
-  UrgentReserve(ReservedCapacity reserved, JobObjectives objectives) {
-    this.reserved = reserved;
+  /**
+   * Creates a reserve.
+   *
+   * @param percent share of the usable accelerators that is kept free
+   */
+  UrgentReserve(int percent, JobObjectives objectives) {
+    this.percent = percent;
     this.objectives = objectives;
   }
 
   /** Records that urgent work was submitted. */
-  void recordUrgentArrival(QueuedJob urgent) {
-    reserved.recordUrgentArrival(urgent);
+  void recordUrgentArrival(long atMs) {
+    urgentArrivals.recordArrival(atMs);
   }
 
   /** Returns whether a job must wait because it would use the reserve. */
   boolean mustWait(QueuedJob queued, Cluster cluster, long nowMs) {
     Job job = queued.job();
     boolean exempt = job.urgent() || job.shape().isPresent() || job.totalAccelerators() == 0;
-    if (exempt || cluster.capacityInUse().isLessThanHalf()) {
+    if (exempt
+        || !urgentArrivals.isArrivalExpected(nowMs)
+        || cluster.capacityInUse().isLessThanHalf()) {
       return false;
     }
     int freeAfterStart = cluster.freeAccelerators() - job.totalAccelerators();
-    int kept = reserved.accelerators(cluster, nowMs);
-    return kept > 0 && freeAfterStart < kept && !mustStartNow(queued, nowMs);
+    int reserved = cluster.capacityInUse().usableAccelerators() * percent;
+    return freeAfterStart * PERCENT < reserved && !mustStartNow(queued, nowMs);
   }
 
   private boolean mustStartNow(QueuedJob queued, long nowMs) {
--- a/core/src/main/java/org/wheatwall/core/job/model/SchedulingFeatures.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/SchedulingFeatures.java
@@ -7,27 +7,21 @@
  *
  * @param speedAware placement by expected completion on hosts of unequal speed
  * @param workspaceShares division of capacity between workspaces
- * @param urgentForecast reserve for urgent work by a forecast of its demand
  * @param admission rejection of jobs that could not end in time
  */
 public record SchedulingFeatures(
     SpeedAwareSettings speedAware,
     WorkspaceShareSettings workspaceShares,
-    UrgentForecastSettings urgentForecast,
     AdmissionSettings admission) {
   /** All features switched off. */
   public static final SchedulingFeatures NONE =
       new SchedulingFeatures(
-          SpeedAwareSettings.DISABLED,
-          WorkspaceShareSettings.DISABLED,
-          UrgentForecastSettings.DISABLED,
-          AdmissionSettings.DISABLED);
+          SpeedAwareSettings.DISABLED, WorkspaceShareSettings.DISABLED, AdmissionSettings.DISABLED);
 
   /** Validates. */
   public SchedulingFeatures {
     Objects.requireNonNull(speedAware);
     Objects.requireNonNull(workspaceShares);
-    Objects.requireNonNull(urgentForecast);
     Objects.requireNonNull(admission);
   }
 }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/AdmissionLoadTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/AdmissionLoadTest.java
@@ -36,7 +36,6 @@
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.core.job.model.SchedulingFeatures;
 import org.wheatwall.core.job.model.SpeedAwareSettings;
-import org.wheatwall.core.job.model.UrgentForecastSettings;
 import org.wheatwall.core.job.model.WorkerHost;
 import org.wheatwall.core.job.model.WorkspaceShareSettings;
 
@@ -58,11 +57,7 @@
   private static final AdmissionSettings SETTINGS = new AdmissionSettings(true, 3, 30);
   // Jobs whose result is of no more use go last, as the rule assumes.
   private static final SchedulingFeatures FEATURES =
-      new SchedulingFeatures(
-          SpeedAwareSettings.DISABLED,
-          WorkspaceShareSettings.USUAL,
-          UrgentForecastSettings.DISABLED,
-          SETTINGS);
+      new SchedulingFeatures(SpeedAwareSettings.DISABLED, WorkspaceShareSettings.USUAL, SETTINGS);
 
   private record Event(long atMs, long number, Runnable task) {}
 
--- a/core/src/test/java/org/wheatwall/core/batch/decision/SpeedScenario.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/SpeedScenario.java
@@ -24,7 +24,6 @@
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.core.job.model.SchedulingFeatures;
 import org.wheatwall.core.job.model.SpeedAwareSettings;
-import org.wheatwall.core.job.model.UrgentForecastSettings;
 import org.wheatwall.core.job.model.WorkspaceShareSettings;
 
 /** A supervisor with workers of different speeds that report once per second. */
@@ -104,7 +103,6 @@
         new SchedulingFeatures(
             new SpeedAwareSettings(enabled),
             WorkspaceShareSettings.DISABLED,
-            UrgentForecastSettings.DISABLED,
             AdmissionSettings.DISABLED);
     SchedulerSettings settings =
         new SchedulerSettings(
--- a/core/src/test/java/org/wheatwall/core/job/decision/ExpectedCompletionTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/ExpectedCompletionTest.java
@@ -20,7 +20,6 @@
 import org.wheatwall.core.job.model.ResourceAmount;
 import org.wheatwall.core.job.model.SchedulingFeatures;
 import org.wheatwall.core.job.model.SpeedAwareSettings;
-import org.wheatwall.core.job.model.UrgentForecastSettings;
 import org.wheatwall.core.job.model.WaitReason;
 import org.wheatwall.core.job.model.WorkerHost;
 import org.wheatwall.core.job.model.Workspace;
@@ -42,7 +41,6 @@
           new SchedulingFeatures(
               new SpeedAwareSettings(true),
               WorkspaceShareSettings.DISABLED,
-              UrgentForecastSettings.DISABLED,
               AdmissionSettings.DISABLED));
 
   private static final double SLOW = 1 / 0.6;
--- a/core/src/test/java/org/wheatwall/core/job/decision/UrgentReserveTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/UrgentReserveTest.java
@@ -24,7 +24,7 @@
   private static final long SUBMITTED_MS = 1000;
 
   private final JobObjectives objectives = new JobObjectives();
-  private final UrgentReserve reserve = new UrgentReserve(new FixedShareReserve(50), objectives);
+  private final UrgentReserve reserve = new UrgentReserve(50, objectives);
   private final Cluster cluster = new Cluster();
 
   private static SchedulerSettings withReserve(int percent) {
@@ -50,7 +50,7 @@
   }
 
   private boolean mustWaitDuringUrgentArrivals(long nowMs) {
-    reserve.recordUrgentArrival(new QueuedJob("urgent", queued(2).job(), nowMs, 10));
+    reserve.recordUrgentArrival(nowMs);
     return reserve.mustWait(queued(2), cluster, nowMs);
   }
 
--- a/core/src/test/java/org/wheatwall/core/job/decision/WorkspaceLoadSimulation.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/WorkspaceLoadSimulation.java
@@ -94,10 +94,7 @@
     SchedulingFeatures none = SchedulingFeatures.NONE;
     SchedulingFeatures features =
         new SchedulingFeatures(
-            none.speedAware(),
-            shares.orElse(WorkspaceShareSettings.DISABLED),
-            none.urgentForecast(),
-            none.admission());
+            none.speedAware(), shares.orElse(WorkspaceShareSettings.DISABLED), none.admission());
     return new SchedulerSettings(
         600_000, 500, 64, HostHealthSettings.SHORT_JOBS, 45, Mechanisms.ALL, features);
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/AdmissionTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/AdmissionTest.java
@@ -19,7 +19,6 @@
 import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.core.job.model.SchedulingFeatures;
 import org.wheatwall.core.job.model.SpeedAwareSettings;
-import org.wheatwall.core.job.model.UrgentForecastSettings;
 import org.wheatwall.core.job.model.WorkspaceShareSettings;
 
 /**
@@ -37,7 +36,6 @@
       new SchedulingFeatures(
           SpeedAwareSettings.DISABLED,
           WorkspaceShareSettings.DISABLED,
-          UrgentForecastSettings.DISABLED,
           new AdmissionSettings(true, 3, 30));
 
   private final VirtualTime time = new VirtualTime(5);
