Count what is received of responses that never become whole

Of a call to the store that timed out, the logs did not tell whether its response had been arriving, so two hypotheses of the incident (reads given up on a slow link; a store that does not respond) looked the same. No change of logic.

--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -147,7 +147,8 @@
   private CompletableFuture<HttpClientConnection> connect(InetSocketAddress address) {
     CompletableFuture<HttpClientConnection> connected = new CompletableFuture<>();
     // Not looked up in the pipeline later, which is empty if the peer has closed already.
-    HttpClientConnection connection = new HttpClientConnection(matching);
+    ReceivedBytes receivedBytes = new ReceivedBytes();
+    HttpClientConnection connection = new HttpClientConnection(matching, receivedBytes);
     new Bootstrap()
         .group(callerEventLoop())
         .channel(NioSocketChannel.class)
@@ -159,6 +160,7 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
+                    .addLast(receivedBytes)
                     .addLast(new HttpClientCodec())
                     .addLast(new HttpObjectAggregator(maxBody, true))
                     .addLast(connection);
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
@@ -21,14 +21,17 @@
 /** A connection to a server that carries one request at a time. */
 final class HttpClientConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
   private final ResponseMatching matching;
+  private final ReceivedBytes receivedBytes;
   private ChannelHandlerContext context;
   private CompletableFuture<HttpReply> pending;
   private ScheduledFuture<?> timeout;
   private String requestId;
+  private long receivedBefore;
   private volatile boolean reusable;
 
-  HttpClientConnection(ResponseMatching matching) {
+  HttpClientConnection(ResponseMatching matching, ReceivedBytes receivedBytes) {
     this.matching = matching;
+    this.receivedBytes = receivedBytes;
   }
 
   @Override
@@ -69,12 +72,13 @@
     }
     pending = result;
     requestId = id;
+    receivedBefore = receivedBytes.total();
     reusable = false;
     timeout =
         context
             .executor()
             .schedule(
-                () -> failAndClose("no answer from " + address + " within " + timeoutMs + " ms"),
+                () -> failAndClose(timeoutMessage(address, timeoutMs)),
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
     // A failed write may still have reached the peer in part, so the request counts as lost.
@@ -88,6 +92,23 @@
             });
   }
 
+  private String timeoutMessage(InetSocketAddress address, long timeoutMs) {
+    long received = receivedOfResponse();
+    return received == 0
+        ? "no answer from " + address + " within " + timeoutMs + " ms"
+        : "no whole answer from "
+            + address
+            + " within "
+            + timeoutMs
+            + " ms, "
+            + received
+            + " bytes";
+  }
+
+  private long receivedOfResponse() {
+    return receivedBytes.total() - receivedBefore;
+  }
+
   private static FullHttpRequest request(InetSocketAddress address, HttpCall call) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
@@ -146,7 +167,8 @@
     }
     context.close();
     if (result != null) {
-      result.completeExceptionally(new HttpFailure(HttpFailure.Kind.LOST, message));
+      result.completeExceptionally(
+          new HttpFailure(HttpFailure.Kind.LOST, message, receivedOfResponse()));
     }
   }
 }
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpFailure.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpFailure.java
@@ -13,15 +13,31 @@
   }
 
   private final Kind kind;
+  private final long receivedBytes;
 
-  /** Creates a failure. */
+  /** Creates a failure of a call of whose response nothing was received. */
   public HttpFailure(Kind kind, String message) {
+    this(kind, message, 0);
+  }
+
+  /**
+   * Creates a failure.
+   *
+   * @param receivedBytes how much of the response had been received, bytes
+   */
+  public HttpFailure(Kind kind, String message, long receivedBytes) {
     super(message, null, false, false);
     this.kind = kind;
+    this.receivedBytes = receivedBytes;
   }
 
   /** Returns the kind. */
   public Kind kind() {
     return kind;
   }
+
+  /** Returns how much of the response had been received, in bytes. */
+  public long receivedBytes() {
+    return receivedBytes;
+  }
 }
