Failing test: a configuration that takes longer than any read is never read

SlowLinkTest puts a host behind a link of 875 KB/s and publishes 1.5 MB, once while it runs and once before it starts. Both fail on this code: the read is given up after 1,700 ms with 1,160,892 bytes received, the read of the newest records after 1,500 ms with 1,206,364, and they begin anew for ever.

FaultProxy gets a data rate that all connections share.

--- a/standin/src/main/java/org/wheatwall/standin/proxy/FaultProxy.java
+++ b/standin/src/main/java/org/wheatwall/standin/proxy/FaultProxy.java
@@ -45,12 +45,14 @@
   private final EventLoopGroup group;
   private final InetSocketAddress target;
   private final Channel listener;
+  private final SharedLink linkToClients;
   private volatile Mode mode = Mode.PASS;
   private volatile long delayMs;
 
   private FaultProxy(EventLoopGroup group, InetSocketAddress address, InetSocketAddress target) {
     this.group = group;
     this.target = target;
+    this.linkToClients = new SharedLink(group.next());
     this.listener =
         new ServerBootstrap()
             .group(group)
@@ -100,6 +102,14 @@
     delayMs = newDelayMs;
   }
 
+  /**
+   * Sets the data rate that all connections together have towards clients, bytes a second; 0 for no
+   * limit.
+   */
+  public void setBytesPerSecondToClients(long rate) {
+    linkToClients.setBytesPerSecond(rate);
+  }
+
   @Override
   public void close() {
     listener.close().syncUninterruptibly();
@@ -148,7 +158,9 @@
         return;
       }
       ByteBuf bytes = (ByteBuf) message;
-      if (delayMs == 0) {
+      if (isLimited()) {
+        linkToClients.send(context.channel(), other, bytes);
+      } else if (delayMs == 0) {
         other.writeAndFlush(bytes);
       } else {
         other
@@ -157,9 +169,18 @@
       }
     }
 
+    private boolean isLimited() {
+      return dropMode == Mode.DROP_TO_CLIENT && linkToClients.isLimited();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      if (mode != Mode.HALF_OPEN) {
+      if (mode == Mode.HALF_OPEN) {
+        return;
+      }
+      if (isLimited()) {
+        linkToClients.closeAfterQueued(context.channel(), other);
+      } else {
         other.close();
       }
     }
