Reads of the log that make progress are not given up, and never overlap

Cause: a read was given up when its whole response was not there 700 ms after the store had it (1,500 ms for the newest records). 900 KB take more than 1 s on the link of a small host (7 Mbit/s). While the log failed, a new read of the same records began every 200 ms without waiting for the others, and each caller's question about an unknown job began one more; so three or more shared the link, none completed, and all hosts together requested more from the store than it reads for all of them, which took the other logs and the large hosts too. The load kept itself up after its cause was gone.

Change: a response is given up when it makes no progress (CallTimeout), within a bound for the whole transfer. A failing log is probed with calls that carry no records (KeyedLog.end), and records are read by one call at a time once it responds. The newest records are read on from the page that failed. Callers that need the log's end ask for the offset and wait for the read in flight, which is backed up by one more only if it may have been lost.

Tests changed: LogFollowerTest took reads for probes and for the read to the log's end after a suspension, which was the fault. It checks the same with calls for the offset, and beside that that reads do not overlap.

--- a/entry/src/main/java/org/wheatwall/entry/batch/log/KeyedLog.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/KeyedLog.java
@@ -27,6 +27,12 @@
    */
   CompletableFuture<NewestPage> newest(Optional<String> afterKey);
 
+  /**
+   * Returns the offset that the next appended record will have. The response carries no records,
+   * however many there are and however large, so it shows soon whether the log responds.
+   */
+  CompletableFuture<Long> end();
+
   /**
    * Records to append.
    *
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
@@ -22,10 +22,9 @@
 public final class LogFollower {
   private static final Logger LOG = LoggerFactory.getLogger(LogFollower.class);
   private static final int READ_WAIT_MS = 1000;
-  // A log that does not respond holds each call until it times out, so while the log fails, probes
-  // are sent at this interval without waiting for responses. Callers have 3 s, and retry until
-  // then.
-  private static final int PROBE_INTERVAL_MS = 200;
+  // A read that waits at the log gets new records at once; later than this, its connection may have
+  // gone silent.
+  private static final int SECOND_READ_DELAY_MS = 250;
   private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
   private final String name;
@@ -35,14 +34,15 @@
   private final Clock clock;
   private final Listener listener;
   private final IntSupplier pauseMs;
+  private final LogProbe probe;
+  private final PendingCatchUps catchUps;
   private long position = -1;
   private long confirmedAtMs;
   private long confirmedSkippedMs;
   private long respondedAtMs;
   private boolean confirming;
+  private boolean secondReadInFlight;
   private boolean failing;
-  private boolean probing;
-  private int probeSeries;
   private boolean stopped;
   private boolean pausing;
   private int pauses;
@@ -87,6 +87,8 @@
     this.clock = clock;
     this.pauseMs = pauseMs;
     this.listener = listener;
+    this.probe = new LogProbe(log, loop, timer);
+    this.catchUps = new PendingCatchUps(name, timer);
     this.confirmedAtMs = NEVER_MS;
     this.confirmedSkippedMs = clock.skippedMs();
     this.respondedAtMs = clock.nowMs();
@@ -104,6 +106,7 @@
   /** Stops following the log. */
   public void stop() {
     stopped = true;
+    probe.stop();
   }
 
   /** Returns the offset of the next record to be read, -1 before the first complete read. */
@@ -144,15 +147,37 @@
           new LogFailure(LogFailure.Kind.NOT_DONE, name + " was not read yet"));
     }
     RequestTime requested = now();
-    return log.read(position, 0)
-        .thenAcceptAsync(
-            page -> {
-              applyPage(page, requested);
-              if (page.end() > position) {
-                throw new LogFailure(LogFailure.Kind.NOT_DONE, name + " is being read");
-              }
-            },
-            loop);
+    return log.end().thenComposeAsync(end -> readUpTo(end, requested), loop);
+  }
+
+  // The read in flight gets what is missing. A second one for the same records shares the link
+  // with it, so there is never more than one, and only if the first may have been lost.
+  private CompletableFuture<Void> readUpTo(long end, RequestTime requested) {
+    if (position >= end) {
+      succeeded(requested, true);
+      return CompletableFuture.completedFuture(null);
+    }
+    CompletableFuture<Void> reached = catchUps.await(end);
+    endPause();
+    timer.after(SECOND_READ_DELAY_MS, () -> readAgain(end));
+    return reached;
+  }
+
+  private void readAgain(long end) {
+    if (stopped || failing || secondReadInFlight || position >= end) {
+      return;
+    }
+    secondReadInFlight = true;
+    RequestTime requested = now();
+    LoopCallbacks.whenDone(
+        log.read(position, 0),
+        loop,
+        (page, failure) -> {
+          secondReadInFlight = false;
+          if (failure == null) {
+            applyPage(page, requested);
+          }
+        });
   }
 
   /**
@@ -183,7 +208,7 @@
           if (failure == null) {
             applyNewest(page, newest, end, requested);
           } else {
-            failed(LogFailure.of(failure));
+            failed(LogFailure.of(failure), () -> readNewest(afterKey, newest, end, requested));
           }
         });
   }
@@ -204,6 +229,7 @@
     position = from;
     runListener(position, () -> listener.onReset(newest));
     succeeded(requested, true);
+    catchUps.advanceTo(position);
     follow();
   }
 
@@ -240,13 +266,13 @@
       LOG.info("event=log-history-gone log={} position={}", name, position);
       start();
     } else {
-      failed(failure);
+      failed(failure, this::follow);
     }
   }
 
   private void followAfterPause(KeyedLog.LogPage page) {
     int pause = pauseMs.getAsInt();
-    if (page.records().isEmpty() || pause == 0) {
+    if (page.records().isEmpty() || pause == 0 || !catchUps.isEmpty()) {
       follow();
     } else {
       pausing = true;
@@ -278,6 +304,7 @@
       offset++;
     }
     succeeded(requested, position >= page.end());
+    catchUps.advanceTo(position);
   }
 
   private void succeeded(RequestTime requested, boolean atEnd) {
@@ -295,44 +322,13 @@
     }
   }
 
-  private void failed(LogFailure failure) {
+  private void failed(LogFailure failure, Runnable resume) {
     if (!failing) {
       failing = true;
       LOG.warn("event=log-lost log={} position={} cause={}", name, position, failure.toString());
     }
-    probing = true;
-    int series = ++probeSeries;
-    timer.after(PROBE_INTERVAL_MS, () -> probe(series));
-  }
-
-  private void probe(int series) {
-    if (stopped || !probing || series != probeSeries) {
-      return;
-    }
-    RequestTime requested = now();
-    LoopCallbacks.whenDone(
-        log.read(Math.max(0, position), 0),
-        loop,
-        (page, failure) -> probed(series, page, requested, Optional.ofNullable(failure)));
-    timer.after(PROBE_INTERVAL_MS, () -> probe(series));
-  }
-
-  // The first response ends the probing; HISTORY_GONE also shows that the log responds.
-  private void probed(
-      int series, KeyedLog.LogPage page, RequestTime requested, Optional<Throwable> failure) {
-    boolean responded =
-        failure
-            .map(cause -> LogFailure.of(cause).kind() == LogFailure.Kind.HISTORY_GONE)
-            .orElse(true);
-    if (stopped || !probing || series != probeSeries || !responded) {
-      return;
-    }
-    probing = false;
-    if (failure.isPresent() || !isStarted()) {
-      start();
-    } else {
-      applyPage(page, requested);
-      follow();
+    if (!stopped) {
+      probe.start(resume);
     }
   }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/JobIntakeTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/JobIntakeTest.java
@@ -53,6 +53,11 @@
     public CompletableFuture<NewestPage> newest(Optional<String> afterKey) {
       throw new UnsupportedOperationException();
     }
+
+    @Override
+    public CompletableFuture<Long> end() {
+      throw new UnsupportedOperationException();
+    }
   }
 
   private Clock clock() {
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
@@ -96,6 +96,11 @@
       public CompletableFuture<NewestPage> newest(Optional<String> afterKey) {
         return call(host, false, () -> doNewest(afterKey));
       }
+
+      @Override
+      public CompletableFuture<Long> end() {
+        return call(host, false, () -> (long) records.size());
+      }
     };
   }
 
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
@@ -1,6 +1,7 @@
 package org.wheatwall.entry.batch.log;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.entry.common.Clock;
 
@@ -17,6 +19,7 @@
  */
 final class LogFollowerTest {
   private static final int PAUSE_MS = 150;
+  private static final long SECOND_READ_DELAY_MS = 250;
   private static final String UNPROCESSABLE = "unbearable";
 
   private final ManualLog log = new ManualLog();
@@ -82,6 +85,13 @@
     private final List<Long> readOffsets = new ArrayList<>();
     private int lastWaitMs;
     private CompletableFuture<LogPage> response = new CompletableFuture<>();
+    private final List<CompletableFuture<Long>> ends = new ArrayList<>();
+
+    @Override
+    public CompletableFuture<Long> end() {
+      ends.add(new CompletableFuture<>());
+      return ends.get(ends.size() - 1);
+    }
 
     @Override
     public CompletableFuture<Appended> append(AppendCall call) {
@@ -144,29 +154,96 @@
     pausedTasks.remove().run();
     pausedTasks.remove().run();
     pausedTasks.remove().run();
-    assertThat(log.readOffsets).containsExactly(0L, 0L, 0L, 0L);
+    assertThat(log.ends).hasSize(3);
+    log.ends.get(2).complete(1L);
+    assertThat(log.readOffsets).containsExactly(0L, 0L).inOrder();
     log.respond(0, "a");
     assertThat(follower.isFailing()).isFalse();
     assertThat(seen).containsExactly("a");
   }
 
+  // Reads of the same records that overlap share the link, and none completes in time.
+  @Test
+  void whileTheLogFailsNoRecordsAreReadBeforeItResponds() {
+    follower.start();
+    log.fail();
+    pausedTasks.remove().run();
+    pausedTasks.remove().run();
+    assertThat(log.readOffsets).hasSize(1);
+    log.ends.get(0).complete(5L);
+    log.ends.get(1).complete(5L);
+    assertThat(log.readOffsets).hasSize(2);
+    while (!pausedTasks.isEmpty()) {
+      pausedTasks.remove().run();
+    }
+    assertThat(log.readOffsets).hasSize(2);
+  }
+
   @Test
   void onlyTheFirstProbeResponseResumesReading() {
     follower.start();
     log.fail();
     pausedTasks.remove().run();
-    CompletableFuture<KeyedLog.LogPage> firstProbe = log.response;
     pausedTasks.remove().run();
+    log.ends.get(1).complete(1L);
     log.respond(0, "a");
-    firstProbe.complete(new KeyedLog.LogPage(0, 0, List.of()));
+    log.ends.get(0).complete(1L);
     int reads = log.readOffsets.size();
     while (!pausedTasks.isEmpty()) {
       pausedTasks.remove().run();
+      assertThat(log.readOffsets.size()).isAtMost(reads + 1);
+    }
+    assertThat(seen).containsExactly("a");
+  }
+
+  // Each caller that asks for a job would otherwise begin another transfer of the same records.
+  @Test
+  void callersThatCatchUpDuringATransferSendNoReadsOfTheirOwn() {
+    follower.start();
+    List<CompletableFuture<Void>> callers = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      callers.add(follower.catchUp());
     }
-    assertThat(log.readOffsets).hasSize(reads);
+    log.ends.forEach(end -> end.complete(2L));
+    assertThat(log.readOffsets).containsExactly(0L);
+    log.respond(0, "a", "b");
+    callers.forEach(caller -> assertThat(caller.isDone()).isTrue());
+    assertThat(seen).containsExactly("a", "b").inOrder();
+  }
+
+  // A connection may go silent without a reset while new ones work; only its timeout shows it.
+  @Test
+  void aReadThatMayBeLostIsBackedUpByOneMore() {
+    follower.start();
+    CompletableFuture<Void> first = follower.catchUp();
+    CompletableFuture<Void> second = follower.catchUp();
+    log.ends.forEach(end -> end.complete(1L));
+    while (!pausedTasks.isEmpty()) {
+      if (pauses.remove() == SECOND_READ_DELAY_MS) {
+        pausedTasks.remove().run();
+      } else {
+        pausedTasks.remove();
+      }
+    }
+    assertThat(log.readOffsets).containsExactly(0L, 0L);
+    log.respond(0, "a");
+    assertThat(first.isDone()).isTrue();
+    assertThat(second.isDone()).isTrue();
     assertThat(seen).containsExactly("a");
   }
 
+  @Test
+  void aCatchUpThatTakesTooLongFailsAsNotDone() {
+    follower.start();
+    CompletableFuture<Void> caller = follower.catchUp();
+    log.ends.get(0).complete(1L);
+    while (!pausedTasks.isEmpty()) {
+      pausedTasks.remove().run();
+    }
+    Throwable failure = assertThrows(CompletionException.class, caller::join);
+    assertThat(LogFailure.of(failure).kind()).isEqualTo(LogFailure.Kind.NOT_DONE);
+  }
+
   // One record that cannot be processed would otherwise end the reading of the log for good.
   @Test
   void readingContinuesAfterARecordThatCannotBeProcessed() {
@@ -200,15 +277,15 @@
     log.respond(0);
     int before = upToDate;
     follower.confirm();
-    assertThat(log.readOffsets).hasSize(2);
+    assertThat(log.ends).isEmpty();
     clock.skippedMs += 600_000;
     follower.confirm();
     follower.confirm();
-    assertThat(log.readOffsets).hasSize(3);
-    assertThat(log.lastWaitMs).isEqualTo(0);
-    log.respond(0);
+    assertThat(log.ends).hasSize(1);
+    log.ends.get(0).complete(0L);
     assertThat(upToDate).isEqualTo(before + 1);
     follower.confirm();
-    assertThat(log.readOffsets).hasSize(3);
+    assertThat(log.ends).hasSize(1);
+    assertThat(log.readOffsets).hasSize(2);
   }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -64,6 +64,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public CompletableFuture<Long> end() {
+      throw new UnsupportedOperationException();
+    }
+
     private void fail(LogFailure.Kind kind) {
       responses.get(responses.size() - 1).completeExceptionally(new LogFailure(kind, "test"));
     }
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -77,13 +77,23 @@
    */
   public CompletableFuture<HttpReply> send(
       InetSocketAddress address, HttpCall call, String requestId, long timeoutMs) {
+    return send(address, call, requestId, CallTimeout.ofTotal(timeoutMs));
+  }
+
+  /**
+   * Sends a call. The future fails with {@link HttpFailure}.
+   *
+   * @param requestId unique identifier of this request
+   */
+  public CompletableFuture<HttpReply> send(
+      InetSocketAddress address, HttpCall call, String requestId, CallTimeout timeout) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
     if (matching == ResponseMatching.BY_IDENTIFIER) {
       call.headers().set(REQUEST_HEADER, requestId);
     }
     HttpClientConnection pooled = acquireIdle(address);
     if (pooled != null) {
-      exchange(pooled, address, call, requestId, timeoutMs, result);
+      exchange(pooled, address, call, requestId, timeout, result);
       return result;
     }
     connect(address)
@@ -96,7 +106,7 @@
                         "cannot connect to " + address + ": " + failure));
                 return;
               }
-              exchange(connection, address, call, requestId, timeoutMs, result);
+              exchange(connection, address, call, requestId, timeout, result);
             });
     return result;
   }
@@ -121,10 +131,10 @@
       InetSocketAddress address,
       HttpCall call,
       String requestId,
-      long timeoutMs,
+      CallTimeout timeout,
       CompletableFuture<HttpReply> result) {
     connection
-        .exchange(address, call, requestId, timeoutMs)
+        .exchange(address, call, requestId, timeout)
         .whenComplete(
             (reply, failure) -> {
               if (failure != null) {
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
@@ -24,8 +24,10 @@
   private final ReceivedBytes receivedBytes;
   private ChannelHandlerContext context;
   private CompletableFuture<HttpReply> pending;
-  private ScheduledFuture<?> timeout;
+  private ScheduledFuture<?> timeoutCheck;
+  private CallTimeout timeout;
   private String requestId;
+  private long startedAtNanos;
   private long receivedBefore;
   private volatile boolean reusable;
 
@@ -40,9 +42,9 @@
   }
 
   CompletableFuture<HttpReply> exchange(
-      InetSocketAddress address, HttpCall call, String id, long timeoutMs) {
+      InetSocketAddress address, HttpCall call, String id, CallTimeout limits) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
-    Runnable begin = () -> begin(address, call, id, timeoutMs, result);
+    Runnable begin = () -> begin(address, call, id, limits, result);
     if (context.executor().inEventLoop()) {
       begin.run();
     } else {
@@ -63,7 +65,7 @@
       InetSocketAddress address,
       HttpCall call,
       String id,
-      long timeoutMs,
+      CallTimeout limits,
       CompletableFuture<HttpReply> result) {
     if (pending != null || !context.channel().isActive()) {
       result.completeExceptionally(
@@ -72,15 +74,11 @@
     }
     pending = result;
     requestId = id;
+    timeout = limits;
+    startedAtNanos = System.nanoTime();
     receivedBefore = receivedBytes.total();
     reusable = false;
-    timeout =
-        context
-            .executor()
-            .schedule(
-                () -> failAndClose(timeoutMessage(address, timeoutMs)),
-                timeoutMs,
-                TimeUnit.MILLISECONDS);
+    checkTimeout(address);
     // A failed write may still have reached the peer in part, so the request counts as lost.
     context
         .writeAndFlush(request(address, call))
@@ -92,14 +90,39 @@
             });
   }
 
-  private String timeoutMessage(InetSocketAddress address, long timeoutMs) {
+  // Checks again at the time at which the call would fail without further progress.
+  private void checkTimeout(InetSocketAddress address) {
+    long remainingMs = remainingMs();
+    if (remainingMs <= 0) {
+      failAndClose(timeoutMessage(address));
+      return;
+    }
+    timeoutCheck =
+        context
+            .executor()
+            .schedule(() -> checkTimeout(address), remainingMs, TimeUnit.MILLISECONDS);
+  }
+
+  private long remainingMs() {
+    long now = System.nanoTime();
+    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(now - startedAtNanos);
+    long untilTotalMs = timeout.totalMs() - elapsedMs;
+    if (receivedOfResponse() == 0) {
+      return Math.min(untilTotalMs, timeout.responseMs() - elapsedMs);
+    }
+    long idleMs = TimeUnit.NANOSECONDS.toMillis(now - receivedBytes.latestAtNanos());
+    return Math.min(untilTotalMs, timeout.progressMs() - idleMs);
+  }
+
+  private String timeoutMessage(InetSocketAddress address) {
+    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
     long received = receivedOfResponse();
     return received == 0
-        ? "no answer from " + address + " within " + timeoutMs + " ms"
+        ? "no answer from " + address + " within " + elapsedMs + " ms"
         : "no whole answer from "
             + address
             + " within "
-            + timeoutMs
+            + elapsedMs
             + " ms, "
             + received
             + " bytes";
@@ -140,7 +163,7 @@
             response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
     CompletableFuture<HttpReply> result = pending;
     pending = null;
-    timeout.cancel(false);
+    timeoutCheck.cancel(false);
     result.complete(reply);
   }
 
@@ -162,8 +185,8 @@
     CompletableFuture<HttpReply> result = pending;
     pending = null;
     reusable = false;
-    if (timeout != null) {
-      timeout.cancel(false);
+    if (timeoutCheck != null) {
+      timeoutCheck.cancel(false);
     }
     context.close();
     if (result != null) {
