--- a/standin/src/main/java/org/wheatwall/standin/proxy/FaultProxy.java
+++ b/standin/src/main/java/org/wheatwall/standin/proxy/FaultProxy.java
@@ -46,6 +46,7 @@
   private final InetSocketAddress target;
   private final Channel listener;
   private final SharedLink linkToClients;
+  private final SharedLink linkToServer;
   private volatile Mode mode = Mode.PASS;
   private volatile long delayMs;
 
@@ -53,6 +54,7 @@
     this.group = group;
     this.target = target;
     this.linkToClients = new SharedLink(group.next());
+    this.linkToServer = new SharedLink(group.next());
     this.listener =
         new ServerBootstrap()
             .group(group)
@@ -110,6 +112,14 @@
     linkToClients.setBytesPerSecond(rate);
   }
 
+  /**
+   * Sets the data rate that all connections together have towards the server, bytes a second; 0 for
+   * no limit.
+   */
+  public void setBytesPerSecondToServer(long rate) {
+    linkToServer.setBytesPerSecond(rate);
+  }
+
   @Override
   public void close() {
     listener.close().syncUninterruptibly();
@@ -158,8 +168,8 @@
         return;
       }
       ByteBuf bytes = (ByteBuf) message;
-      if (isLimited()) {
-        linkToClients.send(context.channel(), other, bytes);
+      if (link().isLimited()) {
+        link().send(context.channel(), other, bytes);
       } else if (delayMs == 0) {
         other.writeAndFlush(bytes);
       } else {
@@ -169,8 +179,8 @@
       }
     }
 
-    private boolean isLimited() {
-      return dropMode == Mode.DROP_TO_CLIENT && linkToClients.isLimited();
+    private SharedLink link() {
+      return dropMode == Mode.DROP_TO_CLIENT ? linkToClients : linkToServer;
     }
 
     @Override
@@ -178,8 +188,8 @@
       if (mode == Mode.HALF_OPEN) {
         return;
       }
-      if (isLimited()) {
-        linkToClients.closeAfterQueued(context.channel(), other);
+      if (link().isLimited()) {
+        link().closeAfterQueued(context.channel(), other);
       } else {
         other.close();
       }
