Log of waiting groups names unknown evacuations as what holds up every start

In the incident's log, groups waited "not looked at yet" beside 248 usable workers: no pass was due, since the deciding host had not read the operator's log for longer than the evacuations are valid. The line now says so. New test in WaitTrackerTest.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
@@ -142,6 +142,7 @@
             + ", "
             + reason.detail()
             + permits
+            + (term.evacuationsKnown ? "" : ", nothing starts: the evacuated zones are not known")
             + "; "
             + others
             + " of "
--- a/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /** Groups that wait for long are logged with the reason, without a query by an operator. */
@@ -46,6 +47,17 @@
     assertThat(waitEvents().get(0).reason()).contains("workers 1 usable, 1 not heard");
   }
 
+  // Such groups have not been looked at and stand beside usable workers.
+  @Test
+  void logLineNamesUnknownEvacuationsAsWhatHoldsUpEveryStart() {
+    fixture.listWorker("a", "r");
+    fixture.supervisor.setEvacuatedZones(Optional.empty(), fixture.nowMs);
+    fixture.accept(SupervisorFixture.job(SupervisorFixture.tasks(1, 8)));
+    fixture.advance(4000);
+    assertThat(waitEvents().get(0).reason())
+        .contains("nothing starts: the evacuated zones are not known");
+  }
+
   @Test
   void numberOfGroupsLoggedPerScanIsLimited() {
     submitToFullWorkers(JOBS);
