Reads do not overlap while records arrive, and callers are told within a second

A response that stalls, that takes too long (HttpClientTest), a page of the newest records that fails, catch-ups during a transfer and while the log fails (LogFollowerTest). The check that a late probe resumes nothing is exact again.

--- a/entry/src/main/java/org/wheatwall/entry/batch/log/KeyedLog.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/KeyedLog.java
@@ -33,6 +33,11 @@
    */
   CompletableFuture<Long> end();
 
+  /** Returns whether records that were requested earlier are arriving now. */
+  default boolean isReceiving() {
+    return false;
+  }
+
   /**
    * Records to append.
    *
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
@@ -25,6 +25,11 @@
   // A read that waits at the log gets new records at once; later than this, its connection may have
   // gone silent.
   private static final int SECOND_READ_DELAY_MS = 250;
+  // Callers have 3 s, and two catch-ups may follow each other.
+  private static final int CATCH_UP_LIMIT_MS = 1000;
+  // Newest records that were read longer ago are read again, so that what the later ones replace is
+  // not shown for long.
+  private static final int NEWEST_VALID_MS = 10_000;
   private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
   private final String name;
@@ -142,29 +147,38 @@
    * processed; fails with {@link LogFailure} if the log cannot be read.
    */
   public CompletableFuture<Void> catchUp() {
-    if (!isStarted()) {
-      return CompletableFuture.failedFuture(
-          new LogFailure(LogFailure.Kind.NOT_DONE, name + " was not read yet"));
+    if (!isStarted() || failing) {
+      return CompletableFuture.failedFuture(unreadable());
     }
     RequestTime requested = now();
     return log.end().thenComposeAsync(end -> readUpTo(end, requested), loop);
   }
 
-  // The read in flight gets what is missing. A second one for the same records shares the link
-  // with it, so there is never more than one, and only if the first may have been lost.
+  private LogFailure unreadable() {
+    return new LogFailure(LogFailure.Kind.NOT_DONE, name + " cannot be read now");
+  }
+
+  // The read in flight gets what is missing. A second one for the same records would share the link
+  // with it, so one is sent only while nothing arrives.
   private CompletableFuture<Void> readUpTo(long end, RequestTime requested) {
+    if (failing) {
+      return CompletableFuture.failedFuture(unreadable());
+    }
     if (position >= end) {
       succeeded(requested, true);
       return CompletableFuture.completedFuture(null);
     }
-    CompletableFuture<Void> reached = catchUps.await(end);
+    long elapsedMs = clock.nowMs() - requested.atMs();
+    CompletableFuture<Void> reached =
+        catchUps.await(end, Math.max(0, CATCH_UP_LIMIT_MS - elapsedMs));
     endPause();
     timer.after(SECOND_READ_DELAY_MS, () -> readAgain(end));
     return reached;
   }
 
   private void readAgain(long end) {
-    if (stopped || failing || secondReadInFlight || position >= end) {
+    boolean mayBeLost = !failing && !secondReadInFlight && !log.isReceiving();
+    if (stopped || !mayBeLost || position >= end) {
       return;
     }
     secondReadInFlight = true;
@@ -208,11 +222,23 @@
           if (failure == null) {
             applyNewest(page, newest, end, requested);
           } else {
-            failed(LogFailure.of(failure), () -> readNewest(afterKey, newest, end, requested));
+            failed(LogFailure.of(failure), () -> resumeNewest(afterKey, newest, end, requested));
           }
         });
   }
 
+  private void resumeNewest(
+      Optional<String> afterKey,
+      List<KeyedLog.NewestRecord> newest,
+      long end,
+      RequestTime requested) {
+    if (clock.nowMs() - requested.atMs() < NEWEST_VALID_MS) {
+      readNewest(afterKey, newest, end, requested);
+    } else {
+      start();
+    }
+  }
+
   private void applyNewest(
       KeyedLog.NewestPage page,
       List<KeyedLog.NewestRecord> newest,
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/PendingCatchUps.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/PendingCatchUps.java
@@ -11,9 +11,6 @@
  * <p>Not thread-safe; the decision loop owns it.
  */
 final class PendingCatchUps {
-  // Callers have 3 s, and retry elsewhere if told soon.
-  private static final int LIMIT_MS = 1000;
-
   private final String logName;
   private final LoopTimer timer;
   private final List<CatchUp> pending = new ArrayList<>();
@@ -26,13 +23,13 @@
   }
 
   /**
-   * Completes once records before {@code end} are processed; fails with {@link LogFailure} if that
-   * takes too long.
+   * Completes once records before {@code end} are processed; fails with {@link LogFailure} if they
+   * are not within {@code limitMs}.
    */
-  CompletableFuture<Void> await(long end) {
+  CompletableFuture<Void> await(long end, long limitMs) {
     CatchUp catchUp = new CatchUp(end, new CompletableFuture<>());
     pending.add(catchUp);
-    timer.after(LIMIT_MS, () -> expire(catchUp));
+    timer.after(limitMs, () -> expire(catchUp));
     return catchUp.result();
   }
 
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
@@ -26,6 +26,7 @@
   private final Deque<Long> pauses = new ArrayDeque<>();
   private final Deque<Runnable> pausedTasks = new ArrayDeque<>();
   private final List<String> seen = new ArrayList<>();
+  private final List<String> resetTo = new ArrayList<>();
 
   private final FixedClock clock = new FixedClock();
   private int upToDate;
@@ -45,6 +46,7 @@
 
   private static final class FixedClock implements Clock {
     private long skippedMs;
+    private long nowMs = 1000;
 
     @Override
     public long skippedMs() {
@@ -53,7 +55,7 @@
 
     @Override
     public long nowMs() {
-      return 1000;
+      return nowMs;
     }
 
     @Override
@@ -69,7 +71,9 @@
     }
 
     @Override
-    public void onReset(List<KeyedLog.NewestRecord> newest) {}
+    public void onReset(List<KeyedLog.NewestRecord> newest) {
+      newest.forEach(entry -> resetTo.add(entry.record().key()));
+    }
 
     @Override
     public void onRecord(KeyedRecord record, long offset) {
@@ -86,6 +90,9 @@
     private int lastWaitMs;
     private CompletableFuture<LogPage> response = new CompletableFuture<>();
     private final List<CompletableFuture<Long>> ends = new ArrayList<>();
+    private final Deque<CompletableFuture<NewestPage>> newestPages = new ArrayDeque<>();
+    private final List<String> newestAfter = new ArrayList<>();
+    private boolean receiving;
 
     @Override
     public CompletableFuture<Long> end() {
@@ -106,8 +113,17 @@
       return response;
     }
 
+    @Override
+    public boolean isReceiving() {
+      return receiving;
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(Optional<String> afterKey) {
+      newestAfter.add(afterKey.orElse(""));
+      if (!newestPages.isEmpty()) {
+        return newestPages.remove();
+      }
       return CompletableFuture.completedFuture(new NewestPage(List.of(), false, 0));
     }
 
@@ -189,10 +205,13 @@
     log.respond(0, "a");
     log.ends.get(0).complete(1L);
     int reads = log.readOffsets.size();
+    Runnable pause = pausedTasks.removeLast();
     while (!pausedTasks.isEmpty()) {
       pausedTasks.remove().run();
-      assertThat(log.readOffsets.size()).isAtMost(reads + 1);
     }
+    assertThat(log.readOffsets).hasSize(reads);
+    pause.run();
+    assertThat(log.readOffsets).hasSize(reads + 1);
     assertThat(seen).containsExactly("a");
   }
 
@@ -232,6 +251,66 @@
     assertThat(seen).containsExactly("a");
   }
 
+  @Test
+  void noReadIsAddedWhileTheRecordsArrive() {
+    follower.start();
+    CompletableFuture<Void> caller = follower.catchUp();
+    log.ends.get(0).complete(1L);
+    log.receiving = true;
+    while (!pausedTasks.isEmpty()) {
+      pausedTasks.remove().run();
+    }
+    assertThat(log.readOffsets).hasSize(1);
+    assertThat(caller.isCompletedExceptionally()).isTrue();
+  }
+
+  // Callers would wait for a read that is not in flight.
+  @Test
+  void whileTheLogFailsACatchUpFailsAtOnce() {
+    follower.start();
+    CompletableFuture<Void> begunBefore = follower.catchUp();
+    log.fail();
+    log.ends.get(0).complete(3L);
+    assertThat(begunBefore.isCompletedExceptionally()).isTrue();
+    assertThat(follower.catchUp().isCompletedExceptionally()).isTrue();
+    assertThat(log.ends).hasSize(1);
+  }
+
+  @Test
+  void newestRecordsAreReadOnFromThePageThatFailed() {
+    log.newestPages.add(page("a", true));
+    log.newestPages.add(
+        CompletableFuture.failedFuture(new LogFailure(LogFailure.Kind.UNKNOWN, "no answer")));
+    log.newestPages.add(page("b", false));
+    follower.start();
+    assertThat(follower.isFailing()).isTrue();
+    pausedTasks.remove().run();
+    log.ends.get(0).complete(9L);
+    assertThat(log.newestAfter).containsExactly("", "a", "a").inOrder();
+    assertThat(resetTo).containsExactly("a", "b").inOrder();
+    assertThat(follower.isFailing()).isFalse();
+  }
+
+  @Test
+  void newestRecordsThatWereReadLongAgoAreReadAgain() {
+    log.newestPages.add(page("a", true));
+    log.newestPages.add(
+        CompletableFuture.failedFuture(new LogFailure(LogFailure.Kind.UNKNOWN, "no answer")));
+    log.newestPages.add(page("a", false));
+    follower.start();
+    clock.nowMs += 60_000;
+    pausedTasks.remove().run();
+    log.ends.get(0).complete(9L);
+    assertThat(log.newestAfter).containsExactly("", "a", "").inOrder();
+    assertThat(resetTo).containsExactly("a");
+  }
+
+  private static CompletableFuture<KeyedLog.NewestPage> page(String key, boolean more) {
+    KeyedRecord record = new KeyedRecord(key, new byte[] {1});
+    return CompletableFuture.completedFuture(
+        new KeyedLog.NewestPage(List.of(new KeyedLog.NewestRecord(record, 0)), more, 5));
+  }
+
   @Test
   void aCatchUpThatTakesTooLongFailsAsNotDone() {
     follower.start();
--- a/standin/src/main/java/org/wheatwall/standin/store/StoreStandIn.java
+++ b/standin/src/main/java/org/wheatwall/standin/store/StoreStandIn.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -39,6 +40,7 @@
   private final SplittableRandom random = new SplittableRandom(1);
   private final EventLoopGroup group;
   private final HttpServer server;
+  private final ReadBudget readBudget = new ReadBudget();
   private volatile StoreFaults faults = StoreFaults.NONE;
 
   private StoreStandIn(EventLoopGroup group, InetSocketAddress address) {
@@ -61,6 +63,11 @@
     faults = next;
   }
 
+  /** Sets the data rate that all reads share, bytes a second; 0 for no limit. */
+  public void setReadBytesPerSecond(long rate) {
+    readBudget.setBytesPerSecond(rate);
+  }
+
   /** Drops the history of all topics; the newest record of each key remains. */
   public synchronized void dropHistory() {
     topics.values().forEach(Topic::dropHistory);
@@ -178,8 +185,9 @@
     Runnable work =
         () ->
             serve(call)
-                .thenAccept(reply -> afterDelay(current.delayMs(), () -> response.complete(reply)));
-    boolean append = call.path().equals("/v1/log-append");
+                .thenAccept(
+                    reply -> afterDelay(current.delayMs(), () -> respond(call, reply, response)));
+    boolean append = isAppend(call);
     if (append && draw() < current.lossProbability()) {
       afterDelay(current.unansweredAppendDelayMs(), () -> serve(call));
       return noResponse;
@@ -188,6 +196,20 @@
     return response;
   }
 
+  private static boolean isAppend(HttpCall call) {
+    return call.path().equals("/v1/log-append");
+  }
+
+  private void respond(HttpCall call, HttpReply reply, CompletableFuture<HttpReply> response) {
+    OptionalLong waitMs =
+        isAppend(call) ? OptionalLong.of(0) : readBudget.reserve(reply.body().length);
+    if (waitMs.isEmpty()) {
+      response.complete(json(503, "{\"error\":\"try later\"}"));
+    } else {
+      afterDelay((int) waitMs.getAsLong(), () -> response.complete(reply));
+    }
+  }
+
   private synchronized double draw() {
     return random.nextDouble();
   }
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClient.java
@@ -77,23 +77,28 @@
    */
   public CompletableFuture<HttpReply> send(
       InetSocketAddress address, HttpCall call, String requestId, long timeoutMs) {
-    return send(address, call, requestId, CallTimeout.ofTotal(timeoutMs));
+    return send(address, call, requestId, CallTimeout.ofTotal(timeoutMs), () -> {});
   }
 
   /**
    * Sends a call. The future fails with {@link HttpFailure}.
    *
    * @param requestId unique identifier of this request
+   * @param onResponseBegins runs once if bytes of the response arrive, before the future completes
    */
   public CompletableFuture<HttpReply> send(
-      InetSocketAddress address, HttpCall call, String requestId, CallTimeout timeout) {
+      InetSocketAddress address,
+      HttpCall call,
+      String requestId,
+      CallTimeout timeout,
+      Runnable onResponseBegins) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
     if (matching == ResponseMatching.BY_IDENTIFIER) {
       call.headers().set(REQUEST_HEADER, requestId);
     }
     HttpClientConnection pooled = acquireIdle(address);
     if (pooled != null) {
-      exchange(pooled, address, call, requestId, timeout, result);
+      exchange(pooled, address, call, requestId, timeout, onResponseBegins, result);
       return result;
     }
     connect(address)
@@ -106,7 +111,7 @@
                         "cannot connect to " + address + ": " + failure));
                 return;
               }
-              exchange(connection, address, call, requestId, timeout, result);
+              exchange(connection, address, call, requestId, timeout, onResponseBegins, result);
             });
     return result;
   }
@@ -132,9 +137,10 @@
       HttpCall call,
       String requestId,
       CallTimeout timeout,
+      Runnable onResponseBegins,
       CompletableFuture<HttpReply> result) {
     connection
-        .exchange(address, call, requestId, timeout)
+        .exchange(address, call, requestId, timeout, onResponseBegins)
         .whenComplete(
             (reply, failure) -> {
               if (failure != null) {
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpClientConnection.java
@@ -42,9 +42,17 @@
   }
 
   CompletableFuture<HttpReply> exchange(
-      InetSocketAddress address, HttpCall call, String id, CallTimeout limits) {
+      InetSocketAddress address,
+      HttpCall call,
+      String id,
+      CallTimeout limits,
+      Runnable onResponseBegins) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
-    Runnable begin = () -> begin(address, call, id, limits, result);
+    Runnable begin =
+        () -> {
+          receivedBytes.onNext(onResponseBegins);
+          begin(address, call, id, limits, result);
+        };
     if (context.executor().inEventLoop()) {
       begin.run();
     } else {
--- a/wire/src/main/java/org/wheatwall/wire/http/ReceivedBytes.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/ReceivedBytes.java
@@ -8,16 +8,25 @@
 final class ReceivedBytes extends ChannelInboundHandlerAdapter {
   private long total;
   private long latestAtNanos;
+  private Runnable onNext = () -> {};
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (message instanceof ByteBuf bytes) {
       total += bytes.readableBytes();
       latestAtNanos = System.nanoTime();
+      Runnable listener = onNext;
+      onNext = () -> {};
+      listener.run();
     }
     context.fireChannelRead(message);
   }
 
+  /** Runs a task when bytes are received next, once. */
+  void onNext(Runnable task) {
+    onNext = task;
+  }
+
   long total() {
     return total;
   }
--- a/wire/src/test/java/org/wheatwall/wire/http/HttpClientTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/http/HttpClientTest.java
@@ -1,6 +1,7 @@
 package org.wheatwall.wire.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -68,6 +69,63 @@
     }
   }
 
+  // Sends a response in parts, with a pause before each, and then stalls if it is incomplete.
+  private static void respondInParts(ServerSocket server, int parts, int total, int pauseMs) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try (Socket socket = server.accept()) {
+                readRequest(socket.getInputStream());
+                String head = "HTTP/1.1 200 OK\r\nContent-Length: " + total + "\r\n\r\n";
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                for (int i = 0; i < parts; i++) {
+                  LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMs));
+                  socket.getOutputStream().write('x');
+                }
+                readRequest(socket.getInputStream());
+              } catch (IOException closed) {
+                // The client gave up.
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static CompletableFuture<HttpReply> callInParts(int parts, CallTimeout timeout)
+      throws IOException {
+    HttpClient client = new HttpClient(GROUP, 1024, 4, ResponseMatching.BY_ORDER);
+    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    respondInParts(server, parts, 8, 150);
+    InetSocketAddress address =
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+    return client.send(address, HttpCall.of("GET", "/"), "", timeout, () -> {});
+  }
+
+  @Test
+  void aResponseThatMakesProgressIsNotGivenUp() throws Exception {
+    HttpReply reply = callInParts(8, new CallTimeout(500, 500, 10_000)).get(5, TimeUnit.SECONDS);
+    assertThat(reply.text()).hasLength(8);
+  }
+
+  @Test
+  void aResponseThatStallsIsGivenUpAfterItsLastProgress() throws Exception {
+    HttpFailure failure = failureOf(callInParts(3, new CallTimeout(500, 500, 10_000)));
+    assertThat(failure.kind()).isEqualTo(HttpFailure.Kind.LOST);
+    assertThat(failure.receivedBytes()).isGreaterThan(3L);
+  }
+
+  @Test
+  void aResponseThatMakesProgressForTooLongIsGivenUp() throws Exception {
+    HttpFailure failure = failureOf(callInParts(8, new CallTimeout(500, 500, 600)));
+    assertThat(failure.kind()).isEqualTo(HttpFailure.Kind.LOST);
+  }
+
+  private static HttpFailure failureOf(CompletableFuture<HttpReply> call) {
+    ExecutionException failure =
+        assertThrows(ExecutionException.class, () -> call.get(5, TimeUnit.SECONDS));
+    return (HttpFailure) failure.getCause();
+  }
+
   @Test
   void serverClosingIdleConnectionsCausesTypedFailures() throws Exception {
     HttpClient client = new HttpClient(GROUP, 1024, 4, ResponseMatching.BY_ORDER);
