Schedules with workers that are cut off check that no task runs twice

What was seen: with the ledger's check on, schedules that cut workers off failed with "run 2 started after the end of run 1, which was acknowledged later".

Cause: the ledger, not the decider. An end counts as taken note of when it is acknowledged, unless the worker's lease lapsed between the two. The ledger did not know leases, which made no difference while every worker that was cut off stayed listed: the decider gives those four times as long.

The ledger permits a start between an end and its acknowledgement only with such a lapse on a worker that was unlisted, so the check is as strict as before for listed workers, and a start after the acknowledgement stays a violation either way.

--- a/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
+++ b/standin/src/main/java/org/wheatwall/standin/task/TaskLedger.java
@@ -24,6 +24,7 @@
   private final Map<TaskName, Holder> running = new HashMap<>();
   private final Map<String, Set<TaskName>> runningByGang = new HashMap<>();
   private final Set<TaskName> acknowledgedDone = new HashSet<>();
+  private final Set<String> unlistedWorkers = new HashSet<>();
   // For each run that ended as done: the run of the same task that started later, 0 if none.
   private final Map<Run, Integer> restartAfterDone = new HashMap<>();
   private final Map<TaskName, Integer> workerCrashes = new HashMap<>();
@@ -104,10 +105,18 @@
 
   /**
    * Records that a run's end as done was acknowledged, so that it is final: the task must not start
-   * again, nor have started between that end and the acknowledgement.
+   * again, nor have started between that end and the acknowledgement. The latter is permitted if
+   * the worker was unlisted and its lease lapsed: nobody could tell whether it would ever report
+   * again.
+   *
+   * @param lapsedBetween whether the lease lapsed between that end and the acknowledgement
    */
-  synchronized void recordAcknowledgedEnd(TaskName task, int run) {
+  synchronized void recordAcknowledgedEnd(
+      String worker, TaskName task, int run, boolean lapsedBetween) {
     acknowledgedDone.add(task);
+    if (lapsedBetween && unlistedWorkers.contains(worker)) {
+      return;
+    }
     int restart = restartAfterDone.getOrDefault(new Run(task, run), 0);
     if (restart != 0) {
       String text = task + " run " + restart + " started after the end of run " + run;
@@ -115,6 +124,11 @@
     }
   }
 
+  /** Records that a worker was removed from the platform's worker list while it was running. */
+  public synchronized void recordUnlisted(String worker) {
+    unlistedWorkers.add(worker);
+  }
+
   /** Records a violation of a rule. */
   public synchronized void recordViolation(long atMs, String description) {
     violations.add(atMs + ": " + description);
