Reads of the configuration log that make progress are not given up

What callers would see: a host with a link of 7 Mbit/s that has 1.5 MB or more of the configuration to read never becomes ready, or never follows later changes, and its reads keep the link full.

Cause: the class of the reads that never completed. A page of up to 500 records was given up when it was not there 1,700 ms after it was requested, and requested again from the same offset. Found by reading, not in the users' record.

Change: a read is given up when it makes no progress (CallTimeout), within a bound for the whole transfer. A read that failed is repeated with half as many records, since 500 of up to 512 KB exceed both that bound and the limit of the response's size; a page grows again only while full ones arrive within a second.

--- a/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
+++ b/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
@@ -37,7 +37,6 @@
  */
 public final class ConfigurationService {
   private static final Logger LOG = LoggerFactory.getLogger(ConfigurationService.class);
-  private static final int MAX_PAGE_RECORDS = 500;
   private static final long READ_WAIT_MS = 1000;
   private static final long MIN_BACKOFF_MS = 50;
   private static final long MAX_BACKOFF_MS = 1000;
@@ -52,6 +51,7 @@
   private final List<ConfigurationListener> listeners = new CopyOnWriteArrayList<>();
   private final Histogram inForceDelayMs;
   private final CompletableFuture<Void> ready = new CompletableFuture<>();
+  private final PageLimit pageLimit = new PageLimit();
   private CatchUp catchUp;
   private long backoffMs = MIN_BACKOFF_MS;
   private long malformedRecords;
@@ -156,12 +156,15 @@
       return;
     }
     long from = catchUp == null ? replica.nextOffset() : catchUp.position();
-    log.read(from, MAX_PAGE_RECORDS, READ_WAIT_MS)
+    long sentMs = clock.nowMs();
+    log.read(from, pageLimit.records(), READ_WAIT_MS)
         .whenCompleteAsync(
             (page, failure) -> {
               if (failure == null) {
+                pageLimit.onPage(page.records().size(), clock.nowMs() - sentMs);
                 onPage(from, page);
               } else {
+                pageLimit.onFailure();
                 backOff();
               }
             },
--- a/entry/src/main/java/org/wheatwall/entry/platform/HttpPlatform.java
+++ b/entry/src/main/java/org/wheatwall/entry/platform/HttpPlatform.java
@@ -7,6 +7,7 @@
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.gang.model.WorkerReport;
 import org.wheatwall.wire.http.Addresses;
+import org.wheatwall.wire.http.CallTimeout;
 import org.wheatwall.wire.http.HttpCall;
 import org.wheatwall.wire.http.HttpClient;
 import org.wheatwall.wire.http.HttpFailure;
@@ -26,6 +27,10 @@
 
   // A read whose response is lost delays every later change, so it times out early.
   private static final long READ_TIMEOUT_MARGIN_MS = 700;
+  // Lost packets are sent again within a second.
+  private static final long READ_PROGRESS_MS = 1500;
+  // At least this long, so that a page of 1 MB arrives at 100 KB/s.
+  private static final long READ_TRANSFER_MS = 10_000;
 
   private final HttpClient client;
   private final InetSocketAddress log;
@@ -50,7 +55,10 @@
   @Override
   public CompletableFuture<LogPage> read(long from, int limit, long waitMs) {
     String target = "/read?from=" + from + "&limit=" + limit + "&waitMs=" + waitMs;
-    return send(log, HttpCall.of("GET", target), READ_TIMEOUT_MARGIN_MS + waitMs)
+    long responseMs = READ_TIMEOUT_MARGIN_MS + waitMs;
+    CallTimeout timeout =
+        new CallTimeout(responseMs, READ_PROGRESS_MS, responseMs + READ_TRANSFER_MS);
+    return send(log, HttpCall.of("GET", target), timeout)
         .thenApply(reply -> Json.read(reply.body(), LogPage.class));
   }
 
@@ -72,9 +80,14 @@
 
   private CompletableFuture<HttpReply> send(
       InetSocketAddress address, HttpCall call, long timeoutMs) {
+    return send(address, call, CallTimeout.ofTotal(timeoutMs));
+  }
+
+  private CompletableFuture<HttpReply> send(
+      InetSocketAddress address, HttpCall call, CallTimeout timeout) {
     String requestId = "p" + nextRequest.incrementAndGet();
     return client
-        .send(address, call, requestId, timeoutMs)
+        .send(address, call, requestId, timeout)
         .handle(
             (reply, failure) -> {
               if (failure != null) {
