--- a/entry/src/main/java/org/wheatwall/entry/configuration/ChangePublisher.java
+++ b/entry/src/main/java/org/wheatwall/entry/configuration/ChangePublisher.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.core.configuration.model.Change;
@@ -140,11 +141,13 @@
     }
     if (queue.isEmpty()) {
       byte[] chunk = snapshotChunks.remove(0);
-      append(chunk, List.of());
+      append(chunk, failure -> requeueChunk(chunk, failure));
     } else {
       List<PendingChange> batch = nextBatch();
       List<Change> changes = batch.stream().map(pendingChange -> pendingChange.change).toList();
-      append(LogRecordCodec.write(LogRecord.ofChanges(changes)), batch);
+      append(
+          LogRecordCodec.write(LogRecord.ofChanges(changes)),
+          failure -> requeue(batch, isNotAppended(failure)));
     }
     scheduleFlush(FLUSH_DELAY_MS);
   }
@@ -159,7 +162,7 @@
     return batch;
   }
 
-  private void append(byte[] record, List<PendingChange> batch) {
+  private void append(byte[] record, Consumer<Throwable> onFailure) {
     appendsInFlight++;
     appendCount++;
     log.append(record)
@@ -167,11 +170,7 @@
             (offset, failure) -> {
               appendsInFlight--;
               if (failure != null) {
-                boolean notAppended = isNotAppended(Problems.unwrap(failure));
-                stateThread.schedule(() -> requeue(batch), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
-                if (notAppended) {
-                  batch.forEach(pendingChange -> pendingChange.mayBeAppended = false);
-                }
+                onFailure.accept(Problems.unwrap(failure));
               }
               scheduleFlush(FLUSH_DELAY_MS);
             },
@@ -183,13 +182,39 @@
         && (refusal.kind() == RefusalKind.LIMIT || refusal.kind() == RefusalKind.UNAVAILABLE);
   }
 
-  private void requeue(List<PendingChange> batch) {
-    for (PendingChange pendingChange : batch) {
-      if (pending.containsKey(pendingChange.change.changeId())) {
-        queue.add(pendingChange);
-      }
+  private void requeue(List<PendingChange> batch, boolean notAppended) {
+    if (notAppended) {
+      batch.forEach(pendingChange -> pendingChange.mayBeAppended = false);
     }
-    scheduleFlush(FLUSH_DELAY_MS);
+    retryLater(
+        () -> {
+          for (PendingChange pendingChange : batch) {
+            if (pending.containsKey(pendingChange.change.changeId())) {
+              queue.add(pendingChange);
+            }
+          }
+        });
+  }
+
+  // A chunk may be appended twice: readers keep the last one of each index. One that the log
+  // refuses as such would be refused again.
+  private void requeueChunk(byte[] chunk, Throwable failure) {
+    boolean repeatable =
+        isNotAppended(failure)
+            || (failure instanceof Refusal refusal && refusal.kind() == RefusalKind.UNKNOWN);
+    if (repeatable) {
+      retryLater(() -> snapshotChunks.add(0, chunk));
+    }
+  }
+
+  private void retryLater(Runnable requeue) {
+    stateThread.schedule(
+        () -> {
+          requeue.run();
+          scheduleFlush(FLUSH_DELAY_MS);
+        },
+        RETRY_DELAY_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   private void failExpiredChanges() {
