--- a/entry/src/main/java/org/wheatwall/entry/platform/HttpPlatform.java
+++ b/entry/src/main/java/org/wheatwall/entry/platform/HttpPlatform.java
@@ -87,7 +87,7 @@
       InetSocketAddress address, HttpCall call, CallTimeout timeout) {
     String requestId = "p" + nextRequest.incrementAndGet();
     return client
-        .send(address, call, requestId, timeout)
+        .send(address, call, requestId, timeout, () -> {})
         .handle(
             (reply, failure) -> {
               if (failure != null) {
