Revert "Hosts fetch the configuration from each other in pages"

What callers would see: a host that starts during an outage of the log is ready with an older configuration than its peer has.

--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -19,7 +19,6 @@
 import org.wheatwall.entry.configuration.ConfigurationService;
 import org.wheatwall.entry.job.JobPlane;
 import org.wheatwall.entry.membership.MembershipService;
-import org.wheatwall.entry.membership.SnapshotPages;
 import org.wheatwall.entry.membership.ViewLeaseStatus;
 import org.wheatwall.entry.operator.AccessRule;
 import org.wheatwall.entry.operator.OperatorApi;
@@ -118,8 +117,7 @@
     access = new AccessRule(settings.tokens());
     registerListeners();
     PeerRequests peerRequests =
-        new PeerRequests(
-            membership, stepAdmission, slots, new SnapshotPages(configuration, clock), jobs);
+        new PeerRequests(membership, stepAdmission, slots, configuration, jobs);
     peerServer =
         PeerServer.start(group, settings.listen().peer(), settings.peerKey(), peerRequests::handle);
     httpServer =
--- a/entry/src/main/java/org/wheatwall/entry/PeerRequests.java
+++ b/entry/src/main/java/org/wheatwall/entry/PeerRequests.java
@@ -1,33 +1,38 @@
 package org.wheatwall.entry;
 
+import com.google.protobuf.ByteString;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.entry.configuration.ConfigurationService;
 import org.wheatwall.entry.job.JobPlane;
 import org.wheatwall.entry.membership.MembershipService;
-import org.wheatwall.entry.membership.SnapshotPages;
 import org.wheatwall.entry.request.SlotService;
 import org.wheatwall.entry.request.StepAdmissionService;
+import org.wheatwall.wire.json.Json;
+import org.wheatwall.wire.json.LogRecordCodec;
 import org.wheatwall.wire.message.Envelope;
+import org.wheatwall.wire.message.SnapshotPage;
+import org.wheatwall.wire.message.SnapshotPull;
 
 /** Dispatches requests of other entry hosts to the service that handles them. */
 final class PeerRequests {
   private final MembershipService membership;
   private final StepAdmissionService stepAdmission;
   private final SlotService slots;
-  private final SnapshotPages snapshots;
+  private final ConfigurationService configuration;
   private final JobPlane jobs;
 
   PeerRequests(
       MembershipService membership,
       StepAdmissionService stepAdmission,
       SlotService slots,
-      SnapshotPages snapshots,
+      ConfigurationService configuration,
       JobPlane jobs) {
     this.membership = membership;
     this.stepAdmission = stepAdmission;
     this.slots = slots;
-    this.snapshots = snapshots;
+    this.configuration = configuration;
     this.jobs = jobs;
   }
 
@@ -42,10 +47,7 @@
       case LEDGER_PULL -> stepAdmission.onLedgerPull(request.getLedgerPull());
       case SLOT_ASK -> slots.onSlotRequest(request.getSlotAsk());
       case SLOT_RETURN -> slots.onSlotReturn(request.getSlotReturn());
-      case SNAPSHOT_PULL ->
-          snapshots
-              .pull(request.getSnapshotPull())
-              .thenApply(page -> Envelope.newBuilder().setSnapshotPage(page));
+      case SNAPSHOT_PULL -> snapshot(request.getSnapshotPull());
       case JOB_QUERY -> jobs.onQuery(request.getJobQuery());
       default ->
           CompletableFuture.failedFuture(
@@ -55,4 +57,20 @@
                   "run the same version on every entry host"));
     };
   }
+
+  private CompletableFuture<Envelope.Builder> snapshot(SnapshotPull pull) {
+    return configuration
+        .snapshotNewerThan(pull.getNewerThan())
+        .thenApply(
+            snapshot -> {
+              SnapshotPage.Builder page = SnapshotPage.newBuilder();
+              snapshot.ifPresent(
+                  newest ->
+                      page.setNextOffset(newest.nextOffset())
+                          .setContent(
+                              ByteString.copyFrom(
+                                  Json.bytes(LogRecordCodec.writeSnapshot(newest)))));
+              return Envelope.newBuilder().setSnapshotPage(page);
+            });
+  }
 }
--- a/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
+++ b/entry/src/main/java/org/wheatwall/entry/configuration/ConfigurationService.java
@@ -139,20 +139,16 @@
                 : Optional.empty());
   }
 
-  /**
-   * Restores the snapshot of a peer if it is newer and the log cannot be read. The future completes
-   * on the state thread once that is decided.
-   */
-  public CompletableFuture<Void> offerSnapshot(Snapshot snapshot) {
-    return CompletableFuture.runAsync(
+  /** Restores the snapshot of a peer if it is newer and the log cannot be read. */
+  public void offerSnapshot(Snapshot snapshot) {
+    stateThread.execute(
         () -> {
           boolean logAvailable = sinceHeadMs() < READ_WAIT_MS;
           if (snapshot.nextOffset() > replica.nextOffset() && !logAvailable) {
             restore(snapshot);
             catchUp = null;
           }
-        },
-        stateThread);
+        });
   }
 
   private void readNextPage() {
--- a/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
+++ b/entry/src/main/java/org/wheatwall/entry/membership/MembershipService.java
@@ -91,7 +91,7 @@
     this.lease = new ViewLease(self.id(), CONFIRMATION_MS);
     ViewProposer proposer = new ViewProposer(self, SUSPECT_AFTER_MS);
     this.proposals = new ViewProposals(proposer, zone, configuration, directory, stateThread);
-    this.catchUp = new PeerCatchUp(configuration, peers, stateThread, clock);
+    this.catchUp = new PeerCatchUp(configuration, peers, stateThread);
     metrics.gauge("membership.epoch", () -> () -> status.epoch());
     metrics.gauge("membership.acting", () -> () -> status.mayAct(clock) ? 1 : 0);
   }
--- a/wire/src/main/java/org/wheatwall/wire/peer/PeerServer.java
+++ b/wire/src/main/java/org/wheatwall/wire/peer/PeerServer.java
@@ -29,9 +29,6 @@
   /** Version of the protocol between entry hosts. */
   public static final int PROTOCOL_VERSION = 1;
 
-  /** Maximum size of a message, bytes. A larger one closes the connection. */
-  public static final int MAX_MESSAGE_BYTES = PeerCodec.MAX_FRAME;
-
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final Channel listener;
   private final byte[] key;
