--- a/entry/src/main/java/org/wheatwall/entry/batch/peer/PeerRelay.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/peer/PeerRelay.java
@@ -56,9 +56,25 @@
    * The result of a forwarded call.
    *
    * @param reply a peer's final reply, empty if no peer could serve the call
-   * @param mayHaveRun whether a peer without a final reply may have carried the call out
+   * @param undecidedPeer address of the peer that may have carried the call out but sent no final
+   *     reply, empty if none was asked that may have
    */
-  public record Outcome(Optional<HttpReply> reply, boolean mayHaveRun) {}
+  public record Outcome(Optional<HttpReply> reply, Optional<String> undecidedPeer) {
+    private static final Outcome NOT_RUN = new Outcome(Optional.empty(), Optional.empty());
+
+    private static Outcome served(HttpReply reply) {
+      return new Outcome(Optional.of(reply), Optional.empty());
+    }
+
+    private static Outcome undecided(String peer) {
+      return new Outcome(Optional.empty(), Optional.of(peer));
+    }
+
+    /** Returns whether a peer without a final reply may have carried the call out. */
+    public boolean mayHaveRun() {
+      return undecidedPeer.isPresent();
+    }
+  }
 
   /**
    * Forwards a call; the future never fails. A peer that may have carried the call out but sent no
@@ -100,7 +116,7 @@
       ForwardedCall forwarded, List<String> chosen, int next) {
     long remainingMs = forwarded.deadlineMs() - clock.nowMs() - RESERVE_MS;
     if (next >= chosen.size() || remainingMs <= 0) {
-      return CompletableFuture.completedFuture(new Outcome(Optional.empty(), false));
+      return CompletableFuture.completedFuture(Outcome.NOT_RUN);
     }
     String peer = chosen.get(next);
     InetSocketAddress address = Addresses.parse(peer);
@@ -110,13 +126,13 @@
             (reply, failure) -> {
               if (failure == null && forwarded.isFinal().test(reply)) {
                 backoffUntilMs.remove(peer);
-                return CompletableFuture.completedFuture(new Outcome(Optional.of(reply), false));
+                return CompletableFuture.completedFuture(Outcome.served(reply));
               }
               backoffUntilMs.put(peer, clock.nowMs() + PEER_BACKOFF_MS);
               boolean mayHaveRun =
                   failure == null ? forwarded.mayHaveRun().test(reply) : !wasNotSent(failure);
               return mayHaveRun
-                  ? CompletableFuture.completedFuture(new Outcome(Optional.empty(), true))
+                  ? CompletableFuture.completedFuture(Outcome.undecided(peer))
                   : attemptNext(forwarded, chosen, next + 1);
             })
         .thenCompose(outcome -> outcome);
