No answer denies a job whose append the log has not answered yet

Cause: after 504 the intake goes on appending the record, but forgets the job. A repeat was appended as a second record, or refused when that one could not be sent or the log could not be read; find and cancel looked at the log alone.

Why it works: the intake asks the writer for the record in flight, which stays there until the log has answered. A repeat waits behind it and is never told that the job was not taken; a cancellation is appended behind it; a query is refused until it is decided. The owner of a job that is cancelled is checked in the same step, also for an undecided one.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
@@ -148,13 +149,22 @@
    * be determined.
    */
   public CompletableFuture<Optional<JobSummary>> find(String jobId) {
-    return onLoop(
-        () -> {
-          Optional<JobSummary> known = summary(jobId);
-          return known.isPresent()
-              ? CompletableFuture.completedFuture(known)
-              : logCatchUp.catchUp().thenApply(done -> summary(jobId));
-        });
+    return onLoop(() -> findOnLoop(jobId))
+        .thenApplyAsync(
+            found -> {
+              if (found.isEmpty() && intake.undecidedJob(jobId).isPresent()) {
+                throw BatchContext.unavailable("an attempt to submit the job is not decided yet");
+              }
+              return found;
+            },
+            context.loop());
+  }
+
+  private CompletableFuture<Optional<JobSummary>> findOnLoop(String jobId) {
+    Optional<JobSummary> known = summary(jobId);
+    return known.isPresent()
+        ? CompletableFuture.completedFuture(known)
+        : logCatchUp.catchUp().thenApply(done -> summary(jobId));
   }
 
   /**
@@ -184,17 +194,30 @@
   /**
    * Requests the cancellation of a job; false if there is no such job. Fails as {@link #submit}
    * does.
+   *
+   * @param permission throws a {@link Refusal} if the caller may not cancel the job
    */
-  public CompletableFuture<Boolean> cancel(String jobId, long deadlineMs) {
-    return find(jobId)
+  public CompletableFuture<Boolean> cancel(
+      String jobId, Consumer<JobSummary> permission, long deadlineMs) {
+    return onLoop(() -> findOnLoop(jobId))
         .thenComposeAsync(
-            found -> {
-              if (found.isEmpty() || found.get().state().ended()) {
-                return CompletableFuture.completedFuture(found.isPresent());
-              }
-              return intake.cancel(jobId, deadlineMs).thenCompose(done -> catchUpAfterWrite());
-            },
-            context.loop());
+            found -> cancelOnLoop(jobId, found, permission, deadlineMs), context.loop());
+  }
+
+  // A submission that is still being appended is cancelled behind it.
+  private CompletableFuture<Boolean> cancelOnLoop(
+      String jobId, Optional<JobSummary> found, Consumer<JobSummary> permission, long deadlineMs) {
+    Optional<JobSummary> known =
+        found.or(() -> intake.undecidedJob(jobId).map(BatchHost::undecidedSummary));
+    known.ifPresent(permission);
+    if (known.isEmpty() || known.get().state().ended()) {
+      return CompletableFuture.completedFuture(known.isPresent());
+    }
+    return intake.cancel(jobId, deadlineMs).thenCompose(done -> catchUpAfterWrite());
+  }
+
+  private static JobSummary undecidedSummary(BatchJob job) {
+    return new JobSummary(job.workspace(), BatchState.QUEUED);
   }
 
   /**
@@ -320,12 +343,14 @@
 
   private CompletableFuture<Void> submitOnLoop(BatchJob job, long deadlineMs) {
     if (!follower.isStarted() || follower.isFailing()) {
-      throw BatchContext.unavailable("the job log cannot be read now");
+      throw intake.undecidedJob(job.id()).isPresent()
+          ? JobIntake.undecided()
+          : BatchContext.unavailable("the job log cannot be read now");
     }
     if (replica.table().job(job.id()).isPresent()) {
       return CompletableFuture.completedFuture(null);
     }
-    return admission.check(job, roster.peers().size() + 1).isPresent()
+    return rejection(job).isPresent()
         ? rejectUnlessAccepted(job, deadlineMs)
         : intake.accept(job, deadlineMs);
   }
@@ -340,7 +365,7 @@
               if (replica.table().job(job.id()).isPresent()) {
                 return CompletableFuture.completedFuture(null);
               }
-              Optional<Refusal> refusal = admission.check(job, roster.peers().size() + 1);
+              Optional<Refusal> refusal = rejection(job);
               return refusal.isPresent()
                   ? CompletableFuture.failedFuture(refusal.get())
                   : intake.accept(job, deadlineMs);
@@ -348,6 +373,13 @@
             context.loop());
   }
 
+  // A job that an earlier attempt may still add to the log cannot be rejected any more.
+  private Optional<Refusal> rejection(BatchJob job) {
+    return intake.undecidedJob(job.id()).isPresent()
+        ? Optional.empty()
+        : admission.check(job, roster.peers().size() + 1);
+  }
+
   private void logRecovered() {
     election.decider().ifPresent(BatchDecider::logRecovered);
     intake.logRecovered();
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.LogContent;
@@ -53,8 +54,9 @@
   }
 
   /**
-   * Appends a job; concurrent calls for the same job share one record. Fails with a {@link
-   * Refusal}: UNAVAILABLE if the job was not accepted and never runs, UNKNOWN if that is not known.
+   * Appends a job; calls for the same job share one record as long as it may be appended. Fails
+   * with a {@link Refusal}: UNAVAILABLE if the job was not accepted and never runs, UNKNOWN if that
+   * is not known.
    */
   CompletableFuture<Void> accept(BatchJob job, long deadlineMs) {
     CompletableFuture<Void> pending = pendingByJob.get(job.id());
@@ -62,13 +64,48 @@
       return pending;
     }
     CompletableFuture<Void> appended =
-        append(LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)), deadlineMs);
+        undecidedJob(job.id()).isPresent()
+            ? awaitEarlierAttempt(deadlineMs)
+            : append(LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)), deadlineMs);
     pendingByJob.put(job.id(), appended);
     appended.whenComplete((done, failure) -> pendingByJob.remove(job.id()));
     return appended;
   }
 
-  /** Appends the cancellation of a job; fails as {@link #accept} does. */
+  /**
+   * Returns a job that was sent to the log, which has not answered: it may be accepted at any time,
+   * although its submitter was told that this is not known.
+   */
+  Optional<BatchJob> undecidedJob(String jobId) {
+    return writer
+        .inFlight(LogKey.job(jobId).text())
+        .flatMap(record -> JobLogCodec.decode(record.key(), record.value()))
+        .flatMap(LogEntry::content)
+        .map(content -> ((LogContent.Definition) content).job());
+  }
+
+  /** Returns the refusal of a call about a job that is undecided. */
+  static Refusal undecided() {
+    return new Refusal(
+        RefusalKind.UNKNOWN,
+        "an earlier attempt to submit the job is still being appended to the job log",
+        "repeat with the same identifier; it remains one job");
+  }
+
+  // Completes behind the record in flight. That no answer arrives in time says nothing about it.
+  private CompletableFuture<Void> awaitEarlierAttempt(long deadlineMs) {
+    return writer
+        .append(List.of(), appendDeadlineMs(deadlineMs))
+        .exceptionally(
+            failure -> {
+              throw undecided();
+            });
+  }
+
+  /**
+   * Appends the cancellation of a job, behind all records of it that this host has sent; fails as
+   * {@link #accept} does.
+   */
   CompletableFuture<Void> cancel(String jobId, long deadlineMs) {
     LogContent.Cancellation content = new LogContent.Cancellation(context.clock().wallMs());
     return append(LogEntry.of(LogKey.cancel(jobId), content), deadlineMs);
@@ -98,15 +135,18 @@
       writer = newWriter();
     }
     KeyedRecord record = new KeyedRecord(entry.key().text(), JobLogCodec.encodeValue(entry));
-    long appendDeadlineMs = Math.min(deadlineMs, context.clock().nowMs() + APPEND_TIMEOUT_MS);
     return writer
-        .append(List.of(record), appendDeadlineMs)
+        .append(List.of(record), appendDeadlineMs(deadlineMs))
         .exceptionally(
             failure -> {
               throw refusal(LogFailure.of(failure));
             });
   }
 
+  private long appendDeadlineMs(long deadlineMs) {
+    return Math.min(deadlineMs, context.clock().nowMs() + APPEND_TIMEOUT_MS);
+  }
+
   private LogWriter newWriter() {
     String producer = producerPrefix + "-" + writers++;
     return new LogWriter(
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -121,6 +122,17 @@
     return queue.isEmpty() && inFlight.isEmpty();
   }
 
+  /**
+   * Returns the record with this key that is in flight, if any. It may be appended at any time
+   * until the log answers, also after its append has failed with UNKNOWN.
+   */
+  public Optional<KeyedRecord> inFlight(String key) {
+    return inFlight.stream()
+        .flatMap(item -> item.records.stream())
+        .filter(record -> record.key().equals(key))
+        .findFirst();
+  }
+
   /**
    * Returns whether a batch has been in flight for at least {@code ms} milliseconds, including
    * retries.
--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
@@ -377,7 +377,7 @@
       // A host that is killed first never responds, but may have logged the cancellation.
       cancelledJobs.add(id);
       host.batch()
-          .cancel(id, time.nowMs() + 2000)
+          .cancel(id, summary -> {}, time.nowMs() + 2000)
           .whenComplete(
               (known, failure) -> {
                 boolean refused = failure != null && describeOutcome(failure).equals("unavailable");
