The window of a waiting gang counts whole tasks on single hosts, and lasting work never ends

Cause: CapacityForecast added up the free accelerators of all hosts, while a placement wants whole tasks on single hosts. 56 free accelerators, 7 on each of 8 hosts, seemed enough for 7 tasks of 8, so the gang was expected to start now, with none to spare, and everything else would have delayed it. Besides, the estimate of lasting work was taken for its end.

Why it works: the forecast counts with the function that placements use. A gang that fits never, or that fits already and was not started, holds back nothing. Others may use what leaves room for all tasks of the gang, and are placed on hosts that it does not need if their first place is on one.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
@@ -73,7 +73,8 @@
             preferences.avoided(),
             step.sharing(),
             permitted,
-            suspect);
+            suspect,
+            step.longRunning());
     return new Job(
         new Labels(Map.of(CLASS_LABEL, Names.toLabelText(job.queue()))),
         Names.toValidName(job.workspace()),
--- a/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/ExpectedCompletion.java
@@ -151,7 +151,7 @@
         available = available.plus(host.held(attemptId));
       }
     }
-    return host.capacityNowFor(job, available).countFitting(job.taskAmount());
+    return host.countTasks(job, available);
   }
 
   // Nothing is known of the end of an attempt that has taken longer than expected. The capacity of
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -134,6 +134,11 @@
     return onProbation && !mayProbe ? ResourceAmount.ZERO : capacityFor(job, available);
   }
 
+  /** Returns how many tasks of {@code job} fit into {@code available} now. */
+  public int countTasks(Job job, ResourceAmount available) {
+    return capacityNowFor(job, available).countFitting(job.taskAmount());
+  }
+
   /** Adds to the number of tasks of a spread group, or subtracts if {@code tasks} is negative. */
   void adjustSpread(String group, int tasks) {
     spread.merge(group, tasks, (old, added) -> old + added == 0 ? null : old + added);
--- a/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/RunningAttempt.java
@@ -38,7 +38,10 @@
     this.placement = placement;
     this.startedAtMs = startedAtMs;
     this.submittedAtMs = start.submittedAtMs();
-    this.expectedEndMs = startedAtMs + start.expectedSeconds() * runTimeRatio * 1000;
+    this.expectedEndMs =
+        job.options().longRunning()
+            ? Double.POSITIVE_INFINITY
+            : startedAtMs + start.expectedSeconds() * runTimeRatio * 1000;
   }
 
   /** Returns the identifier of this attempt. */
@@ -78,7 +81,15 @@
         : jobName.compareTo(other.name()) > 0;
   }
 
-  /** Returns when it is expected to end, milliseconds of the decision loop's clock. */
+  /** Returns whether it is expected to end by itself. */
+  public boolean hasExpectedEnd() {
+    return expectedEndMs < Double.POSITIVE_INFINITY;
+  }
+
+  /**
+   * Returns when it is expected to end, milliseconds of the decision loop's clock; positive
+   * infinity if it runs until it is cancelled.
+   */
   public double expectedEndMs() {
     return expectedEndMs;
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -295,10 +295,13 @@
     return Collections.unmodifiableCollection(state.running.values());
   }
 
-  /** Returns the expected run time of an attempt, milliseconds, empty if it is unknown. */
+  /**
+   * Returns the expected run time of an attempt, milliseconds; empty if it is unknown, or if the
+   * attempt runs until it is cancelled.
+   */
   public OptionalLong expectedRunMs(String attemptId) {
     RunningAttempt attempt = state.running.get(attemptId);
-    return attempt == null
+    return attempt == null || !attempt.hasExpectedEnd()
         ? OptionalLong.empty()
         : OptionalLong.of((long) attempt.expectedEndMs() - attempt.startedAtMs());
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
@@ -193,32 +193,74 @@
       return noFreeCapacityReason();
     }
     if (considersSpeed && state.completion.shouldWait(job, placement.get(), nowMs)) {
-      return waitReason(
-          WaitReason.Kind.FASTER_HOSTS_EXPECTED, "it would be late on the hosts that are free");
+      return fasterHostsReason();
     }
-    BackfillWindow window = windows.get(policy.name());
     if (state.urgentReserve.mustWait(job, state.cluster, nowMs)) {
       return waitReason(
           WaitReason.Kind.KEPT_FOR_URGENT_WORK, state.cluster.freeAccelerators() + " are free");
     }
-    if (window != null
-        && window.isDelayedBy(job.job(), placement.get(), job.expectedSeconds(), nowMs)) {
-      return waitReason(
-          WaitReason.Kind.KEPT_FOR_EARLIER_JOB, "its start is expected to delay that of another");
+    Optional<BackfillWindow> window = Optional.ofNullable(windows.get(policy.name()));
+    return window.filter(reserved -> isDelayed(reserved, job, placement.get())).isPresent()
+        ? startOutside(window.get(), job, policy, known)
+        : startAt(placement.get(), job, window);
+  }
+
+  private boolean isDelayed(BackfillWindow window, QueuedJob job, Placement placement) {
+    return window.isDelayedBy(job.job(), placement, job.expectedSeconds(), nowMs);
+  }
+
+  // Starts a job on hosts that the blocked job does not need.
+  private Optional<WaitReason> startOutside(
+      BackfillWindow window, QueuedJob queued, PolicyTable.Entry policy, Findings known) {
+    if (known.noFreeCapacityOutsideWindow) {
+      return keptForEarlierJobReason();
+    }
+    searches++;
+    Job job = queued.job();
+    JobOptions elsewhere = job.options().avoiding(window.reservedHosts());
+    QueuedJob candidate =
+        new QueuedJob(
+            queued.name(),
+            job.withOptions(elsewhere),
+            queued.submittedAtMs(),
+            queued.expectedSeconds());
+    boolean considersSpeed = state.completion.applies();
+    Optional<Placement> placement =
+        considersSpeed
+            ? proposeFastEnough(candidate, policy, new Findings())
+            : propose(candidate.job(), policy, Optional.empty());
+    if (placement.isEmpty()) {
+      known.noFreeCapacityOutsideWindow = true;
+      return keptForEarlierJobReason();
+    }
+    if (considersSpeed && state.completion.shouldWait(queued, placement.get(), nowMs)) {
+      return fasterHostsReason();
     }
-    if (!start(job, placement.get(), List.of())) {
+    return startAt(placement.get(), queued, Optional.of(window));
+  }
+
+  private Optional<WaitReason> startAt(
+      Placement placement, QueuedJob job, Optional<BackfillWindow> window) {
+    if (!start(job, placement, List.of())) {
       return waitReason(
           WaitReason.Kind.WOULD_BREAK_GUARANTEE,
           "work that is not preemptible would sit on capacity that a guarantee needs");
     }
-    if (window != null) {
-      windows.put(
-          policy.name(),
-          window.afterStarting(job.job(), placement.get(), job.expectedSeconds(), nowMs));
-    }
+    window.ifPresent(
+        reserved -> reserved.recordStart(job.job(), placement, job.expectedSeconds(), nowMs));
     return Optional.empty();
   }
 
+  private Optional<WaitReason> fasterHostsReason() {
+    return waitReason(
+        WaitReason.Kind.FASTER_HOSTS_EXPECTED, "it would be late on the hosts that are free");
+  }
+
+  private Optional<WaitReason> keptForEarlierJobReason() {
+    return waitReason(
+        WaitReason.Kind.KEPT_FOR_EARLIER_JOB, "its start is expected to delay that of another");
+  }
+
   private Optional<WaitReason> noFreeCapacityReason() {
     return waitReason(
         WaitReason.Kind.NO_FREE_CAPACITY,
@@ -324,9 +366,20 @@
   private void block(QueuedJob job, PolicyTable.Entry policy, WaitReason reason) {
     state.reasons.put(job.name(), reason);
     if (blockedPolicies.add(policy.name()) && policy.policy().backfill() == Backfill.RESERVING) {
-      CapacityForecast.earliest(job.job(), state.cluster, state.running.values(), nowMs)
-          .ifPresent(window -> windows.put(policy.name(), window));
+      reserve(job.job(), policy, reason);
+    }
+  }
+
+  // A job that was not started although it fits does not wait for others to end, so that holding
+  // back others would not help it. The reserve for urgent work is different: it becomes smaller.
+  private void reserve(Job job, PolicyTable.Entry policy, WaitReason reason) {
+    CapacityForecast forecast = CapacityForecast.of(job, state.cluster);
+    if (forecast.fitsNow() && reason.kind() != WaitReason.Kind.KEPT_FOR_URGENT_WORK) {
+      return;
     }
+    forecast
+        .earliest(state.running.values(), nowMs)
+        .ifPresent(window -> windows.put(policy.name(), window));
   }
 
   /** A valid proposal of a policy, while nothing has started since. */
@@ -351,6 +404,7 @@
   private static final class Findings {
     private Optional<Boolean> fitsEmptyZone = Optional.empty();
     private boolean noFreeCapacity;
+    private boolean noFreeCapacityOutsideWindow;
     private double noneUpToRunTimeRatio;
     private boolean nothingToReclaim;
     private boolean nothingToReclaimIfGuaranteed;
--- a/core/src/main/java/org/wheatwall/core/job/model/JobOptions.java
+++ b/core/src/main/java/org/wheatwall/core/job/model/JobOptions.java
@@ -1,5 +1,6 @@
 package org.wheatwall.core.job.model;
 
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -19,6 +20,8 @@
  * @param permittedHosts the only hosts that may run it; all hosts may if empty
  * @param suspect whether a host crashed when one of its tasks started; two such jobs never share a
  *     host, so that a further crash identifies the job that caused it
+ * @param longRunning whether it runs until it is cancelled, so that its run time is not limited and
+ *     its end cannot be expected
  */
 public record JobOptions(
     int priority,
@@ -30,7 +33,8 @@
     Set<String> avoidedHosts,
     HostSharing sharing,
     Optional<Set<String>> permittedHosts,
-    boolean suspect) {
+    boolean suspect,
+    boolean longRunning) {
   /** No constraints and no preferences. */
   public static final JobOptions NONE =
       new JobOptions(
@@ -59,6 +63,32 @@
     Names.requireRange("spreadLimit", spreadLimit, 0, Integer.MAX_VALUE);
   }
 
+  /** Creates options of a job that ends by itself. */
+  public JobOptions(
+      int priority,
+      Set<String> hostLabels,
+      Optional<String> preferredRack,
+      Optional<String> spreadGroup,
+      int spreadLimit,
+      boolean resumable,
+      Set<String> avoidedHosts,
+      HostSharing sharing,
+      Optional<Set<String>> permittedHosts,
+      boolean suspect) {
+    this(
+        priority,
+        hostLabels,
+        preferredRack,
+        spreadGroup,
+        spreadLimit,
+        resumable,
+        avoidedHosts,
+        sharing,
+        permittedHosts,
+        suspect,
+        false);
+  }
+
   /** Returns whether some hosts are preferred to others that also satisfy the constraints. */
   public boolean hasPreferences() {
     return preferredRack.isPresent() || !avoidedHosts.isEmpty();
@@ -76,7 +106,26 @@
         Set.of(),
         sharing,
         permittedHosts,
-        suspect);
+        suspect,
+        longRunning);
+  }
+
+  /** Returns a copy of these options that avoids more hosts. */
+  public JobOptions avoiding(Set<String> moreHosts) {
+    Set<String> avoided = new HashSet<>(avoidedHosts);
+    avoided.addAll(moreHosts);
+    return new JobOptions(
+        priority,
+        hostLabels,
+        preferredRack,
+        spreadGroup,
+        spreadLimit,
+        resumable,
+        avoided,
+        sharing,
+        permittedHosts,
+        suspect,
+        longRunning);
   }
 
   /** Returns whether the job may run on a host. */
--- a/core/src/main/java/org/wheatwall/core/job/policy/FastEnoughPlacement.java
+++ b/core/src/main/java/org/wheatwall/core/job/policy/FastEnoughPlacement.java
@@ -164,7 +164,7 @@
   }
 
   private int tasksOn(HostState host) {
-    return host.capacityNowFor(job, host.free()).countFitting(job.taskAmount());
+    return host.countTasks(job, host.free());
   }
 
   private Optional<Placement> onOneHost() {
