No room is kept for a gang at the expense of others while less than half of the capacity is in use

Cause: the urgent reserve has an exception for such a service, the window of a waiting gang had none.

Why it works: such work, and long-running work, is first offered a place on hosts that the gang does not need, and gets its first place otherwise.

--- a/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/SchedulingPass.java
@@ -200,9 +200,13 @@
           WaitReason.Kind.KEPT_FOR_URGENT_WORK, state.cluster.freeAccelerators() + " are free");
     }
     Optional<BackfillWindow> window = Optional.ofNullable(windows.get(policy.name()));
-    return window.filter(reserved -> isDelayed(reserved, job, placement.get())).isPresent()
-        ? startOutside(window.get(), job, policy, known)
-        : startAt(placement.get(), job, window);
+    if (window.filter(reserved -> isDelayed(reserved, job, placement.get())).isEmpty()) {
+      return startAt(placement.get(), job, window);
+    }
+    Optional<WaitReason> notStarted = startOutside(window.get(), job, policy, known);
+    return notStarted.isPresent() && !KeptCapacity.mayBeWithheldFrom(job.job(), state.cluster)
+        ? startAt(placement.get(), job, window)
+        : notStarted;
   }
 
   private boolean isDelayed(BackfillWindow window, QueuedJob job, Placement placement) {
--- a/core/src/test/java/org/wheatwall/core/job/decision/BlockedGangTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/BlockedGangTest.java
@@ -156,6 +156,33 @@
     assertThat(scheduler.reasonKind("small-0")).hasValue(WaitReason.Kind.KEPT_FOR_EARLIER_JOB);
   }
 
+  // Guards against keeping room free for longer than work that fits is promised to wait, while
+  // less than half of the capacity is in use.
+  @Test
+  void workStartsOnAServiceThatIsLessThanHalfInUse() {
+    for (int i = 0; i < HOSTS; i++) {
+      run(i, accelerators(1), 10, false);
+    }
+    submitGang(HOSTS);
+    submitFollowers(FOLLOWERS, accelerators(2), 20);
+    scheduler.decide(1000);
+    assertThat(startedFollowers()).isEqualTo(FOLLOWERS);
+  }
+
+  // Guards against leaving long-running work without its place while a gang waits.
+  @Test
+  void longRunningWorkIsNotHeldBack() {
+    for (int i = 0; i < HOSTS; i++) {
+      run(i, accelerators(6), 10, false);
+    }
+    submitGang(HOSTS);
+    scheduler.submit("lasting", job(1, accelerators(2), 3, FOLLOWER_PRIORITY, true), 0);
+    submitFollowers(1, accelerators(2), 20);
+    scheduler.decide(1000);
+    assertThat(scheduler.attemptOf("lasting")).isPresent();
+    assertThat(startedFollowers()).isEqualTo(0);
+  }
+
   // Guards against holding back work that the policy would place on a host that the gang needs,
   // although another host has room for it.
   @Test
--- a/core/src/test/java/org/wheatwall/core/job/decision/ShareFixture.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/ShareFixture.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.wheatwall.core.common.Labels;
 import org.wheatwall.core.job.model.Adjacency;
+import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.Job;
+import org.wheatwall.core.job.model.JobOptions;
 import org.wheatwall.core.job.model.JobPhase;
 import org.wheatwall.core.job.model.Objective;
 import org.wheatwall.core.job.model.Placement;
@@ -84,6 +87,25 @@
     scheduler.adopt("run-" + name, name, job, nowMs - ranMs, placement, nowMs - ranMs);
   }
 
+  /** Adds an attempt of one task that runs until it is cancelled. */
+  void adoptLongRunning(String name, String workspace, ResourceAmount amount, String host) {
+    JobOptions options =
+        new JobOptions(
+            0,
+            Set.of(),
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false,
+            Set.of(),
+            HostSharing.ORDINARY,
+            Optional.empty(),
+            false,
+            true);
+    Job job = job(workspace, 1, amount, false).withOptions(options);
+    scheduler.adopt("run-" + name, name, job, nowMs, new Placement(List.of(host)), nowMs);
+  }
+
   /** Runs a pass and returns the names of the jobs that start, in order. */
   List<String> startedNow() {
     return started(scheduler.decide(nowMs));
