Long-running work does not wait for the reserve for urgent work

Cause: the reserve for urgent work lets others start if less than half of the capacity is in use or if their objective is near. Lasting work has no such objective, and is promised to be back within seconds however much is in use.

Why it works: the reserve asks KeptCapacity, as the window of a waiting gang does.

--- a/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/UrgentReserve.java
@@ -9,8 +9,8 @@
  * as its objective is not at risk: a job that must start now to meet its objective may use the
  * reserve, unless it will be late in any case.
  *
- * <p>The reserve is a share of the usable accelerators, and no job waits for it while less than
- * half of the capacity is in use.
+ * <p>The reserve is a share of the usable accelerators, and no job waits for it from which capacity
+ * may not be withheld ({@link KeptCapacity}).
  */
 final class UrgentReserve {
   // A job that would end later than this after its objective is late in any case. If all late work
@@ -45,7 +45,7 @@
     boolean exempt = job.urgent() || job.shape().isPresent() || job.totalAccelerators() == 0;
     if (exempt
         || !urgentArrivals.isArrivalExpected(nowMs)
-        || cluster.capacityInUse().isLessThanHalf()) {
+        || !KeptCapacity.mayBeWithheldFrom(job, cluster)) {
       return false;
     }
     int freeAfterStart = cluster.freeAccelerators() - job.totalAccelerators();
--- a/core/src/test/java/org/wheatwall/core/job/decision/PromisedStartTest.java
+++ b/core/src/test/java/org/wheatwall/core/job/decision/PromisedStartTest.java
@@ -25,8 +25,8 @@
 
 /**
  * On random clusters with random work, lasting and timed, urgent and not: a job for which there is
- * room twice over starts within 3 s if less than half of the capacity is in use, whatever stands
- * before it in the queue.
+ * room twice over starts within 3 s if less than half of the capacity is in use, and long-running
+ * work however much is in use, whatever stands before it in the queue.
  */
 final class PromisedStartTest {
   private static final int SCHEDULES = 150;
@@ -168,7 +168,7 @@
     for (Map.Entry<String, Job> entry : waiting.entrySet()) {
       String name = entry.getKey();
       Job job = entry.getValue();
-      if (!idle || !hasRoomTwiceOver(job)) {
+      if (!(idle || job.options().longRunning()) || !hasRoomTwiceOver(job)) {
         roomSinceMs.remove(name);
         continue;
       }
