Tasks that demand no resources keep to their labels and spread limits

Cause: a host that may not run a task has a capacity of zero for it, and zero holds any number of tasks that demand nothing. The same number, zero times what a task demands, stands for what the spread limit leaves.

Why it works: the scheduler counts such a task as a thousandth of a core, so that it does not fit into a capacity of zero.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
@@ -14,6 +14,7 @@
 import org.wheatwall.core.job.model.Job;
 import org.wheatwall.core.job.model.JobOptions;
 import org.wheatwall.core.job.model.JobPhase;
+import org.wheatwall.core.job.model.ResourceAmount;
 
 /**
  * Converts groups of tasks to jobs of the scheduler. Long-running tasks are never preempted: their
@@ -32,6 +33,11 @@
   private static final String SERVICE_LABEL_PREFIX = "service/";
   private static final int MS_PER_SECOND = 1000;
 
+  // A host that may not run a task has a capacity of zero for it, and zero holds any number of
+  // tasks
+  // without demands. Processors are counted in thousandths of a core.
+  private static final ResourceAmount SMALLEST_DEMAND = new ResourceAmount(1, 0, 0);
+
   private GroupJobs() {}
 
   /** Returns the label of the workers of a service. */
@@ -81,7 +87,7 @@
         ZONE,
         Optional.empty(),
         tasks,
-        step.taskAmount(),
+        step.taskAmount().equals(ResourceAmount.ZERO) ? SMALLEST_DEMAND : step.taskAmount(),
         preferences.oneRack() ? Adjacency.SAME_RACK : Adjacency.ANY,
         seconds,
         !step.longRunning(),
