A cancelled identifier stays cancelled if its submission reaches the log later

Cause: a host that does not find a job in the log answers 410 and writes nothing, so nothing tells whoever reads the late submission that it was cancelled.

Why it works: a cancellation is appended for unknown jobs as well before 410 is answered. The table of jobs kept such records already; a decider that reads the submission behind one cancels it at once.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -30,7 +30,8 @@
       case TERM -> entry.content().ifPresent(content -> applyTerm(content, offset));
       case GROUP -> applyGroup(entry);
       case JOB -> applyDefinition(name, entry.content());
-      case CANCEL -> record(name).setCancelled(entry.content().isPresent());
+      case CANCEL ->
+          record(name).setCancellation(entry.content().map(LogContent.Cancellation.class::cast));
       case END -> record(name).setEnd(entry.content().map(LogContent.End.class::cast));
       case HOST -> applyHost(name, entry.content());
     }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -192,8 +192,9 @@
   }
 
   /**
-   * Requests the cancellation of a job; false if there is no such job. Fails as {@link #submit}
-   * does.
+   * Requests the cancellation of a job; false if there is no such job. A submission that reaches
+   * the log later, because another host still appends it, is then cancelled as well. Fails as
+   * {@link #submit} does.
    *
    * @param permission throws a {@link Refusal} if the caller may not cancel the job
    */
@@ -210,10 +211,13 @@
     Optional<JobSummary> known =
         found.or(() -> intake.undecidedJob(jobId).map(BatchHost::undecidedSummary));
     known.ifPresent(permission);
-    if (known.isEmpty() || known.get().state().ended()) {
-      return CompletableFuture.completedFuture(known.isPresent());
+    if (known.filter(job -> job.state().ended()).isPresent()) {
+      return CompletableFuture.completedFuture(true);
     }
-    return intake.cancel(jobId, deadlineMs).thenCompose(done -> catchUpAfterWrite());
+    return intake
+        .cancel(jobId, deadlineMs)
+        .thenCompose(done -> catchUpAfterWrite())
+        .thenApply(done -> known.isPresent());
   }
 
   private static JobSummary undecidedSummary(BatchJob job) {
--- a/entry/src/test/java/org/wheatwall/entry/batch/UndecidedSubmissionTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/UndecidedSubmissionTest.java
@@ -31,6 +31,7 @@
   private VirtualTime time;
   private SimulatedStore store;
   private SimulatedWorkers workers;
+  private SimulatedPeers peers;
   private SimulatedHost host;
 
   private enum Call {
@@ -59,10 +60,15 @@
     time = new VirtualTime(seed);
     store = new SimulatedStore(time);
     workers = new SimulatedWorkers(time, 2, 8, Optional.empty(), store::confirmedAtMs);
-    SimulatedPeers peers = new SimulatedPeers(time);
-    host = new SimulatedHost(time, "host", store, workers, peers, 6000, Set.of());
-    host.start();
+    peers = new SimulatedPeers(time);
+    host = addHost("host");
+  }
+
+  private SimulatedHost addHost(String name) {
+    SimulatedHost added = new SimulatedHost(time, name, store, workers, peers, 6000, Set.of());
+    added.start();
     time.runFor(SETTLING_MS);
+    return added;
   }
 
   // Each call is made once the one before it is answered, as by a single caller.
@@ -142,10 +148,36 @@
       store.setDown(false, false);
       Answer cancelled = call(Call.CANCEL);
       time.runFor(MAX_DELAY_OF_APPENDS_MS + DEADLINE_MS);
-      boolean confirmed = cancelled.exists().isPresent();
-      assertWithMessage("seed %s: %s", seed, cancelled)
-          .that(confirmed && !workers.ledger().running().isEmpty())
-          .isFalse();
+      assertCancelled(seed, cancelled);
+    }
+  }
+
+  private void assertCancelled(long seed, Answer cancelled) {
+    boolean confirmed = cancelled.exists().isPresent();
+    assertWithMessage("seed %s: %s", seed, cancelled)
+        .that(confirmed && !workers.ledger().running().isEmpty())
+        .isFalse();
+  }
+
+  // The host that appends the job reaches the log again only after another host has cancelled it.
+  @Test
+  void aJobThatIsCancelledAtAnotherHostNeverRuns() {
+    int unknownJobs = 0;
+    for (long seed = 1; seed <= SCHEDULES; seed++) {
+      start(seed);
+      SimulatedHost first = host;
+      store.setPartitioned(first, true);
+      assertThat(call(Call.SUBMIT).refusal()).hasValue(RefusalKind.UNKNOWN);
+      host = addHost("other");
+      Answer cancelled = call(Call.CANCEL);
+      unknownJobs += cancelled.exists().filter(known -> !known).isPresent() ? 1 : 0;
+      store.setPartitioned(first, false);
+      time.runFor(MAX_DELAY_OF_APPENDS_MS + DEADLINE_MS);
+      assertWithMessage("seed %s: the log has the job in the end", seed)
+          .that(isAccepted())
+          .isTrue();
+      assertCancelled(seed, cancelled);
     }
+    assertThat(unknownJobs).isGreaterThan(SCHEDULES / 2);
   }
 }
