--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.wheatwall.core.batch.decision.JobRecord;
-import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.WaitSummary;
@@ -20,8 +18,6 @@
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.SchedulingRules;
-import org.wheatwall.core.common.Mechanism;
-import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.entry.batch.log.LogFollower;
 import org.wheatwall.entry.batch.peer.HostRoster;
@@ -47,21 +43,17 @@
   // A delay on the decider delays jobs; on other hosts it only makes job states older.
   private static final int DECIDER_READ_PAUSE_MS = 20;
   private static final int READ_PAUSE_MS = 150;
-  // The end of a job is read two log calls after it happened: usually 8 ms, 0.28 s with a log that
-  // is 34 times slower. A caller may only be polling, so its call is not held longer than that.
-  private static final int MAX_END_WAIT_MS = 300;
 
   private final String name;
-  private final Mechanisms mechanisms;
   private final BatchContext context;
   private final LogFollower follower;
   private final JobReplica replica;
-  private final CoalescedCatchUp logCatchUp;
   private final JobIntake intake;
   private final TermElection election;
   private final HostRoster roster;
   private final AdmissionControl admission;
   private final JobEndWaiters endWaiters;
+  private final JobCalls calls;
   private boolean announcing;
   private volatile long logRespondedAtMs;
   private volatile WaitSummary waitSummary = WaitSummary.NONE;
@@ -87,7 +79,6 @@
       DecisionLog decisions,
       MetricRegistry metrics) {
     this.name = settings.host();
-    this.mechanisms = settings.mechanisms();
     this.workers = ports.workers();
     this.claimDelayMs = settings.term().yieldMs();
     this.context = new BatchContext(loop, timer, clock, decisions, metrics);
@@ -110,10 +101,18 @@
     this.follower =
         new LogFollower("jobs", ports.log(), loop, timer, clock, this::pauseMs, replica);
     this.election.setFollower(follower);
-    this.logCatchUp = new CoalescedCatchUp(follower, context);
     this.logRespondedAtMs = follower.respondedAtMs();
     this.intake =
         new JobIntake("entry-" + settings.address() + "-" + incarnation, ports.log(), context);
+    this.calls =
+        new JobCalls(
+            settings.mechanisms(),
+            context,
+            follower,
+            replica,
+            intake,
+            endWaiters,
+            job -> admission.check(job, roster.peers().size() + 1));
     this.replica.onLogRecovered(this::logRecovered);
     metrics.gauge("batch.jobs.kept", () -> () -> replica.table().jobs().size());
     metrics.gauge("batch.term.held", () -> rule::term);
@@ -141,7 +140,7 @@
    * @param deadlineMs time on the monotonic clock until which the caller waits, milliseconds
    */
   public CompletableFuture<Void> submit(BatchJob job, long deadlineMs) {
-    return onLoop(() -> submitOnLoop(job, deadlineMs));
+    return onLoop(() -> calls.submit(job, deadlineMs));
   }
 
   /**
@@ -149,22 +148,7 @@
    * be determined.
    */
   public CompletableFuture<Optional<JobSummary>> find(String jobId) {
-    return onLoop(() -> findOnLoop(jobId))
-        .thenApplyAsync(
-            found -> {
-              if (found.isEmpty() && intake.undecidedJob(jobId).isPresent()) {
-                throw BatchContext.unavailable("an attempt to submit the job is not decided yet");
-              }
-              return found;
-            },
-            context.loop());
-  }
-
-  private CompletableFuture<Optional<JobSummary>> findOnLoop(String jobId) {
-    Optional<JobSummary> known = summary(jobId);
-    return known.isPresent()
-        ? CompletableFuture.completedFuture(known)
-        : logCatchUp.catchUp().thenApply(done -> summary(jobId));
+    return onLoop(() -> calls.find(jobId));
   }
 
   /**
@@ -174,21 +158,7 @@
    * @param deadlineMs time on the monotonic clock until which the caller waits, milliseconds
    */
   public CompletableFuture<Optional<JobSummary>> findOrAwaitEnd(String jobId, long deadlineMs) {
-    return find(jobId)
-        .thenComposeAsync(found -> awaitEnd(jobId, found, deadlineMs), context.loop());
-  }
-
-  private CompletableFuture<Optional<JobSummary>> awaitEnd(
-      String jobId, Optional<JobSummary> found, long deadlineMs) {
-    long waitMs = Math.min(MAX_END_WAIT_MS, deadlineMs - context.clock().nowMs());
-    boolean mayWait = mechanisms.isEnabled(Mechanism.END_WAIT) && !follower.isFailing();
-    boolean alreadyEnded = found.map(summary -> summary.state().ended()).orElse(true);
-    if (alreadyEnded || waitMs <= 0 || !mayWait) {
-      return CompletableFuture.completedFuture(found);
-    }
-    CompletableFuture<Void> ended = endWaiters.awaitEnd(jobId, waitMs);
-    follower.endPause();
-    return ended.thenApply(done -> summary(jobId));
+    return onLoop(() -> calls.findOrAwaitEnd(jobId, deadlineMs));
   }
 
   /**
@@ -200,28 +170,7 @@
    */
   public CompletableFuture<Boolean> cancel(
       String jobId, Consumer<JobSummary> permission, long deadlineMs) {
-    return onLoop(() -> findOnLoop(jobId))
-        .thenComposeAsync(
-            found -> cancelOnLoop(jobId, found, permission, deadlineMs), context.loop());
-  }
-
-  // A submission that is still being appended is cancelled behind it.
-  private CompletableFuture<Boolean> cancelOnLoop(
-      String jobId, Optional<JobSummary> found, Consumer<JobSummary> permission, long deadlineMs) {
-    Optional<JobSummary> known =
-        found.or(() -> intake.undecidedJob(jobId).map(BatchHost::undecidedSummary));
-    known.ifPresent(permission);
-    if (known.filter(job -> job.state().ended()).isPresent()) {
-      return CompletableFuture.completedFuture(true);
-    }
-    return intake
-        .cancel(jobId, deadlineMs)
-        .thenCompose(done -> catchUpAfterWrite())
-        .thenApply(done -> known.isPresent());
-  }
-
-  private static JobSummary undecidedSummary(BatchJob job) {
-    return new JobSummary(job.workspace(), BatchState.QUEUED);
+    return onLoop(() -> calls.cancel(jobId, permission, deadlineMs));
   }
 
   /**
@@ -336,54 +285,6 @@
   /** A job as its submitter sees it. */
   public record JobSummary(String workspace, BatchState state) {}
 
-  private Optional<JobSummary> summary(String jobId) {
-    JobTable table = replica.table();
-    return table.job(jobId).map(BatchHost::summary);
-  }
-
-  private static JobSummary summary(JobRecord record) {
-    return new JobSummary(record.job().orElseThrow().workspace(), record.state());
-  }
-
-  private CompletableFuture<Void> submitOnLoop(BatchJob job, long deadlineMs) {
-    if (!follower.isStarted() || follower.isFailing()) {
-      throw intake.undecidedJob(job.id()).isPresent()
-          ? JobIntake.undecided()
-          : BatchContext.unavailable("the job log cannot be read now");
-    }
-    if (replica.table().job(job.id()).isPresent()) {
-      return CompletableFuture.completedFuture(null);
-    }
-    return rejection(job).isPresent()
-        ? rejectUnlessAccepted(job, deadlineMs)
-        : intake.accept(job, deadlineMs);
-  }
-
-  // An earlier attempt may have been accepted elsewhere since this host last read the log, so the
-  // log is read to its end before the rejection says that the job does not run.
-  private CompletableFuture<Void> rejectUnlessAccepted(BatchJob job, long deadlineMs) {
-    return logCatchUp
-        .catchUp()
-        .thenComposeAsync(
-            done -> {
-              if (replica.table().job(job.id()).isPresent()) {
-                return CompletableFuture.completedFuture(null);
-              }
-              Optional<Refusal> refusal = rejection(job);
-              return refusal.isPresent()
-                  ? CompletableFuture.failedFuture(refusal.get())
-                  : intake.accept(job, deadlineMs);
-            },
-            context.loop());
-  }
-
-  // A job that an earlier attempt may still add to the log cannot be rejected any more.
-  private Optional<Refusal> rejection(BatchJob job) {
-    return intake.undecidedJob(job.id()).isPresent()
-        ? Optional.empty()
-        : admission.check(job, roster.peers().size() + 1);
-  }
-
   private void logRecovered() {
     election.decider().ifPresent(BatchDecider::logRecovered);
     intake.logRecovered();
@@ -394,12 +295,6 @@
     return follower.isStarted() && age < MAX_LOG_AGE_MS;
   }
 
-  // Lets callers read their own writes: the next query sees the effect of this call. The call
-  // itself has succeeded whether or not the log can be read.
-  private CompletableFuture<Boolean> catchUpAfterWrite() {
-    return logCatchUp.catchUp().handle((done, failure) -> true);
-  }
-
   private int pauseMs() {
     boolean awaited = election.decider().isPresent() || endWaiters.hasWaiters();
     return awaited ? DECIDER_READ_PAUSE_MS : READ_PAUSE_MS;
