--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupJobs.java
@@ -33,9 +33,8 @@
   private static final String SERVICE_LABEL_PREFIX = "service/";
   private static final int MS_PER_SECOND = 1000;
 
-  // A host that may not run a task has a capacity of zero for it, and zero holds any number of
-  // tasks
-  // without demands. Processors are counted in thousandths of a core.
+  // A host that may not run a task has a capacity of zero for it, which would hold any number of
+  // tasks without demands. Processors are counted in thousandths of a core.
   private static final ResourceAmount SMALLEST_DEMAND = new ResourceAmount(1, 0, 0);
 
   private GroupJobs() {}
