--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
@@ -16,7 +16,7 @@
   private final Map<GroupKey, GroupState> groups = new HashMap<>();
   private Optional<BatchJob> job = Optional.empty();
   private Optional<LogContent.End> end = Optional.empty();
-  private Optional<LogContent.Cancellation> cancellation = Optional.empty();
+  private boolean cancelled;
 
   JobRecord(String id) {
     this.id = id;
@@ -39,17 +39,7 @@
 
   /** Returns whether cancellation of the job was requested. */
   public boolean cancelled() {
-    return cancellation.isPresent();
-  }
-
-  /**
-   * Returns whether all that the log has of the job is a cancellation that is older than {@code
-   * ageMs}: no submission followed it.
-   */
-  boolean isCancellationOlderThan(long ageMs, long wallMs) {
-    boolean alone = job.isEmpty() && end.isEmpty() && groups.isEmpty();
-    return alone
-        && cancellation.filter(found -> wallMs - found.requestedAtMs() > ageMs).isPresent();
+    return cancelled;
   }
 
   /** Returns the groups of tasks that have a state in the log. */
@@ -62,7 +52,7 @@
     if (end.isPresent()) {
       return end.get().state();
     }
-    if (cancelled()) {
+    if (cancelled) {
       return BatchState.CANCELLED;
     }
     return groups.isEmpty() ? BatchState.QUEUED : BatchState.RUNNING;
@@ -80,8 +70,8 @@
     end = next;
   }
 
-  void setCancellation(Optional<LogContent.Cancellation> next) {
-    cancellation = next;
+  void setCancelled(boolean next) {
+    cancelled = next;
   }
 
   void setGroup(GroupKey group, Optional<GroupState> state) {
@@ -93,6 +83,6 @@
   }
 
   boolean isEmpty() {
-    return job.isEmpty() && end.isEmpty() && !cancelled() && groups.isEmpty();
+    return job.isEmpty() && end.isEmpty() && !cancelled && groups.isEmpty();
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -30,8 +30,7 @@
       case TERM -> entry.content().ifPresent(content -> applyTerm(content, offset));
       case GROUP -> applyGroup(entry);
       case JOB -> applyDefinition(name, entry.content());
-      case CANCEL ->
-          record(name).setCancellation(entry.content().map(LogContent.Cancellation.class::cast));
+      case CANCEL -> record(name).setCancelled(entry.content().isPresent());
       case END -> record(name).setEnd(entry.content().map(LogContent.End.class::cast));
       case HOST -> applyHost(name, entry.content());
     }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -454,10 +454,7 @@
     term.flush();
   }
 
-  /**
-   * Drops the log records of jobs that ended, or were cancelled without being submitted, longer ago
-   * than the retention time.
-   */
+  /** Drops the log records of jobs that ended longer ago than the retention time. */
   public void dropExpiredJobs(JobTable table, long monotonicMs, long wallMs) {
     term.setTime(monotonicMs, wallMs);
     if (term.nowMs - lastSweepAtMs < RETENTION_SWEEP_INTERVAL_MS) {
@@ -466,7 +463,12 @@
     lastSweepAtMs = term.nowMs;
     int dropped = 0;
     for (JobRecord record : table.jobs()) {
-      if (isExpired(record) && dropped < MAX_JOBS_DROPPED_PER_SWEEP) {
+      boolean expired =
+          record
+              .end()
+              .filter(end -> term.wallMs - end.endedAtMs() > term.settings.retentionMs())
+              .isPresent();
+      if (expired && record.groups().isEmpty() && dropped < MAX_JOBS_DROPPED_PER_SWEEP) {
         dropped++;
         term.pendingEntries.add(LogEntry.tombstone(LogKey.job(record.id())));
         term.pendingEntries.add(LogEntry.tombstone(LogKey.cancel(record.id())));
@@ -476,14 +478,6 @@
     term.flush();
   }
 
-  private boolean isExpired(JobRecord record) {
-    int retentionMs = term.settings.retentionMs();
-    boolean ended =
-        record.end().filter(end -> term.wallMs - end.endedAtMs() > retentionMs).isPresent();
-    return (ended && record.groups().isEmpty())
-        || record.isCancellationOlderThan(retentionMs, term.wallMs);
-  }
-
   private void logFirstDecision() {
     if (!firstDecisionLogged) {
       firstDecisionLogged = true;
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -162,9 +162,8 @@
   }
 
   /**
-   * Requests the cancellation of a job; false if there is no such job. A submission that reaches
-   * the log later, because another host still appends it, is then cancelled as well. Fails as
-   * {@link #submit} does.
+   * Requests the cancellation of a job; false if there is no such job. Fails as {@link #submit}
+   * does.
    *
    * @param permission throws a {@link Refusal} if the caller may not cancel the job
    */
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobCalls.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobCalls.java
@@ -146,13 +146,10 @@
     Optional<JobSummary> known =
         found.or(() -> intake.undecidedJob(jobId).map(JobCalls::undecidedSummary));
     known.ifPresent(permission);
-    if (known.filter(job -> job.state().ended()).isPresent()) {
-      return CompletableFuture.completedFuture(true);
+    if (known.isEmpty() || known.get().state().ended()) {
+      return CompletableFuture.completedFuture(known.isPresent());
     }
-    return intake
-        .cancel(jobId, deadlineMs)
-        .thenCompose(done -> catchUpAfterWrite())
-        .thenApply(done -> known.isPresent());
+    return intake.cancel(jobId, deadlineMs).thenCompose(done -> catchUpAfterWrite());
   }
 
   // Lets callers read their own writes: the next query sees the effect of this call. The call
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -154,9 +154,6 @@
     if (record.end().isEmpty()) {
       addToBacklog(record);
       record.job().ifPresent(listener::onJob);
-      if (record.cancelled()) {
-        listener.onCancellation(record.id());
-      }
     }
   }
 
