--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -22,6 +22,7 @@
     TASK_FAILED,
     RUN_ADOPTED,
     JOB_ENDED,
+    JOB_DROPPED,
     FIRST_DECISION,
     PERMITS_KNOWN,
     WORKER_LISTED,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -470,6 +470,11 @@
               .isPresent();
       if (expired && record.groups().isEmpty() && dropped < MAX_JOBS_DROPPED_PER_SWEEP) {
         dropped++;
+        term.logEvent(
+            RunEvent.Kind.JOB_DROPPED,
+            record.id(),
+            "",
+            "ended " + (term.wallMs - record.end().orElseThrow().endedAtMs()) + " ms ago");
         term.pendingEntries.add(LogEntry.tombstone(LogKey.job(record.id())));
         term.pendingEntries.add(LogEntry.tombstone(LogKey.cancel(record.id())));
         term.pendingEntries.add(LogEntry.tombstone(LogKey.end(record.id())));
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
@@ -65,7 +65,7 @@
     }
     CompletableFuture<Void> appended =
         undecidedJob(job.id()).isPresent()
-            ? awaitEarlierAttempt(deadlineMs)
+            ? awaitEarlierAttempt(job.id(), deadlineMs)
             : append(LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)), deadlineMs);
     pendingByJob.put(job.id(), appended);
     appended.whenComplete((done, failure) -> pendingByJob.remove(job.id()));
@@ -93,7 +93,8 @@
   }
 
   // Completes behind the record in flight. That no answer arrives in time says nothing about it.
-  private CompletableFuture<Void> awaitEarlierAttempt(long deadlineMs) {
+  private CompletableFuture<Void> awaitEarlierAttempt(String jobId, long deadlineMs) {
+    context.decisions().log("submission-joined", field("job", jobId));
     return writer
         .append(List.of(), appendDeadlineMs(deadlineMs))
         .exceptionally(
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wheatwall.entry.batch.LoopTimer;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.LoopCallbacks;
@@ -21,6 +23,8 @@
  * <p>Not thread-safe; the decision loop owns it.
  */
 public final class LogWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(LogWriter.class);
+  private static final int MAX_LOGGED_KEYS = 5;
   private static final int MAX_RECORDS = 500;
   // A call that times out sends all of it again, so it has to fit the time limit of a call on the
   // slowest link: 75 ms at 7 Mbit/s.
@@ -278,15 +282,29 @@
       return;
     }
     List<PendingAppend> remaining = new ArrayList<>();
+    List<String> dropped = new ArrayList<>();
     for (PendingAppend item : inFlight) {
       if (item.deadlineMs > clock.nowMs()) {
         remaining.add(item);
       } else {
+        item.records.forEach(record -> dropped.add(record.key()));
         item.result.completeExceptionally(
             new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time"));
       }
     }
     inFlight = remaining;
+    logDropped(dropped);
+  }
+
+  private void logDropped(List<String> keys) {
+    if (!keys.isEmpty()) {
+      LOG.atInfo()
+          .addKeyValue("producer", producer)
+          .addKeyValue("sequence", sequence)
+          .addKeyValue("records", keys.size())
+          .addKeyValue("keys", keys.subList(0, Math.min(keys.size(), MAX_LOGGED_KEYS)))
+          .log("append-abandoned");
+    }
   }
 
   private void scheduleRetry() {
