A sequence number in flight is not given to other records

What callers saw: a job answered 2xx could be in no log, and a job that was refused could run (the report: accepted and isn't known; that this is what the users saw is not shown).

Cause: LogWriter told the calls of a batch apart by their sequence number. The retry timer of an abandoned batch sent the next batch, under the same number, a second time; the refusal of one copy was taken for the refusal of both, so the number went to other records while a copy was still on its way. The late copy was appended, and the log gave its answer to the call with the other records.

Class: an answer, a timer or a flag that belongs to one call is taken for that of another call with the same number.

Fix: calls, timers and what is known of them belong to an AppendBatch. Its records change, and its number goes to other records, only while every call that carried them was refused.

Evidence: LogWriterTest#aNumberInFlightIsNotReusedAfterTheRetryOfAnAbandonedBatch fails without (the number of record b goes to record c).

--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -41,29 +41,11 @@
   private final Clock clock;
   private final LongConsumer onAppended;
   private final Deque<PendingAppend> queue = new ArrayDeque<>();
-  private List<PendingAppend> inFlight = List.of();
+  private Optional<AppendBatch> inFlight = Optional.empty();
   private long sequence;
-  private boolean sending;
-  private boolean mayHaveArrived;
-  // Lease time of the first call with the batch in flight that may have had an effect.
-  private long firstSentMs;
-  // Lease time at which the batch in flight was taken from the queue.
-  private long batchStartMs;
   private boolean closed;
   private int backoffMs = FIRST_BACKOFF_MS;
 
-  /** Records that are appended together. */
-  private static final class PendingAppend {
-    private final List<KeyedRecord> records;
-    private final long deadlineMs;
-    private final CompletableFuture<Void> result = new CompletableFuture<>();
-
-    private PendingAppend(List<KeyedRecord> records, long deadlineMs) {
-      this.records = records;
-      this.deadlineMs = deadlineMs;
-    }
-  }
-
   /**
    * Creates a writer.
    *
@@ -99,21 +81,19 @@
   public CompletableFuture<Void> append(List<KeyedRecord> records, long deadlineMs) {
     PendingAppend item = new PendingAppend(records, deadlineMs);
     if (closed) {
-      item.result.completeExceptionally(
-          new LogFailure(LogFailure.Kind.FENCED, "this writer was closed"));
-      return item.result;
+      item.fail(new LogFailure(LogFailure.Kind.FENCED, "this writer was closed"));
+      return item.result();
     }
     if (queue.size() >= MAX_QUEUED) {
-      item.result.completeExceptionally(
-          new LogFailure(LogFailure.Kind.NOT_DONE, "too many records wait to be appended"));
-      return item.result;
+      item.fail(new LogFailure(LogFailure.Kind.NOT_DONE, "too many records wait to be appended"));
+      return item.result();
     }
     queue.add(item);
     if (deadlineMs != Long.MAX_VALUE) {
       timer.after(Math.max(0, deadlineMs - clock.nowMs()), this::expire);
     }
     sendNextBatch();
-    return item.result;
+    return item.result();
   }
 
   /** Returns whether the writer has stopped sending. */
@@ -132,7 +112,7 @@
    */
   public Optional<KeyedRecord> inFlight(String key) {
     return inFlight.stream()
-        .flatMap(item -> item.records.stream())
+        .flatMap(batch -> batch.records().stream())
         .filter(record -> record.key().equals(key))
         .findFirst();
   }
@@ -142,40 +122,41 @@
    * retries.
    */
   public boolean isStalledFor(int ms) {
-    return !inFlight.isEmpty() && clock.leaseTimeMs() - batchStartMs >= ms;
+    return inFlight.filter(batch -> clock.leaseTimeMs() - batch.startedMs() >= ms).isPresent();
   }
 
   /** Fails all appends whose deadline has passed; those that were sent may still take effect. */
   public void expire() {
     long now = clock.nowMs();
-    List<PendingAppend> expired = queue.stream().filter(item -> item.deadlineMs <= now).toList();
+    List<PendingAppend> expired = queue.stream().filter(item -> item.isExpired(now)).toList();
     queue.removeAll(expired);
-    for (PendingAppend item : expired) {
-      item.result.completeExceptionally(
-          new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time"));
-    }
-    if (!sending && !mayHaveArrived) {
-      dropExpiredUnsent();
-      sendNextBatch();
+    expired.forEach(item -> item.fail(notTaken()));
+    inFlight.ifPresent(this::expire);
+  }
+
+  private void expire(AppendBatch batch) {
+    if (!batch.mayBeAppended()) {
+      dropExpired(batch);
       return;
     }
-    for (PendingAppend item : inFlight) {
-      if (item.deadlineMs <= now) {
-        item.result.completeExceptionally(
-            new LogFailure(LogFailure.Kind.UNKNOWN, "the log did not answer in time"));
+    for (PendingAppend item : batch.items()) {
+      if (item.isExpired(clock.nowMs())) {
+        item.fail(new LogFailure(LogFailure.Kind.UNKNOWN, "the log did not answer in time"));
       }
     }
   }
 
+  private static LogFailure notTaken() {
+    return new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time");
+  }
+
   /**
-   * Resends the batch in flight, now that the log responds again: the previous call may be lost,
-   * and its timeout is long. The log carries out only one of them, but it is no longer certain that
-   * the first had no effect.
+   * Sends the batch in flight once more, now that the log responds again: the previous call may be
+   * lost, and its timeout is long. The log carries out only one of them.
    */
   public void resend() {
-    if (!closed && !inFlight.isEmpty()) {
-      mayHaveArrived = true;
-      send();
+    if (!closed) {
+      inFlight.ifPresent(this::send);
     }
   }
 
@@ -186,7 +167,7 @@
   }
 
   private void sendNextBatch() {
-    if (closed || !inFlight.isEmpty() || queue.isEmpty()) {
+    if (closed || inFlight.isPresent() || queue.isEmpty()) {
       return;
     }
     List<PendingAppend> batch = new ArrayList<>();
@@ -194,142 +175,120 @@
     int bytes = 0;
     while (!queue.isEmpty()) {
       PendingAppend item = queue.peek();
-      int size = size(item);
-      boolean full = records + item.records.size() > MAX_RECORDS || bytes + size > MAX_BYTES;
+      int size = item.bytes();
+      boolean full = records + item.records().size() > MAX_RECORDS || bytes + size > MAX_BYTES;
       if (full && !batch.isEmpty()) {
         break;
       }
       batch.add(queue.poll());
-      records += item.records.size();
+      records += item.records().size();
       bytes += size;
     }
-    inFlight = batch;
+    AppendBatch next = new AppendBatch(sequence, batch, clock.leaseTimeMs());
+    inFlight = Optional.of(next);
     if (records == 0) {
       // The store does not count a call without records, so none is sent.
-      completeBatch();
+      complete(next);
       return;
     }
-    mayHaveArrived = false;
     backoffMs = FIRST_BACKOFF_MS;
-    firstSentMs = clock.leaseTimeMs();
-    batchStartMs = firstSentMs;
-    send();
+    send(next);
   }
 
-  private static int size(PendingAppend item) {
-    int bytes = 0;
-    for (KeyedRecord record : item.records) {
-      bytes += record.key().length() + record.value().length;
-    }
-    return bytes;
-  }
-
-  private void send() {
-    List<KeyedRecord> records = new ArrayList<>();
-    inFlight.forEach(item -> records.addAll(item.records));
-    long number = sequence;
-    sending = true;
+  private void send(AppendBatch batch) {
+    int call = batch.recordSent(clock.leaseTimeMs());
     LoopCallbacks.whenDone(
-        log.append(new KeyedLog.AppendCall(records, OptionalLong.empty(), producer, epoch, number)),
+        log.append(
+            new KeyedLog.AppendCall(
+                batch.records(), OptionalLong.empty(), producer, epoch, batch.sequence())),
         loop,
         (appended, failure) -> {
-          if (closed || number != sequence) {
+          if (!isInFlight(batch)) {
             return;
           }
-          sending = false;
           if (failure == null) {
-            batchAppended();
+            batchAppended(batch);
           } else {
-            appendFailed(LogFailure.of(failure));
+            callFailed(batch, call, LogFailure.of(failure));
           }
         });
   }
 
-  private void batchAppended() {
+  private boolean isInFlight(AppendBatch batch) {
+    return inFlight.filter(current -> current == batch).isPresent();
+  }
+
+  private void batchAppended(AppendBatch batch) {
     sequence++;
-    onAppended.accept(firstSentMs);
-    completeBatch();
+    onAppended.accept(batch.firstSentMs());
+    complete(batch);
   }
 
-  private void completeBatch() {
-    List<PendingAppend> batch = inFlight;
-    inFlight = List.of();
-    batch.forEach(item -> item.result.complete(null));
+  private void complete(AppendBatch batch) {
+    inFlight = Optional.empty();
+    batch.items().forEach(PendingAppend::complete);
     sendNextBatch();
   }
 
-  private void appendFailed(LogFailure failure) {
+  private void callFailed(AppendBatch batch, int call, LogFailure failure) {
     switch (failure.kind()) {
       case FENCED, OUT_OF_SEQUENCE -> {
         closed = true;
         failAll(failure);
       }
-      case NOT_DONE -> {
-        dropExpiredUnsent();
-        scheduleRetry();
-      }
       default -> {
-        mayHaveArrived = true;
-        scheduleRetry();
+        batch.recordFailed(failure.kind() != LogFailure.Kind.NOT_DONE);
+        dropExpired(batch);
+        if (isInFlight(batch) && batch.isLatest(call)) {
+          scheduleRetry(batch, call);
+        }
       }
     }
   }
 
-  // The retry of a call that certainly had no effect may omit expired records, under the same
-  // sequence number.
-  private void dropExpiredUnsent() {
-    if (mayHaveArrived || inFlight.isEmpty()) {
+  private void dropExpired(AppendBatch batch) {
+    List<PendingAppend> expired = batch.removeExpired(clock.nowMs());
+    if (expired.isEmpty()) {
       return;
     }
-    List<PendingAppend> remaining = new ArrayList<>();
-    List<String> dropped = new ArrayList<>();
-    for (PendingAppend item : inFlight) {
-      if (item.deadlineMs > clock.nowMs()) {
-        remaining.add(item);
-      } else {
-        item.records.forEach(record -> dropped.add(record.key()));
-        item.result.completeExceptionally(
-            new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time"));
-      }
+    logAbandoned(batch, expired);
+    if (batch.items().isEmpty()) {
+      inFlight = Optional.empty();
     }
-    inFlight = remaining;
-    logDropped(dropped);
+    expired.forEach(item -> item.fail(notTaken()));
+    sendNextBatch();
   }
 
-  private void logDropped(List<String> keys) {
-    if (!keys.isEmpty()) {
-      LOG.atInfo()
-          .addKeyValue("producer", producer)
-          .addKeyValue("sequence", sequence)
-          .addKeyValue("records", keys.size())
-          .addKeyValue("keys", keys.subList(0, Math.min(keys.size(), MAX_LOGGED_KEYS)))
-          .log("append-abandoned");
-    }
+  private void logAbandoned(AppendBatch batch, List<PendingAppend> abandoned) {
+    List<String> keys =
+        abandoned.stream().flatMap(item -> item.records().stream()).map(KeyedRecord::key).toList();
+    LOG.atInfo()
+        .addKeyValue("producer", producer)
+        .addKeyValue("sequence", batch.sequence())
+        .addKeyValue("records", keys.size())
+        .addKeyValue("keys", keys.subList(0, Math.min(keys.size(), MAX_LOGGED_KEYS)))
+        .log("append-abandoned");
   }
 
-  private void scheduleRetry() {
-    if (inFlight.isEmpty()) {
-      sendNextBatch();
-      return;
-    }
-    long number = sequence;
+  // Another call of the batch may be sent meanwhile; it has a retry of its own.
+  private void scheduleRetry(AppendBatch batch, int call) {
     long delayMs = backoffMs;
     backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
     timer.after(
         delayMs,
         () -> {
-          if (!closed && number == sequence && !inFlight.isEmpty()) {
-            firstSentMs = mayHaveArrived ? firstSentMs : clock.leaseTimeMs();
-            send();
+          if (isInFlight(batch) && batch.isLatest(call)) {
+            send(batch);
           }
         });
   }
 
   private void failAll(LogFailure failure) {
-    List<PendingAppend> failed = new ArrayList<>(inFlight);
+    List<PendingAppend> failed = new ArrayList<>();
+    inFlight.ifPresent(batch -> failed.addAll(batch.items()));
     failed.addAll(queue);
-    inFlight = List.of();
+    inFlight = Optional.empty();
     queue.clear();
-    failed.forEach(item -> item.result.completeExceptionally(failure));
+    failed.forEach(item -> item.fail(failure));
   }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -76,6 +76,17 @@
     private void accept() {
       responses.get(responses.size() - 1).complete(new Appended(0));
     }
+
+    // Whatever a call without a response carries may still be appended under its number.
+    private void assertNoNumberInFlightIsReused() {
+      for (int i = 0; i < calls.size(); i++) {
+        for (AppendCall later : calls.subList(i + 1, calls.size())) {
+          if (!responses.get(i).isDone() && later.sequence() == calls.get(i).sequence()) {
+            assertThat(later.records()).isEqualTo(calls.get(i).records());
+          }
+        }
+      }
+    }
   }
 
   private CompletableFuture<Void> append(String key, long deadlineMs) {
@@ -209,4 +220,21 @@
     assertThat(next.isDone()).isFalse();
     assertThat(log.calls).hasSize(3);
   }
+
+  // Guards against an acknowledged record whose place in the log another record has taken.
+  @Test
+  void aNumberInFlightIsNotReusedAfterTheRetryOfAnAbandonedBatch() {
+    append("a", 1100);
+    log.fail(LogFailure.Kind.NOT_DONE);
+    nowMs = 1200;
+    writer.expire();
+    append("b", 1300);
+    int sent = log.calls.size();
+    timers.forEach(Runnable::run);
+    log.responses.get(sent - 1).completeExceptionally(new LogFailure(LogFailure.Kind.NOT_DONE, ""));
+    nowMs = 1400;
+    writer.expire();
+    append("c", 5000);
+    log.assertNoNumberInFlightIsReused();
+  }
 }
