A repeat is acknowledged by the record of its job, not by the end of the append before it

Cause: the repeat waited for an append without records behind the record of the first attempt. If the log refused that record after its deadline, the record was dropped, the empty append was all that was left, and it was completed.

Class: an acknowledgement concluded from the absence of what was in front of it, not from the log's answer for the record.

Fix: the repeat waits for the record itself and extends the time for which it is sent again, so a job that is wanted again is appended rather than dropped. A record that is dropped fails all that wait for it; a repeat is then refused with 503, since the record certainly was not appended. Appends without records are gone: the decider's wait for its earlier records succeeds only if each of them was appended.

Tests: JobIntakeTest#repeatIsNotAcknowledgedWithoutARecordOfTheJob fails before.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -261,8 +261,8 @@
 
   // An empty list completes after the records before it.
   private CompletableFuture<Void> append(List<LogEntry> entries) {
-    if (entries.isEmpty() && writer.isIdle()) {
-      return CompletableFuture.completedFuture(null);
+    if (entries.isEmpty()) {
+      return writer.appendedSoFar();
     }
     List<KeyedRecord> records =
         entries.stream()
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
@@ -64,9 +64,12 @@
       return pending;
     }
     CompletableFuture<Void> appended =
-        undecidedJob(job.id()).isPresent()
-            ? awaitEarlierAttempt(job.id(), deadlineMs)
-            : append(LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)), deadlineMs);
+        awaitEarlierAttempt(job.id(), deadlineMs)
+            .orElseGet(
+                () ->
+                    append(
+                        LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)),
+                        deadlineMs));
     pendingByJob.put(job.id(), appended);
     appended.whenComplete((done, failure) -> pendingByJob.remove(job.id()));
     return appended;
@@ -92,15 +95,11 @@
         "repeat with the same identifier; it remains one job");
   }
 
-  // Completes behind the record in flight. That no answer arrives in time says nothing about it.
-  private CompletableFuture<Void> awaitEarlierAttempt(String jobId, long deadlineMs) {
-    context.decisions().log("submission-joined", field("job", jobId));
-    return writer
-        .append(List.of(), appendDeadlineMs(deadlineMs))
-        .exceptionally(
-            failure -> {
-              throw undecided();
-            });
+  private Optional<CompletableFuture<Void>> awaitEarlierAttempt(String jobId, long deadlineMs) {
+    Optional<CompletableFuture<Void>> earlier =
+        writer.awaitInFlight(LogKey.job(jobId).text(), appendDeadlineMs(deadlineMs));
+    earlier.ifPresent(outcome -> context.decisions().log("submission-joined", field("job", jobId)));
+    return earlier.map(JobIntake::withRefusals);
   }
 
   /**
@@ -136,12 +135,14 @@
       writer = newWriter();
     }
     KeyedRecord record = new KeyedRecord(entry.key().text(), JobLogCodec.encodeValue(entry));
-    return writer
-        .append(List.of(record), appendDeadlineMs(deadlineMs))
-        .exceptionally(
-            failure -> {
-              throw refusal(LogFailure.of(failure));
-            });
+    return withRefusals(writer.append(List.of(record), appendDeadlineMs(deadlineMs)));
+  }
+
+  private static CompletableFuture<Void> withRefusals(CompletableFuture<Void> appended) {
+    return appended.exceptionally(
+        failure -> {
+          throw refusal(LogFailure.of(failure));
+        });
   }
 
   private long appendDeadlineMs(long deadlineMs) {
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -42,6 +42,7 @@
   private final LongConsumer onAppended;
   private final Deque<PendingAppend> queue = new ArrayDeque<>();
   private Optional<AppendBatch> inFlight = Optional.empty();
+  private CompletableFuture<Void> appendedSoFar = CompletableFuture.completedFuture(null);
   private long sequence;
   private boolean closed;
   private int backoffMs = FIRST_BACKOFF_MS;
@@ -73,27 +74,57 @@
   }
 
   /**
-   * Appends records, all in one call and in the order of the calls to this method; an empty list
-   * completes after the records before it. Fails with {@link LogFailure}: NOT_DONE if the records
-   * were not sent before the deadline and never will be, UNKNOWN if they may have been appended,
-   * FENCED if the epoch is over.
+   * Appends records, all in one call and in the order of the calls to this method. Fails with
+   * {@link LogFailure}: NOT_DONE if the records were not appended before the deadline and never
+   * will be, UNKNOWN if they may have been appended, FENCED if the epoch is over.
+   *
+   * @param records at least one: the store does not count a call without records
    */
   public CompletableFuture<Void> append(List<KeyedRecord> records, long deadlineMs) {
-    PendingAppend item = new PendingAppend(records, deadlineMs);
+    if (records.isEmpty()) {
+      throw new IllegalArgumentException("no records to append");
+    }
+    PendingAppend item = new PendingAppend(records);
+    CompletableFuture<Void> result = item.await(deadlineMs);
     if (closed) {
       item.fail(new LogFailure(LogFailure.Kind.FENCED, "this writer was closed"));
-      return item.result();
-    }
-    if (queue.size() >= MAX_QUEUED) {
+    } else if (queue.size() >= MAX_QUEUED) {
       item.fail(new LogFailure(LogFailure.Kind.NOT_DONE, "too many records wait to be appended"));
-      return item.result();
+    } else {
+      appendedSoFar = isIdle() ? result : CompletableFuture.allOf(appendedSoFar, result);
+      queue.add(item);
+      expireAt(deadlineMs);
+      sendNextBatch();
     }
-    queue.add(item);
+    return result;
+  }
+
+  /**
+   * Returns the outcome of the record with this key that is in flight, empty if there is none. The
+   * record is not abandoned before {@code deadlineMs}. Fails as {@link #append} does.
+   */
+  public Optional<CompletableFuture<Void>> awaitInFlight(String key, long deadlineMs) {
+    Optional<PendingAppend> found =
+        inFlight.stream()
+            .flatMap(batch -> batch.items().stream())
+            .filter(item -> item.contains(key))
+            .findFirst();
+    found.ifPresent(item -> expireAt(deadlineMs));
+    return found.map(item -> item.await(deadlineMs));
+  }
+
+  private void expireAt(long deadlineMs) {
     if (deadlineMs != Long.MAX_VALUE) {
       timer.after(Math.max(0, deadlineMs - clock.nowMs()), this::expire);
     }
-    sendNextBatch();
-    return item.result();
+  }
+
+  /**
+   * Completes once all records given to this writer are appended; fails if one of those that are
+   * pending now fails.
+   */
+  public CompletableFuture<Void> appendedSoFar() {
+    return isIdle() ? CompletableFuture.completedFuture(null) : appendedSoFar;
   }
 
   /** Returns whether the writer has stopped sending. */
@@ -139,11 +170,8 @@
       dropExpired(batch);
       return;
     }
-    for (PendingAppend item : batch.items()) {
-      if (item.isExpired(clock.nowMs())) {
-        item.fail(new LogFailure(LogFailure.Kind.UNKNOWN, "the log did not answer in time"));
-      }
-    }
+    LogFailure unknown = new LogFailure(LogFailure.Kind.UNKNOWN, "the log did not answer in time");
+    batch.items().forEach(item -> item.failExpired(clock.nowMs(), unknown));
   }
 
   private static LogFailure notTaken() {
@@ -186,11 +214,6 @@
     }
     AppendBatch next = new AppendBatch(sequence, batch, clock.leaseTimeMs());
     inFlight = Optional.of(next);
-    if (records == 0) {
-      // The store does not count a call without records, so none is sent.
-      complete(next);
-      return;
-    }
     backoffMs = FIRST_BACKOFF_MS;
     send(next);
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/JobIntakeTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/JobIntakeTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.entry.batch.log.KeyedLog;
@@ -74,6 +75,11 @@
     };
   }
 
+  private CompletableFuture<Void> accept() {
+    BatchJob job = SimulatedJobs.singleTask(SimulatedJobs.id(1), 1000, 1, 0, time.nowMs());
+    return intake.accept(job, time.nowMs() + FAR_DEADLINE_MS);
+  }
+
   private CompletableFuture<Void> cancel() {
     return intake.cancel("00000000000000a1", time.nowMs() + FAR_DEADLINE_MS);
   }
@@ -122,4 +128,18 @@
     log.calls.get(0).complete(new KeyedLog.Appended(0));
     sent.join();
   }
+
+  // Guards against a repeat that is acknowledged because the record before it was abandoned.
+  @Test
+  void repeatIsNotAcknowledgedWithoutARecordOfTheJob() {
+    CompletableFuture<Void> first = accept();
+    time.runFor(JobIntake.APPEND_TIMEOUT_MS + MARGIN_MS);
+    assertThat(refusalKind(first)).isEqualTo(RefusalKind.UNKNOWN);
+    CompletableFuture<Void> repeat = accept();
+    log.calls.get(0).completeExceptionally(new LogFailure(LogFailure.Kind.NOT_DONE, "overloaded"));
+    time.runFor(MARGIN_MS);
+    assertThat(repeat.isDone()).isFalse();
+    log.calls.get(1).complete(new KeyedLog.Appended(0));
+    repeat.join();
+  }
 }
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
@@ -79,6 +79,11 @@
     firstOffset = records.size();
   }
 
+  /** Returns how many records with this key were appended. */
+  long countRecords(String key) {
+    return records.stream().filter(record -> record.key().equals(key)).count();
+  }
+
   KeyedLog logOf(SimulatedHost host) {
     return new KeyedLog() {
       @Override
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -154,17 +154,46 @@
   // The store does not count a call without records, so the sequence numbers after a counted one
   // would be wrong.
   @Test
-  void aBarrierIsNotSent() {
+  void waitingForEarlierRecordsSendsNothing() {
     append("a", 5000);
-    CompletableFuture<Void> barrier = writer.append(List.of(), 5000);
-    assertThat(barrier.isDone()).isFalse();
+    CompletableFuture<Void> all = writer.appendedSoFar();
+    assertThat(all.isDone()).isFalse();
     log.accept();
-    assertThat(barrier.isDone()).isTrue();
+    assertThat(all.isDone()).isTrue();
     assertThat(log.calls).hasSize(1);
     append("b", 5000);
     assertThat(log.calls.get(1).sequence()).isEqualTo(11);
   }
 
+  // Guards against success that is concluded from the absence of earlier records.
+  @Test
+  void waitingForEarlierRecordsFailsIfOneOfThemIsAbandoned() {
+    append("a", 1100);
+    append("b", 5000);
+    CompletableFuture<Void> all = writer.appendedSoFar();
+    nowMs = 1200;
+    writer.expire();
+    log.fail(LogFailure.Kind.NOT_DONE);
+    log.accept();
+    assertThat(log.calls.get(1).records().get(0).key()).isEqualTo("b");
+    assertThat(kindOf(all)).isEqualTo(LogFailure.Kind.UNKNOWN);
+  }
+
+  @Test
+  void aRecordThatIsAwaitedAgainIsNotAbandoned() {
+    CompletableFuture<Void> first = append("a", 1500);
+    nowMs = 1600;
+    writer.expire();
+    CompletableFuture<Void> again = writer.awaitInFlight("a", 3000).orElseThrow();
+    log.fail(LogFailure.Kind.NOT_DONE);
+    timers.poll().run();
+    assertThat(log.calls.get(1).records().get(0).key()).isEqualTo("a");
+    log.accept();
+    assertThat(kindOf(first)).isEqualTo(LogFailure.Kind.UNKNOWN);
+    assertThat(again.isCompletedExceptionally()).isFalse();
+    assertThat(again.isDone()).isTrue();
+  }
+
   @Test
   void aFencedWriterSendsNothingMore() {
     CompletableFuture<Void> first = append("a", 5000);
