Ended jobs are dropped by how long this process has known of their end, not by the time of day

Cause: the decider compared its time of day with the one that whichever decider had written into the end of the job, and removed the records if they differed by more than the retention time.

Fix: each process notes on its own monotonic clock when it read the end of a job (EndedJobs). That is never before the end, stops during a suspension, and no setting of a clock moves it. A process that starts begins anew, so a change to a host that has just started keeps jobs longer, never shorter.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -30,8 +30,8 @@
       case TERM -> entry.content().ifPresent(content -> applyTerm(content, offset));
       case GROUP -> applyGroup(entry);
       case JOB -> applyDefinition(name, entry.content());
-      case CANCEL -> record(name).setCancelled(entry.content().isPresent());
-      case END -> record(name).setEnd(entry.content().map(LogContent.End.class::cast));
+      case CANCEL -> recordFor(name).setCancelled(entry.content().isPresent());
+      case END -> recordFor(name).setEnd(entry.content().map(LogContent.End.class::cast));
       case HOST -> applyHost(name, entry.content());
     }
     dropIfEmpty(jobIdOf(entry.key()));
@@ -42,6 +42,11 @@
     return Optional.ofNullable(jobs.get(id)).filter(record -> record.job().isPresent());
   }
 
+  /** Returns what the log has of a job, also if it has no definition of it. */
+  Optional<JobRecord> record(String id) {
+    return Optional.ofNullable(jobs.get(id));
+  }
+
   /** Returns all records, in the order in which their jobs first appeared in the log. */
   public Collection<JobRecord> jobs() {
     return Collections.unmodifiableCollection(jobs.values());
@@ -94,7 +99,7 @@
   }
 
   private void applyDefinition(String id, Optional<LogContent> content) {
-    JobRecord record = record(id);
+    JobRecord record = recordFor(id);
     if (content.isEmpty()) {
       record.clearJob();
     } else if (record.job().isEmpty()) {
@@ -106,7 +111,7 @@
     GroupKey.parse(entry.key().name())
         .ifPresent(
             group ->
-                record(group.jobId())
+                recordFor(group.jobId())
                     .setGroup(
                         group,
                         entry.content().map(content -> ((LogContent.Group) content).state())));
@@ -119,7 +124,7 @@
     return GroupKey.parse(key.name()).map(GroupKey::jobId).orElse("");
   }
 
-  private JobRecord record(String id) {
+  private JobRecord recordFor(String id) {
     return jobs.computeIfAbsent(id, JobRecord::new);
   }
 
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -454,35 +454,36 @@
     term.flush();
   }
 
-  /** Drops the log records of jobs that ended longer ago than the retention time. */
-  public void dropExpiredJobs(JobTable table, long monotonicMs, long wallMs) {
+  /**
+   * Drops the log records of jobs that have been known to have ended for longer than the retention
+   * time.
+   */
+  public void dropExpiredJobs(JobTable table, EndedJobs endedJobs, long monotonicMs, long wallMs) {
     term.setTime(monotonicMs, wallMs);
     if (term.nowMs - lastSweepAtMs < RETENTION_SWEEP_INTERVAL_MS) {
       return;
     }
     lastSweepAtMs = term.nowMs;
-    int dropped = 0;
-    for (JobRecord record : table.jobs()) {
-      boolean expired =
-          record
-              .end()
-              .filter(end -> term.wallMs - end.endedAtMs() > term.settings.retentionMs())
-              .isPresent();
-      if (expired && record.groups().isEmpty() && dropped < MAX_JOBS_DROPPED_PER_SWEEP) {
-        dropped++;
-        term.logEvent(
-            RunEvent.Kind.JOB_DROPPED,
-            record.id(),
-            "",
-            "ended " + (term.wallMs - record.end().orElseThrow().endedAtMs()) + " ms ago");
-        term.pendingEntries.add(LogEntry.tombstone(LogKey.job(record.id())));
-        term.pendingEntries.add(LogEntry.tombstone(LogKey.cancel(record.id())));
-        term.pendingEntries.add(LogEntry.tombstone(LogKey.end(record.id())));
-      }
-    }
+    endedJobs.olderThan(term.settings.retentionMs(), term.nowMs).stream()
+        .flatMap(id -> table.record(id).stream())
+        .filter(record -> record.end().isPresent() && record.groups().isEmpty())
+        .limit(MAX_JOBS_DROPPED_PER_SWEEP)
+        .forEach(this::drop);
     term.flush();
   }
 
+  private void drop(JobRecord record) {
+    long endedMsAgo = term.wallMs - record.end().orElseThrow().endedAtMs();
+    term.logEvent(
+        RunEvent.Kind.JOB_DROPPED,
+        record.id(),
+        "",
+        "ended " + endedMsAgo + " ms ago by the time of day");
+    term.pendingEntries.add(LogEntry.tombstone(LogKey.job(record.id())));
+    term.pendingEntries.add(LogEntry.tombstone(LogKey.cancel(record.id())));
+    term.pendingEntries.add(LogEntry.tombstone(LogKey.end(record.id())));
+  }
+
   private void logFirstDecision() {
     if (!firstDecisionLogged) {
       firstDecisionLogged = true;
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.wheatwall.core.batch.decision.EndedJobs;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.RunEffects;
 import org.wheatwall.core.batch.decision.RunEvent;
@@ -195,13 +196,13 @@
    *
    * @param dueMs when this call was due, milliseconds on the monotonic clock
    */
-  void tick(JobTable table, long dueMs) {
+  void tick(JobTable table, EndedJobs endedJobs, long dueMs) {
     if (ended || !mayAct()) {
       return;
     }
     updateEvacuations();
     supervisor.tick(context.clock().nowMs(), context.clock().wallMs());
-    supervisor.dropExpiredJobs(table, context.clock().nowMs(), context.clock().wallMs());
+    supervisor.dropExpiredJobs(table, endedJobs, context.clock().nowMs(), context.clock().wallMs());
     poller.tick(dueMs);
     decideSoon();
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -2,8 +2,11 @@
 
 import static org.wheatwall.entry.batch.DecisionLog.field;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import org.wheatwall.core.batch.decision.EndedJobs;
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.RunTimeTracker;
@@ -35,6 +38,7 @@
   private final DecisionLog decisions;
   private final AdmissionControl admission;
   private final RunTimeTracker runTimes;
+  private final EndedJobs endedJobs = new EndedJobs();
   private JobTable table = new JobTable();
   private Listener listener;
   private Runnable onLogRecovered = () -> {};
@@ -86,6 +90,11 @@
     return table;
   }
 
+  /** Returns since when this host knows of the ends of jobs. */
+  EndedJobs endedJobs() {
+    return endedJobs;
+  }
+
   /** Returns the run times on workers, as learned from the records that were read. */
   RunTimeTracker runTimes() {
     return runTimes;
@@ -100,6 +109,7 @@
     }
     rule.onDeciderRecord(clock.nowMs());
     table.hosts().keySet().forEach(name -> roster.recordSeen(name, clock.nowMs()));
+    resetEndedJobs();
     admission.onReset();
     for (JobRecord record : List.copyOf(table.jobs())) {
       addToBacklog(record);
@@ -111,6 +121,15 @@
     listener.onReset();
   }
 
+  private void resetEndedJobs() {
+    Set<String> ended = new HashSet<>();
+    table.jobs().stream()
+        .filter(record -> record.end().isPresent())
+        .forEach(record -> ended.add(record.id()));
+    endedJobs.retainAll(ended);
+    ended.forEach(id -> endedJobs.add(id, clock.nowMs()));
+  }
+
   @Override
   public void onRecord(KeyedRecord record, long offset) {
     Optional<LogEntry> decoded = decode(record);
@@ -136,10 +155,7 @@
         listener.onCancellation(key.name());
       }
       case HOST -> roster.recordSeen(key.name(), clock.nowMs());
-      case END -> {
-        admission.onJobClosed(key.name());
-        endWaiters.jobEnded(key.name());
-      }
+      case END -> onEnd(key.name(), entry.content().isPresent());
       case GROUP ->
           GroupKey.parse(key.name()).ifPresent(group -> onGroup(group, groupBefore, entry));
     }
@@ -157,6 +173,16 @@
     }
   }
 
+  private void onEnd(String jobId, boolean ended) {
+    if (ended) {
+      endedJobs.add(jobId, clock.nowMs());
+    } else {
+      endedJobs.remove(jobId);
+    }
+    admission.onJobClosed(jobId);
+    endWaiters.jobEnded(jobId);
+  }
+
   private void addToBacklog(JobRecord record) {
     if (record.job().isPresent() && record.end().isEmpty() && !record.cancelled()) {
       admission.onJob(record.job().get());
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -119,7 +119,7 @@
   void tick(long dueMs) {
     actingTerm = rule.actingTerm();
     claimRetries = 0;
-    decider.ifPresent(current -> current.tick(replica.table(), dueMs));
+    decider.ifPresent(current -> current.tick(replica.table(), replica.endedJobs(), dueMs));
     decider.ifPresent(this::dropExpiredHosts);
     decider.ifPresent(reachabilityHandOver::tick);
     renewIfDue();
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedHost.java
@@ -15,6 +15,9 @@
 
 /** An entry host in simulated time that can be killed, frozen, suspended and restarted. */
 final class SimulatedHost {
+  /** How long ended jobs are kept, milliseconds. */
+  static final int RETENTION_MS = 600_000;
+
   private static final long NANOS_PER_MS = 1_000_000;
   private static final int UPTIME_RESOLUTION_MS = 10;
 
@@ -106,7 +109,7 @@
             "zone",
             peerAddress(),
             leaseMs,
-            600_000,
+            RETENTION_MS,
             TermSettings.DEFAULT,
             Mechanisms.ALL,
             features);
