Pages of newest records are merged into the state at one offset

What callers saw: nothing shown on processes. On a log with more keys than a page holds, a host that started, or whose history was dropped, showed earlier states of jobs, terms and evacuated zones until it had read the rest of the log: later pages hold records that are newer than those it then replayed.

Fix: SnapshotRead reads what was appended between the first page and the last one and merges it, so that listeners start from the state at one offset. If that was dropped meanwhile, the pages are read anew.

Tests: both new tests of LogFollowerTest fail before (the reset comes with the last page, and holds a key that was dropped). This is no cause of the answer that a job is not known: a query reads to the log's end first.

--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogFollower.java
@@ -1,9 +1,6 @@
 package org.wheatwall.entry.batch.log;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.IntSupplier;
@@ -27,9 +24,6 @@
   private static final int SECOND_READ_DELAY_MS = 250;
   // Callers have 3 s, and two catch-ups may follow each other.
   private static final int CATCH_UP_LIMIT_MS = 1000;
-  // Newest records that were read longer ago are read again, so that what the later ones replace is
-  // not shown for long.
-  private static final int NEWEST_VALID_MS = 10_000;
   private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
   private final String name;
@@ -101,7 +95,21 @@
 
   /** Starts to follow the log. */
   public void start() {
-    readNewest(Optional.empty(), new ArrayList<>(), -1, now());
+    RequestTime requested = now();
+    new SnapshotRead(
+            log, loop, clock, snapshot -> reset(snapshot, requested), this::failed, this::start)
+        .start();
+  }
+
+  private void reset(SnapshotRead.Snapshot snapshot, RequestTime requested) {
+    if (stopped) {
+      return;
+    }
+    position = snapshot.end();
+    runListener(position, () -> listener.onReset(snapshot.records()));
+    succeeded(requested, true);
+    catchUps.advanceTo(position);
+    follow();
   }
 
   private RequestTime now() {
@@ -207,58 +215,6 @@
     LoopCallbacks.whenDone(catchUp(), loop, (done, failure) -> confirming = false);
   }
 
-  private void readNewest(
-      Optional<String> afterKey,
-      List<KeyedLog.NewestRecord> newest,
-      long end,
-      RequestTime requested) {
-    if (stopped) {
-      return;
-    }
-    LoopCallbacks.whenDone(
-        log.newest(afterKey),
-        loop,
-        (page, failure) -> {
-          if (failure == null) {
-            applyNewest(page, newest, end, requested);
-          } else {
-            failed(LogFailure.of(failure), () -> resumeNewest(afterKey, newest, end, requested));
-          }
-        });
-  }
-
-  private void resumeNewest(
-      Optional<String> afterKey,
-      List<KeyedLog.NewestRecord> newest,
-      long end,
-      RequestTime requested) {
-    if (clock.nowMs() - requested.atMs() < NEWEST_VALID_MS) {
-      readNewest(afterKey, newest, end, requested);
-    } else {
-      start();
-    }
-  }
-
-  private void applyNewest(
-      KeyedLog.NewestPage page,
-      List<KeyedLog.NewestRecord> newest,
-      long end,
-      RequestTime requested) {
-    newest.addAll(page.records());
-    long from = end < 0 ? page.end() : end;
-    if (page.more() && !page.records().isEmpty()) {
-      String last = page.records().get(page.records().size() - 1).record().key();
-      readNewest(Optional.of(last), newest, from, requested);
-      return;
-    }
-    newest.sort(Comparator.comparingLong(KeyedLog.NewestRecord::offset));
-    position = from;
-    runListener(position, () -> listener.onReset(newest));
-    succeeded(requested, true);
-    catchUps.advanceTo(position);
-    follow();
-  }
-
   // An exception that the listener throws for one record must not end the reading of all later
   // ones.
   private void runListener(long offset, Runnable callback) {
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogFollowerTest.java
@@ -311,6 +311,38 @@
         new KeyedLog.NewestPage(List.of(new KeyedLog.NewestRecord(record, 0)), more, 5));
   }
 
+  // Guards against states that go back while records older than those of the last page are
+  // replayed.
+  @Test
+  void pagesThatAreReadAtDifferentTimesAreMergedIntoTheStateAtOneOffset() {
+    KeyedRecord old = new KeyedRecord("m", new byte[] {1});
+    KeyedRecord latest = new KeyedRecord("m", new byte[] {2});
+    KeyedRecord dropped = new KeyedRecord("a", new byte[0]);
+    log.newestPages.add(page("a", true));
+    log.newestPages.add(
+        CompletableFuture.completedFuture(
+            new KeyedLog.NewestPage(List.of(new KeyedLog.NewestRecord(latest, 7)), false, 8)));
+    follower.start();
+    assertThat(follower.isStarted()).isFalse();
+    assertThat(log.readOffsets).containsExactly(5L);
+    log.response.complete(new KeyedLog.LogPage(5, 8, List.of(old, dropped, latest)));
+    assertThat(resetTo).containsExactly("m");
+    assertThat(seen).isEmpty();
+    assertThat(follower.position()).isEqualTo(8);
+  }
+
+  @Test
+  void recordsThatAreDroppedWhilePagesAreReadStartTheReadAnew() {
+    log.newestPages.add(page("a", true));
+    log.newestPages.add(
+        CompletableFuture.completedFuture(new KeyedLog.NewestPage(List.of(), false, 8)));
+    log.newestPages.add(page("b", false));
+    follower.start();
+    log.response.completeExceptionally(new LogFailure(LogFailure.Kind.HISTORY_GONE, "dropped"));
+    assertThat(resetTo).containsExactly("b");
+    assertThat(follower.position()).isEqualTo(5);
+  }
+
   @Test
   void aCatchUpThatTakesTooLongFailsAsNotDone() {
     follower.start();
