A job whose cancellation was acknowledged never runs; a job that waits to be appended is not denied

What callers saw: a submission whose call to the log was out past its deadline (504), then a cancellation at the same host, which was appended behind it and acknowledged (2xx). The log refused the submission, and the caller's repeat was appended by another host after the cancellation: the deciding host ran the job, though every host showed it as cancelled. The replica told the decider of the definition and not that a cancellation had come before it; now it does.

And: a submission that waits behind a slow append was unknown to the host that queued it, so a query or a cancellation there was answered 410, and the job ran. Now it counts as undecided from the moment it is queued.

Tests: aJobWhoseCancellationPrecedesItsDefinitionNeverRuns and noAnswerDeniesAJobThatWaitsToBeAppended fail before.

--- a/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
@@ -36,10 +36,13 @@
   private final String producerPrefix;
   private final KeyedLog log;
   private final BatchContext context;
-  private final Map<String, CompletableFuture<Void>> pendingByJob = new HashMap<>();
+  private final Map<String, PendingSubmission> pendingByJob = new HashMap<>();
   private LogWriter writer;
   private int writers;
 
+  /** A submission whose caller waits. */
+  private record PendingSubmission(BatchJob job, CompletableFuture<Void> appended) {}
+
   /**
    * Creates the intake.
    *
@@ -59,9 +62,9 @@
    * is not known.
    */
   CompletableFuture<Void> accept(BatchJob job, long deadlineMs) {
-    CompletableFuture<Void> pending = pendingByJob.get(job.id());
+    PendingSubmission pending = pendingByJob.get(job.id());
     if (pending != null) {
-      return pending;
+      return pending.appended();
     }
     CompletableFuture<Void> appended =
         awaitEarlierAttempt(job.id(), deadlineMs)
@@ -70,16 +73,22 @@
                     append(
                         LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)),
                         deadlineMs));
-    pendingByJob.put(job.id(), appended);
+    pendingByJob.put(job.id(), new PendingSubmission(job, appended));
     appended.whenComplete((done, failure) -> pendingByJob.remove(job.id()));
     return appended;
   }
 
   /**
-   * Returns a job that was sent to the log, which has not answered: it may be accepted at any time,
-   * although its submitter was told that this is not known.
+   * Returns a job that waits to be sent to the log, or was sent and the log has not answered: it
+   * may be accepted at any time, also after its submitter was told that this is not known.
    */
   Optional<BatchJob> undecidedJob(String jobId) {
+    return Optional.ofNullable(pendingByJob.get(jobId))
+        .map(PendingSubmission::job)
+        .or(() -> sentJob(jobId));
+  }
+
+  private Optional<BatchJob> sentJob(String jobId) {
     return writer
         .inFlight(LogKey.job(jobId).text())
         .flatMap(record -> JobLogCodec.decode(record.key(), record.value()))
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -171,6 +171,10 @@
       addToBacklog(record);
       record.job().ifPresent(listener::onJob);
     }
+    // A cancellation may come before the definition, if another host appended that.
+    if (record.cancelled()) {
+      listener.onCancellation(record.id());
+    }
   }
 
   private void onEnd(String jobId, boolean ended) {
--- a/entry/src/test/java/org/wheatwall/entry/batch/UndecidedSubmissionTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/UndecidedSubmissionTest.java
@@ -6,11 +6,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
+import org.wheatwall.entry.batch.log.KeyedLog;
+import org.wheatwall.entry.batch.log.KeyedRecord;
+import org.wheatwall.wire.batch.JobLogCodec;
 import org.wheatwall.wire.http.Problems;
 
 /**
@@ -159,6 +167,56 @@
         .isFalse();
   }
 
+  // Guards against a job that runs although its cancellation was acknowledged: the submission that
+  // it followed was refused by the log, and a repeat at another host was appended after it.
+  @Test
+  void aJobWhoseCancellationPrecedesItsDefinitionNeverRuns() {
+    start(1);
+    LogEntry cancellation =
+        LogEntry.of(LogKey.cancel(JOB), new LogContent.Cancellation(time.nowMs()));
+    KeyedRecord record =
+        new KeyedRecord(cancellation.key().text(), JobLogCodec.encodeValue(cancellation));
+    store
+        .logOf(host)
+        .append(new KeyedLog.AppendCall(List.of(record), OptionalLong.empty(), "other host", 1, 1));
+    time.runFor(SETTLING_MS);
+    assertThat(call(Call.SUBMIT).exists()).hasValue(true);
+    time.runFor(SETTLING_MS);
+    assertThat(workers.ledger().running()).isEmpty();
+    assertThat(state()).isEqualTo(BatchState.CANCELLED);
+  }
+
+  // Guards against the answer that there is no such job while its record waits behind an append.
+  @Test
+  void noAnswerDeniesAJobThatWaitsToBeAppended() {
+    start(1);
+    store.setDown(true, true);
+    CompletableFuture<Void> earlier = submit(SimulatedJobs.id(2));
+    CompletableFuture<Void> queued = submit(JOB);
+    store.setDown(false, false);
+    time.runFor(1);
+    Answer found = call(Call.FIND);
+    Answer cancelled = call(Call.CANCEL);
+    time.runFor(MAX_DELAY_OF_APPENDS_MS + DEADLINE_MS);
+    assertThat(earlier.isDone()).isTrue();
+    assertThat(queued.isCompletedExceptionally()).isFalse();
+    assertWithMessage("%s", found).that(found.deniesJob()).isFalse();
+    assertThat(cancelled.exists()).hasValue(true);
+    assertThat(state()).isEqualTo(BatchState.CANCELLED);
+  }
+
+  private BatchState state() {
+    CompletableFuture<Optional<BatchHost.JobSummary>> found = host.batch().find(JOB);
+    time.runFor(SETTLING_MS);
+    return found.join().orElseThrow().state();
+  }
+
+  private CompletableFuture<Void> submit(String id) {
+    return host.batch()
+        .submit(
+            SimulatedJobs.singleTask(id, WORK_MS, 1, 0, time.nowMs()), time.nowMs() + DEADLINE_MS);
+  }
+
   // The host that appends the job reaches the log again only after another host has cancelled it.
   @Test
   void aJobThatIsCancelledAtAnotherHostNeverRuns() {
