A closed writer confirms nothing, and an identifier is dropped once

Both take an identifier that is used again after the retention time.

AcknowledgedSubmissionsTest counts the answers of each attempt, so that an attempt without an answer is seen.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -468,11 +468,14 @@
         .flatMap(id -> table.record(id).stream())
         .filter(record -> record.end().isPresent() && record.groups().isEmpty())
         .limit(MAX_JOBS_DROPPED_PER_SWEEP)
-        .forEach(this::drop);
+        .forEach(record -> drop(record, endedJobs));
     term.flush();
   }
 
-  private void drop(JobRecord record) {
+  // The identifier may be submitted anew from now on, so it is dropped once only.
+  private void drop(JobRecord record, EndedJobs endedJobs) {
+    endedJobs.remove(record.id());
+    term.endedJobs.remove(record.id());
     long endedMsAgo = term.wallMs - record.end().orElseThrow().endedAtMs();
     term.logEvent(
         RunEvent.Kind.JOB_DROPPED,
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -87,7 +87,7 @@
     PendingAppend item = new PendingAppend(records);
     CompletableFuture<Void> result = item.await(deadlineMs);
     if (closed) {
-      item.fail(new LogFailure(LogFailure.Kind.FENCED, "this writer was closed"));
+      item.fail(fenced());
     } else if (queue.size() >= MAX_QUEUED) {
       item.fail(new LogFailure(LogFailure.Kind.NOT_DONE, "too many records wait to be appended"));
     } else {
@@ -124,6 +124,9 @@
    * pending now fails.
    */
   public CompletableFuture<Void> appendedSoFar() {
+    if (closed) {
+      return CompletableFuture.failedFuture(fenced());
+    }
     return isIdle() ? CompletableFuture.completedFuture(null) : appendedSoFar;
   }
 
@@ -174,6 +177,10 @@
     batch.items().forEach(item -> item.failExpired(clock.nowMs(), unknown));
   }
 
+  private static LogFailure fenced() {
+    return new LogFailure(LogFailure.Kind.FENCED, "this writer was closed");
+  }
+
   private static LogFailure notTaken() {
     return new LogFailure(LogFailure.Kind.NOT_DONE, "the log did not take it in time");
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/AcknowledgedSubmissionsTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/AcknowledgedSubmissionsTest.java
@@ -40,6 +40,7 @@
   private SimulatedStore store;
   private JobIntake intake;
   private boolean disturbing;
+  private int unanswered;
   private final Map<String, List<Optional<RefusalKind>>> answersByJob = new HashMap<>();
   private final List<String> acknowledgedWithoutRecord = new ArrayList<>();
 
@@ -102,12 +103,14 @@
     }
     BatchJob job = SimulatedJobs.singleTask(id, 1000, 1, 0, time.nowMs());
     long deadlineMs = time.nowMs() + 1 + time.random().nextInt(MAX_DEADLINE_MS);
+    unanswered++;
     CompletableFuture<Void> answer = intake.accept(job, deadlineMs);
     answer.whenComplete((done, failure) -> onAnswer(id, Optional.ofNullable(failure)));
   }
 
   private void onAnswer(String id, Optional<Throwable> failure) {
     Optional<RefusalKind> refusal = failure.map(cause -> ((Refusal) Problems.unwrap(cause)).kind());
+    unanswered--;
     answersByJob.computeIfAbsent(id, key -> new ArrayList<>()).add(refusal);
     if (refusal.isEmpty() && records(id) != 1) {
       acknowledgedWithoutRecord.add(id);
@@ -122,6 +125,7 @@
 
   private void check(long seed) {
     assertWithMessage("seed %s: answered jobs", seed).that(answersByJob).hasSize(JOBS);
+    assertWithMessage("seed %s: attempts without an answer", seed).that(unanswered).isEqualTo(0);
     assertWithMessage("seed %s: acknowledged before their record was appended", seed)
         .that(acknowledgedWithoutRecord)
         .isEmpty();
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -202,6 +202,7 @@
     assertThat(kindOf(first)).isEqualTo(LogFailure.Kind.FENCED);
     assertThat(kindOf(second)).isEqualTo(LogFailure.Kind.FENCED);
     assertThat(kindOf(append("c", 5000))).isEqualTo(LogFailure.Kind.FENCED);
+    assertThat(kindOf(writer.appendedSoFar())).isEqualTo(LogFailure.Kind.FENCED);
     assertThat(log.calls).hasSize(1);
   }
 
