A step from before the loss of its zone does not run again after a slow clock is set right

What callers could see: a step that may run at most once was let run again. All hosts of the key's zone had been lost, and the time of day of the host that began anew was behind by minutes at that moment and was set right later.

Cause: after such a loss a host takes a key for new if its caller issued it after the host's time of day at the loss. A time that is too early by minutes makes keys from before the loss seem new, for as long as the host or one that copied its ledger lives.

Evidence: StepAdmissionClocksTest, clock 300 s slow at the loss, then right: a key issued a minute before the loss was told RUN.

Fix: the ledger compares the time of day with the monotonic clock of its process whenever its coverage is asked for. If the time of day was set ahead, the coverage begins later by as much, which turns RUN into "unknown" and never the reverse. A suspension has the same effect. A clock that is set back after the loss leaves the coverage as it is, which is right (second test, passed before as well).

Not covered: a time of day that stays minutes slow after the loss, and a second member that had copied the ledger while the first one's clock was slow.

Test: the first of the two tests fails before, with RUN where UNKNOWN is expected.

--- a/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.wheatwall.core.common.RendezvousHash;
 import org.wheatwall.core.request.model.GrantId;
 import org.wheatwall.core.request.model.RunnerResponse;
@@ -43,6 +44,7 @@
   private final Map<String, StepRecord> records = new LinkedHashMap<>();
   private final BoundedLongSet fingerprints = new BoundedLongSet(MAX_FINGERPRINTS);
   private long coveredSinceMs = Long.MAX_VALUE;
+  private OptionalLong largestWallAheadMs = OptionalLong.empty();
   private long heldBytes;
 
   /**
@@ -80,6 +82,24 @@
   /** Sets the time since which every grant is recorded here, wall clock milliseconds. */
   public void setCoveredSince(long sinceMs) {
     coveredSinceMs = sinceMs;
+    largestWallAheadMs = OptionalLong.empty();
+  }
+
+  /**
+   * Moves the coverage time by as much as the wall clock was set ahead since the first call after
+   * {@link #setCoveredSince}. If it was slow before, a step from before the coverage would seem to
+   * be issued after it. A later time is always safe.
+   *
+   * @param wallMs wall clock time, milliseconds
+   * @param monotonicMs monotonic time at that moment, milliseconds
+   */
+  public void adjustCoverage(long wallMs, long monotonicMs) {
+    long wallAheadMs = wallMs - monotonicMs;
+    long knownAheadMs = largestWallAheadMs.orElse(wallAheadMs);
+    if (coveredSinceMs != SINCE_BEGINNING && coveredSinceMs != Long.MAX_VALUE) {
+      coveredSinceMs += Math.max(0, wallAheadMs - knownAheadMs);
+    }
+    largestWallAheadMs = OptionalLong.of(Math.max(wallAheadMs, knownAheadMs));
   }
 
   /** Returns the time since which every grant is recorded here, wall clock milliseconds. */
--- a/entry/src/main/java/org/wheatwall/entry/request/LedgerSync.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/LedgerSync.java
@@ -105,6 +105,7 @@
     LOG.info("event=step-ledger-gap epoch={} coveredSince={}", epoch, nowMs);
     synchronized (ledger) {
       ledger.setCoveredSince(nowMs);
+      ledger.adjustCoverage(nowMs, clock.nowMs());
     }
   }
 
@@ -141,6 +142,7 @@
           page.getFingerprintsList().stream().mapToLong(Long::longValue).toArray());
       if (last) {
         ledger.setCoveredSince(page.getCoveredSinceMs());
+        ledger.adjustCoverage(clock.wallMs(), clock.nowMs());
       }
     }
     if (last) {
--- a/entry/src/main/java/org/wheatwall/entry/request/StepAdmissionService.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepAdmissionService.java
@@ -106,7 +106,7 @@
         boolean recorded =
             ledger.recordStart(
                 request.getKey(), GrantId.parse(request.getGrantId()), clock.wallMs());
-        reply.setRecorded(recorded).setCoveredSinceMs(ledger.coveredSinceMs());
+        reply.setRecorded(recorded).setCoveredSinceMs(coveredSinceMs());
         if (!recorded) {
           ledger
               .find(request.getKey())
@@ -155,7 +155,7 @@
           page.addFingerprints(fingerprint);
         }
       }
-      page.setCoveredSinceMs(ledger.coveredSinceMs());
+      page.setCoveredSinceMs(coveredSinceMs());
     }
     return CompletableFuture.completedFuture(Envelope.newBuilder().setLedgerPage(page));
   }
@@ -230,7 +230,7 @@
       List<CompletableFuture<StepRecordReply>> replies) {
     long coverage;
     synchronized (ledger) {
-      coverage = ledger.coveredSinceMs();
+      coverage = coveredSinceMs();
     }
     for (CompletableFuture<StepRecordReply> future : replies) {
       StepRecordReply reply = future.join();
@@ -256,6 +256,12 @@
     return reply(StepReply.Leave.RUN);
   }
 
+  // Called with the lock of the ledger.
+  private long coveredSinceMs() {
+    ledger.adjustCoverage(clock.wallMs(), clock.nowMs());
+    return ledger.coveredSinceMs();
+  }
+
   private StepReply mergeKnown(String key, GrantId grant, StepRecord known) {
     synchronized (ledger) {
       ledger.recordOutcome(key, grant, StepState.RELEASED, Optional.empty(), clock.wallMs());
