What a host knows of steps is kept by its monotonic clock, not by the time of day

What callers saw: after the time of day of a key's host was set ahead by more than the retention time, the answers of all ended steps were gone at once, and their repeats were told that the outcome is not known. Set ahead by more than the longest attempt, a step that was still running was told to be unknown as well. Neither runs a second time: a fingerprint of each remains, or its record.

Cause: the ledger compared its time of day with the one at the last change of a record, which may have been of another member (pages and known records carry it).

Evidence: StepAdmissionClocksTest, clock set 15 minutes ahead with 10 of retention (the record is forgotten), and 5 minutes ahead with 30 s of the longest attempt (UNKNOWN for IN_PROGRESS).

Fix: records carry when this host learned of their last change, on the monotonic clock of the process. One that comes from another member counts as changed when it came, so it is kept longer, never shorter; the limits of records and bytes stay. Messages still carry the time of day, for hosts of an earlier version. The time since which a member covers its keys stays a time of day, since callers' issue times are compared with it.

Test: both new tests fail before.

--- a/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
+++ b/core/src/main/java/org/wheatwall/core/request/decision/StepLedger.java
@@ -119,6 +119,7 @@
    *     known
    * @param coverageMs time since which some member of the view has recorded every grant, wall clock
    *     milliseconds
+   * @param nowMs monotonic time, as for all methods here that take {@code nowMs}
    */
   public Admission admission(String key, Optional<Long> issuedMs, long coverageMs, long nowMs) {
     StepRecord record = records.get(key);
--- a/core/src/main/java/org/wheatwall/core/request/model/StepRecord.java
+++ b/core/src/main/java/org/wheatwall/core/request/model/StepRecord.java
@@ -9,7 +9,7 @@
  * @param grant identifier of the grant to run the step
  * @param state the state of the step
  * @param response the retained response, if any
- * @param changedMs wall clock time of the last change, milliseconds since 1970
+ * @param changedMs when this host learned of the last change, milliseconds on its monotonic clock
  */
 public record StepRecord(
     String key,
--- a/entry/src/main/java/org/wheatwall/entry/request/LedgerSync.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/LedgerSync.java
@@ -137,7 +137,7 @@
     }
     boolean last = page.getEntriesCount() < PAGE_SIZE;
     synchronized (ledger) {
-      page.getEntriesList().forEach(entry -> ledger.merge(StepCodec.fromMessage(entry)));
+      page.getEntriesList().forEach(entry -> ledger.merge(StepCodec.fromMessage(entry, clock)));
       ledger.mergeFingerprints(
           page.getFingerprintsList().stream().mapToLong(Long::longValue).toArray());
       if (last) {
--- a/entry/src/main/java/org/wheatwall/entry/request/StepAdmissionService.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepAdmissionService.java
@@ -85,7 +85,7 @@
   /** Evicts expired records. */
   public void tick() {
     synchronized (ledger) {
-      ledger.evictExpired(clock.wallMs());
+      ledger.evictExpired(clock.nowMs());
     }
   }
 
@@ -105,12 +105,12 @@
       synchronized (ledger) {
         boolean recorded =
             ledger.recordStart(
-                request.getKey(), GrantId.parse(request.getGrantId()), clock.wallMs());
+                request.getKey(), GrantId.parse(request.getGrantId()), clock.nowMs());
         reply.setRecorded(recorded).setCoveredSinceMs(coveredSinceMs());
         if (!recorded) {
           ledger
               .find(request.getKey())
-              .ifPresent(known -> reply.setKnown(StepCodec.toMessage(known)));
+              .ifPresent(known -> reply.setKnown(StepCodec.toMessage(known, clock)));
         }
       }
     }
@@ -129,7 +129,7 @@
           GrantId.parse(finish.getGrantId()),
           StepState.ofNumber(finish.getState()),
           response,
-          clock.wallMs());
+          clock.nowMs());
     }
     if (!finish.getPassedOn()) {
       StepFinish forwarded = finish.toBuilder().setPassedOn(true).build();
@@ -149,7 +149,7 @@
       int limit = Math.min(MAX_PAGE_SIZE, Math.max(1, pull.getLimit()));
       ledger
           .page(pull.getFrom(), limit)
-          .forEach(record -> page.addEntries(StepCodec.toMessage(record)));
+          .forEach(record -> page.addEntries(StepCodec.toMessage(record, clock)));
       if (pull.getFrom() == 0) {
         for (long fingerprint : ledger.fingerprints()) {
           page.addFingerprints(fingerprint);
@@ -184,7 +184,7 @@
     }
     synchronized (ledger) {
       Admission admission =
-          ledger.admission(key, issuedMs, StepLedger.SINCE_BEGINNING, clock.wallMs());
+          ledger.admission(key, issuedMs, StepLedger.SINCE_BEGINNING, clock.nowMs());
       boolean isRetry =
           ledger.find(key).map(record -> grant.supersedes(record.grant())).orElse(false);
       // The reply to the requesting host's first request may have been lost, so the step is
@@ -192,7 +192,7 @@
       if (admission != Admission.RUN && !(admission == Admission.IN_PROGRESS && isRetry)) {
         return CompletableFuture.completedFuture(knownReply(key, admission));
       }
-      ledger.recordStart(key, grant, clock.wallMs());
+      ledger.recordStart(key, grant, clock.nowMs());
     }
     return recordEverywhere(key, grant, issuedMs, status);
   }
@@ -235,7 +235,7 @@
     for (CompletableFuture<StepRecordReply> future : replies) {
       StepRecordReply reply = future.join();
       if (reply.hasKnown()) {
-        return mergeKnown(key, grant, StepCodec.fromMessage(reply.getKnown()));
+        return mergeKnown(key, grant, StepCodec.fromMessage(reply.getKnown(), clock));
       }
       if (!reply.getRecorded()) {
         return reply.getEpoch() == status.epoch() ? markUnknown(key, grant) : release(key, grant);
@@ -264,10 +264,10 @@
 
   private StepReply mergeKnown(String key, GrantId grant, StepRecord known) {
     synchronized (ledger) {
-      ledger.recordOutcome(key, grant, StepState.RELEASED, Optional.empty(), clock.wallMs());
+      ledger.recordOutcome(key, grant, StepState.RELEASED, Optional.empty(), clock.nowMs());
       ledger.merge(known);
       return knownReply(
-          key, ledger.admission(key, Optional.empty(), StepLedger.SINCE_BEGINNING, clock.wallMs()));
+          key, ledger.admission(key, Optional.empty(), StepLedger.SINCE_BEGINNING, clock.nowMs()));
     }
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/request/StepCodec.java
+++ b/entry/src/main/java/org/wheatwall/entry/request/StepCodec.java
@@ -6,6 +6,7 @@
 import org.wheatwall.core.request.model.RunnerResponse;
 import org.wheatwall.core.request.model.StepRecord;
 import org.wheatwall.core.request.model.StepState;
+import org.wheatwall.entry.common.Clock;
 import org.wheatwall.wire.message.KeptAnswer;
 import org.wheatwall.wire.message.LedgerEntry;
 
@@ -13,24 +14,27 @@
 final class StepCodec {
   private StepCodec() {}
 
-  static LedgerEntry toMessage(StepRecord record) {
+  static LedgerEntry toMessage(StepRecord record, Clock clock) {
+    long wallAheadMs = clock.wallMs() - clock.nowMs();
     LedgerEntry.Builder entry =
         LedgerEntry.newBuilder()
             .setKey(record.key())
             .setGrantId(record.grant().text())
             .setState(record.state().number())
-            .setChangedMs(record.changedMs());
+            .setChangedMs(record.changedMs() + wallAheadMs);
     record.response().ifPresent(response -> entry.setAnswer(toMessage(response)));
     return entry.build();
   }
 
-  static StepRecord fromMessage(LedgerEntry entry) {
+  // The record counts as changed now: the sender's wall clock may differ, and a record is rather
+  // kept too long than too short.
+  static StepRecord fromMessage(LedgerEntry entry, Clock clock) {
     return new StepRecord(
         entry.getKey(),
         GrantId.parse(entry.getGrantId()),
         StepState.ofNumber(entry.getState()),
         entry.hasAnswer() ? Optional.of(fromMessage(entry.getAnswer())) : Optional.empty(),
-        entry.getChangedMs());
+        clock.nowMs());
   }
 
   static KeptAnswer toMessage(RunnerResponse response) {
--- a/entry/src/test/java/org/wheatwall/entry/request/StepAdmissionClocksTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/request/StepAdmissionClocksTest.java
@@ -24,6 +24,7 @@
 import org.wheatwall.core.membership.model.ZoneView;
 import org.wheatwall.core.request.decision.StepLedger;
 import org.wheatwall.core.request.model.GrantId;
+import org.wheatwall.core.request.model.StepState;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.MachineClock;
 import org.wheatwall.entry.configuration.ConfigurationService;
@@ -34,14 +35,16 @@
 import org.wheatwall.wire.http.HttpClient;
 import org.wheatwall.wire.json.LogRecord;
 import org.wheatwall.wire.json.LogRecordCodec;
+import org.wheatwall.wire.message.KeptAnswer;
 import org.wheatwall.wire.message.LedgerPull;
 import org.wheatwall.wire.message.PeerIdentity;
+import org.wheatwall.wire.message.StepFinish;
 import org.wheatwall.wire.message.StepReply;
 import org.wheatwall.wire.peer.PeerClient;
 
 /**
  * The only host of a zone whose earlier hosts were all lost, and whose time of day is set. A step
- * that may have run before the loss must not run again.
+ * that may have run before the loss must not run again, and what is known of steps is kept.
  */
 final class StepAdmissionClocksTest {
   private static final String ZONE = "zone-a";
@@ -173,4 +176,46 @@
     long beforeLossMs = SettableClock.trueMs() - MINUTE_MS;
     assertThat(request("before", beforeLossMs)).isEqualTo(StepReply.Leave.UNKNOWN);
   }
+
+  private StepState stateOf(String key) {
+    return steps
+        .onLedgerPull(LedgerPull.newBuilder().setLimit(10).build())
+        .join()
+        .getLedgerPage()
+        .getEntriesList()
+        .stream()
+        .filter(entry -> entry.getKey().equals(key))
+        .map(entry -> StepState.ofNumber(entry.getState()))
+        .findFirst()
+        .orElseThrow(() -> new AssertionError(key + " is forgotten"));
+  }
+
+  @Test
+  void answerIsKeptWhenClockIsSetAhead() throws Exception {
+    joinZone();
+    long issuedMs = SettableClock.trueMs() + MINUTE_MS;
+    assertThat(request("key", issuedMs)).isEqualTo(StepReply.Leave.RUN);
+    steps
+        .onFinish(
+            StepFinish.newBuilder()
+                .setKey("key")
+                .setGrantId(new GrantId("request", 1).text())
+                .setState(StepState.ANSWERED.number())
+                .setAnswer(KeptAnswer.newBuilder().setStatus(200))
+                .build())
+        .join();
+    clock.wallAheadMs = RETENTION_MS + JUMP_MS;
+    steps.tick();
+    assertThat(stateOf("key")).isEqualTo(StepState.ANSWERED);
+    assertThat(request("key", issuedMs)).isEqualTo(StepReply.Leave.KEPT);
+  }
+
+  @Test
+  void stepInProgressIsNotUnknownWhenClockIsSetAhead() throws Exception {
+    joinZone();
+    long issuedMs = SettableClock.trueMs() + MINUTE_MS;
+    assertThat(request("key", issuedMs)).isEqualTo(StepReply.Leave.RUN);
+    clock.wallAheadMs = JUMP_MS;
+    assertThat(request("key", issuedMs)).isEqualTo(StepReply.Leave.IN_PROGRESS);
+  }
 }
