Jobs whose starts were all refused stay in the pending count

Cause: an intended run is logged before its start is sent, and any record of a group made its job one that has begun. After a refusal the record was the same as that of a group whose run was lost.

Now a run of which each start sent was refused, in a group of which none had begun, goes back to waiting with its members kept in the record. No record is added and the format is unchanged. Starts without an answer, runs taken over and gangs of which a member started may have begun and are not counted. While such a job is tried again, it counts for 1 s more, as the outcome of that start is not in the log yet; the count may be 2 s old.

The state shown to submitters and admission are as before.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -25,6 +25,7 @@
   private final List<MemberRun> members = new ArrayList<>();
   private GroupState state;
   private boolean launched;
+  private boolean mayHaveBegunBefore;
   private boolean stopping;
   private long[] expectedEndsMs = {};
   private int slowestMember;
@@ -64,6 +65,7 @@
       run.members.add(new MemberRun(member.worker(), i, phase));
     }
     run.launched = true;
+    run.mayHaveBegunBefore = true;
     return run;
   }
 
@@ -141,8 +143,16 @@
     return launched;
   }
 
-  void markLaunched() {
+  /** Records that the run is launched, and its state from now on. */
+  void launch(GroupState next) {
     launched = true;
+    mayHaveBegunBefore = state.mayHaveBegun();
+    state = next;
+  }
+
+  /** Returns whether a task of the group may have begun, in this run or an earlier one. */
+  boolean mayHaveBegun() {
+    return mayHaveBegunBefore || members.stream().anyMatch(MemberRun::mayHaveBegun);
   }
 
   /**
--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
@@ -58,6 +58,15 @@
     return groups.isEmpty() ? BatchState.QUEUED : BatchState.RUNNING;
   }
 
+  /**
+   * Returns whether none of its tasks can have begun, and it has neither ended nor been cancelled.
+   */
+  public boolean pending() {
+    return end.isEmpty()
+        && !cancelled
+        && groups.values().stream().noneMatch(GroupState::mayHaveBegun);
+  }
+
   void setJob(BatchJob next) {
     job = Optional.of(next);
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
@@ -52,12 +51,12 @@
     return Collections.unmodifiableCollection(jobs.values());
   }
 
-  /** Returns the number of accepted jobs of a queue that have not started. */
+  /** Returns the number of accepted jobs of a queue of which no task can have begun. */
   public int pendingJobs(String queue) {
     int count = 0;
     for (JobRecord record : jobs.values()) {
       boolean ofQueue = record.job().filter(job -> job.queue().equals(queue)).isPresent();
-      if (ofQueue && record.state() == BatchState.QUEUED) {
+      if (ofQueue && record.pending()) {
         count++;
       }
     }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/MemberRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/MemberRun.java
@@ -23,6 +23,7 @@
   private final int position;
   private Phase phase;
   private int startsSent;
+  private int startsRefused;
   private long startRetryAtMs = Long.MAX_VALUE;
   private int unansweredStarts;
   private long firstStartSentAtMs = Long.MAX_VALUE;
@@ -88,6 +89,16 @@
     return startsSent;
   }
 
+  /** Records that the worker refused a start, or could not be reached: nothing was done. */
+  void recordStartRefused() {
+    startsRefused++;
+  }
+
+  /** Returns whether the task may have begun, as far as this decider knows. */
+  boolean mayHaveBegun() {
+    return startsSent > startsRefused || confirmedAtMs > 0;
+  }
+
   void recordUnansweredStart() {
     unansweredStarts++;
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -287,7 +287,8 @@
       return;
     }
     if (run.launched()) {
-      GroupState waiting = state.withoutActiveRun(GroupPhase.WAITING);
+      GroupState waiting =
+          run.mayHaveBegun() ? state.withoutActiveRun(GroupPhase.WAITING) : state.withoutBegunRun();
       progress.setState(run.group(), waiting);
       term.pendingEntries.add(
           LogEntry.of(LogKey.group(run.group()), new LogContent.Group(waiting)));
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
@@ -38,8 +38,7 @@
       return;
     }
     GroupState state = run.state().withRunStarted(run.workers());
-    run.setState(state);
-    run.markLaunched();
+    run.launch(state);
     term.jobs.get(run.group().jobId()).setState(run.group(), state);
     term.pendingEntries.add(LogEntry.of(LogKey.group(run.group()), new LogContent.Group(state)));
     term.flushThen(() -> sendStarts(run));
@@ -96,6 +95,7 @@
         if (run.stopping() || member.startsSent() >= term.settings.roomTries()) {
           handleRefusedStart(run, member, "no room at " + member.worker());
         } else {
+          member.recordStartRefused();
           member.retryStartAt(term.nowMs + START_RETRY_DELAY_MS);
           term.runs.addResendCandidate(run);
         }
@@ -128,6 +128,7 @@
   }
 
   private void handleRefusedStart(GroupRun run, MemberRun member, String reason) {
+    member.recordStartRefused();
     if (!member.mayStartLate()) {
       lifecycle.endMember(run, member, RunLifecycle.NO_CHECKPOINT);
     }
--- a/core/src/main/java/org/wheatwall/core/batch/model/GroupState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/GroupState.java
@@ -11,7 +11,8 @@
  * @param failures number of failed runs
  * @param lastFailedRun number of the latest failed run, or 0 if none; several failed tasks of a run
  *     count once
- * @param members members of the latest run, by position of the task
+ * @param members members of the latest run, by position of the task. While the group waits, they
+ *     are kept only if no task of it can have begun in any run
  * @param checkpoint checkpoint from which the next run resumes, or empty to start over
  * @param losses runs lost with their workers, for each task that has lost any
  */
@@ -68,6 +69,23 @@
     return new GroupState(next, run, failures, lastFailedRun, List.of(), checkpoint, losses);
   }
 
+  /**
+   * Returns the state after a run of which no task began, in a group of which none had begun
+   * before.
+   */
+  public GroupState withoutBegunRun() {
+    List<GroupMember> refused =
+        members.stream().map(member -> new GroupMember(member.worker(), true)).toList();
+    return new GroupState(
+        GroupPhase.WAITING, run, failures, lastFailedRun, refused, checkpoint, losses);
+  }
+
+  /** Returns whether a task of the group may have begun, in its latest run or an earlier one. */
+  public boolean mayHaveBegun() {
+    boolean neverRan = run == 0 || !members.isEmpty();
+    return phase != GroupPhase.WAITING || failures > 0 || !neverRan;
+  }
+
   /** Returns the state with {@code lostRun} counted as lost with the worker of a task. */
   public GroupState withLoss(int lostRun, int position, LossKind kind) {
     return withLosses(lossesOf(position).withLoss(kind, lostRun));
--- a/core/src/test/java/org/wheatwall/core/batch/decision/JobTableTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/JobTableTest.java
@@ -75,6 +75,29 @@
     assertThat(table.job(ID).get().state()).isEqualTo(BatchState.RUNNING);
   }
 
+  private void applyGroup(int step, GroupState state) {
+    LogKey key = LogKey.group(new GroupKey(ID, 0, step, 0));
+    apply(LogEntry.of(key, new LogContent.Group(state)));
+  }
+
+  @Test
+  void aJobIsNotPendingIfOneGroupBeganAndAnotherWasRefused() {
+    apply(definition("first"));
+    GroupState refused = GroupState.NEW.withRunStarted(List.of("worker")).withoutBegunRun();
+    applyGroup(0, refused);
+    assertThat(table.pendingJobs("q")).isEqualTo(1);
+    applyGroup(1, GroupState.NEW.withRunStarted(List.of("worker")));
+    assertThat(table.pendingJobs("q")).isEqualTo(0);
+  }
+
+  @Test
+  void aJobIsNotPendingIfAFailureOfARefusedGroupIsReportedLate() {
+    apply(definition("first"));
+    GroupState refused = GroupState.NEW.withRunStarted(List.of("worker")).withoutBegunRun();
+    applyGroup(0, refused.withFailure(1));
+    assertThat(table.pendingJobs("q")).isEqualTo(0);
+  }
+
   @Test
   void anEndIsShownWhateverTheStateOfItsGroups() {
     apply(definition("first"));
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -183,7 +183,7 @@
             throw BatchContext.unavailable(
                 "the job log has not been read for " + MAX_LOG_AGE_MS + " ms");
           }
-          return CompletableFuture.completedFuture(replica.table().pendingJobs(queue));
+          return CompletableFuture.completedFuture(replica.pendingJobs(queue));
         });
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -39,6 +39,7 @@
   private final AdmissionControl admission;
   private final RunTimeTracker runTimes;
   private final EndedJobs endedJobs = new EndedJobs();
+  private final RetriedJobs retriedJobs = new RetriedJobs();
   private JobTable table = new JobTable();
   private Listener listener;
   private Runnable onLogRecovered = () -> {};
@@ -90,6 +91,11 @@
     return table;
   }
 
+  /** Returns the number of jobs of a queue that have not begun. */
+  int pendingJobs(String queue) {
+    return table.pendingJobs(queue) + retriedJobs.count(table, queue, clock.nowMs());
+  }
+
   /** Returns since when this host knows of the ends of jobs. */
   EndedJobs endedJobs() {
     return endedJobs;
@@ -139,7 +145,12 @@
     LogEntry entry = decoded.get();
     long termBefore = table.termNumber();
     Optional<GroupState> groupBefore = groupState(entry.key());
+    boolean retries = groupBefore.isPresent() && isPending(entry.key());
     table.apply(entry, offset);
+    if (retries && !isPending(entry.key())) {
+      GroupKey.parse(entry.key().name())
+          .ifPresent(group -> retriedJobs.add(group.jobId(), clock.nowMs()));
+    }
     if (table.termNumber() != termBefore) {
       runTimes.discardOpenRuns();
     }
@@ -205,6 +216,13 @@
         : Optional.empty();
   }
 
+  private boolean isPending(LogKey key) {
+    return GroupKey.parse(key.name())
+        .flatMap(group -> table.job(group.jobId()))
+        .filter(JobRecord::pending)
+        .isPresent();
+  }
+
   private void onGroup(GroupKey group, Optional<GroupState> before, LogEntry entry) {
     Optional<GroupState> state =
         entry.content().map(content -> ((LogContent.Group) content).state());
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkerCalls.java
@@ -53,6 +53,9 @@
 
   private CommandOutcome start(
       WorkerInfo worker, TaskWorkerModel model, StartCommand command, Lease lease, boolean isLate) {
+    if (workers.isRefusing()) {
+      return CommandOutcome.NOT_DONE;
+    }
     int eventsBefore = workers.ledger().events().size();
     CommandOutcome outcome = model.start(command, lease.term(), lease.untilMs(), time.nowMs());
     if (!isLate && workers.ledger().events().size() > eventsBefore) {
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -63,6 +63,7 @@
   private final ToLongFunction<SimulatedHost> confirmedAtMs;
   private Optional<SimulatedOperator> operator = Optional.empty();
   private boolean capacityCheckDisabled;
+  private boolean refusing;
   private boolean reuseIdentifiers;
   private boolean lateCommandsReachLaterIncarnations;
   private double lossProbability;
@@ -165,6 +166,15 @@
     }
   }
 
+  /** Sets whether all workers refuse each start as an unhealthy worker does. */
+  void setRefusing(boolean isRefusing) {
+    refusing = isRefusing;
+  }
+
+  boolean isRefusing() {
+    return refusing;
+  }
+
   void setStuck(int index, boolean isStuck) {
     workers.get(index).setStuck(isStuck);
   }
--- a/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -81,6 +81,13 @@
     assertThat(WorkerIncarnation.parse(written).startedAtMs()).isEmpty();
   }
 
+  @Test
+  void aGroupWhoseStartsWereRefusedIsStillKnownNotToHaveBegun() {
+    GroupState refused = GroupState.NEW.withRunStarted(List.of("a")).withoutBegunRun();
+    assertThat(refused.mayHaveBegun()).isFalse();
+    assertThat(readBack(refused)).isEqualTo(refused);
+  }
+
   @Test
   void lossesOfATaskAreReadAsTheyWereWritten() {
     GroupState state =
