A configuration change whose call was lost is not denied because a later call was refused

What an operator saw: a change is answered with 'did not take effect' and comes into force. Cause: whether a change may be appended was one flag, which the refusal of a later call cleared although an earlier call had got no response. Now a lost call stays known, as in the job log's batches.

--- a/entry/src/main/java/org/wheatwall/entry/configuration/ChangePublisher.java
+++ b/entry/src/main/java/org/wheatwall/entry/configuration/ChangePublisher.java
@@ -54,7 +54,8 @@
     private final long sequence;
     private final long expiresAtMs;
     private final CompletableFuture<Verdict> verdict = new CompletableFuture<>();
-    private boolean mayBeAppended;
+    private boolean callInFlight;
+    private boolean callLost;
 
     private PendingChange(Change change, Draft.Priority priority, long sequence, long expiresAtMs) {
       this.change = change;
@@ -62,6 +63,11 @@
       this.sequence = sequence;
       this.expiresAtMs = expiresAtMs;
     }
+
+    // A call without a response may be carried out after a later one was refused.
+    private boolean mayBeAppended() {
+      return callInFlight || callLost;
+    }
   }
 
   ChangePublisher(LogService log, Clock clock, ScheduledExecutorService stateThread) {
@@ -156,7 +162,7 @@
     List<PendingChange> batch = new ArrayList<>();
     while (!queue.isEmpty() && batch.size() < MAX_CHANGES_PER_RECORD) {
       PendingChange pendingChange = queue.remove();
-      pendingChange.mayBeAppended = true;
+      pendingChange.callInFlight = true;
       batch.add(pendingChange);
     }
     return batch;
@@ -183,8 +189,9 @@
   }
 
   private void requeue(List<PendingChange> batch, boolean notAppended) {
-    if (notAppended) {
-      batch.forEach(pendingChange -> pendingChange.mayBeAppended = false);
+    for (PendingChange pendingChange : batch) {
+      pendingChange.callInFlight = false;
+      pendingChange.callLost |= !notAppended;
     }
     retryLater(
         () -> {
@@ -225,7 +232,7 @@
           if (expired) {
             pending.remove(pendingChange.change.changeId());
             pendingChange.verdict.completeExceptionally(
-                timeoutRefusal(pendingChange.mayBeAppended));
+                timeoutRefusal(pendingChange.mayBeAppended()));
           }
           return expired;
         });
