A caller of an open queue sees its job after its key was withdrawn

What callers saw: a job submitted on a route that needs no key, but with a key, was answered 403 'belongs to another workspace' once that key was withdrawn, since the call then counted as one of the workspace without keys. Calls to an open route need no key, so the owner of a job of that queue is not asked there.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -282,7 +282,7 @@
   }
 
   /** A job as its submitter sees it. */
-  public record JobSummary(String workspace, BatchState state) {}
+  public record JobSummary(String workspace, String queue, BatchState state) {}
 
   private void logRecovered() {
     election.decider().ifPresent(BatchDecider::logRecovered);
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobCalls.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobCalls.java
@@ -163,10 +163,14 @@
   }
 
   private static JobSummary summary(JobRecord record) {
-    return new JobSummary(record.job().orElseThrow().workspace(), record.state());
+    return summary(record.job().orElseThrow(), record.state());
   }
 
   private static JobSummary undecidedSummary(BatchJob job) {
-    return new JobSummary(job.workspace(), BatchState.QUEUED);
+    return summary(job, BatchState.QUEUED);
+  }
+
+  private static JobSummary summary(BatchJob job, BatchState state) {
+    return new JobSummary(job.workspace(), job.queue(), state);
   }
 }
