A caller is told at its deadline though another one waits for the record

From reading the change again: if every call that carried a record was refused and a second caller extended it, the first one was answered only with the second. Not reached through the intake, where the first has been answered before.

Test: aCallerIsToldAtItsDeadlineThoughAnotherWaitsForTheRecord.

--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -169,10 +169,7 @@
   }
 
   private void expire(AppendBatch batch) {
-    if (!batch.mayBeAppended()) {
-      dropExpired(batch);
-      return;
-    }
+    dropExpired(batch);
     LogFailure unknown = new LogFailure(LogFailure.Kind.UNKNOWN, "the log did not answer in time");
     batch.items().forEach(item -> item.failExpired(clock.nowMs(), unknown));
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -194,6 +194,17 @@
     assertThat(again.isDone()).isTrue();
   }
 
+  @Test
+  void aCallerIsToldAtItsDeadlineThoughAnotherWaitsForTheRecord() {
+    CompletableFuture<Void> first = append("a", 1500);
+    CompletableFuture<Void> second = writer.awaitInFlight("a", 3000).orElseThrow();
+    log.fail(LogFailure.Kind.NOT_DONE);
+    nowMs = 1600;
+    writer.expire();
+    assertThat(kindOf(first)).isEqualTo(LogFailure.Kind.UNKNOWN);
+    assertThat(second.isDone()).isFalse();
+  }
+
   @Test
   void aFencedWriterSendsNothingMore() {
     CompletableFuture<Void> first = append("a", 5000);
