A wait for a run names the silence of its workers and when it ends

What operators could not tell: a job with RUN_NOT_STARTED stands at a worker whose answer is late, at one that has left, or at one that an earlier decider gave it to and nobody hears. The line named the phase alone.

WaitTrackerTest holds it.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.GroupKey;
@@ -116,11 +117,21 @@
     return members.stream().anyMatch(MemberRun::isConfirmed);
   }
 
-  /** Returns the number of this run and how far its tasks have got, for operators. */
-  String describeProgress() {
+  /**
+   * Returns the number of this run and how far its tasks have got, for operators.
+   *
+   * @param workerNote returns what to say of the worker of a task that has not ended, or an empty
+   *     text
+   */
+  String describeProgress(Function<String, String> workerNote) {
     String tasks =
         members.stream()
-            .map(member -> member.worker() + "=" + member.phase())
+            .map(
+                member ->
+                    member.worker()
+                        + "="
+                        + member.phase()
+                        + (member.ended() ? "" : workerNote.apply(member.worker())))
             .collect(Collectors.joining(" "));
     String prefix = launched ? "run " + state.run() : "a run that is not written down";
     String victimText = victims.isEmpty() ? "" : ", waits for the end of " + victims.size();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
@@ -148,11 +148,28 @@
 
   private Reason reasonOf(String name) {
     return runOf(name)
-        .map(run -> new Reason(RUN_NOT_STARTED, run.describeProgress()))
+        .map(run -> new Reason(RUN_NOT_STARTED, run.describeProgress(this::describeSilence)))
         .or(() -> term.scheduler.reason(name).map(WaitTracker::toReason))
         .orElse(new Reason(WaitReason.Kind.QUEUED.toString(), "not looked at"));
   }
 
+  private String describeSilence(String worker) {
+    WorkerRecord record = term.workers.getOrCreate(worker);
+    if (record.usable()) {
+      return "";
+    }
+    String heard =
+        record.lastResponseMs() < 0
+            ? "not heard in this term"
+            : "heard " + (term.nowMs - record.lastResponseMs()) + " ms ago";
+    String givenUp =
+        record.givenUpAtMs(term.settings.leaseExpiryMs()).stream()
+            .mapToObj(atMs -> ", given up in " + Math.max(0, atMs - term.nowMs) + " ms")
+            .findFirst()
+            .orElse("");
+    return " (" + record.state().text() + ", " + heard + givenUp + ")";
+  }
+
   private static Reason toReason(WaitReason reason) {
     return new Reason(reason.kind().toString(), reason.detail());
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -1,6 +1,7 @@
 package org.wheatwall.core.batch.decision;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.wheatwall.core.batch.model.WorkerInfo;
 
 /** The state of one incarnation of a worker, as the decider knows it. */
@@ -163,8 +164,21 @@
    * expired, so it gets more time. The time is limited, because it may stay unreachable for good.
    */
   boolean leasesExpired(long nowMs, long expiryMs) {
-    long waitMs = listed ? LISTED_EXPIRY_FACTOR * expiryMs : expiryMs;
-    return leaseSentSinceResponse && nowMs - lastLeaseSentMs > waitMs;
+    return leaseSentSinceResponse && nowMs - lastLeaseSentMs > waitMs(expiryMs);
+  }
+
+  /**
+   * Returns when its runs are given up at the latest if it stays silent, milliseconds; empty if it
+   * has responded since the last lease was sent.
+   */
+  OptionalLong givenUpAtMs(long expiryMs) {
+    return leaseSentSinceResponse
+        ? OptionalLong.of(lastLeaseSentMs + waitMs(expiryMs))
+        : OptionalLong.empty();
+  }
+
+  private long waitMs(long expiryMs) {
+    return listed ? LISTED_EXPIRY_FACTOR * expiryMs : expiryMs;
   }
 
   /** Returns when it last responded, milliseconds; far in the past if it never did. */
--- a/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
@@ -102,6 +102,19 @@
     assertThat(waitEvents().get(0).reason()).contains("a=ORDERED");
   }
 
+  // Otherwise the line does not tell a start that is late from a worker that is gone.
+  @Test
+  void lineOfARunNamesTheSilenceOfItsWorkerAndWhenItIsGivenUp() {
+    fixture.listWorker("a", "r");
+    fixture.accept(SupervisorFixture.job(SupervisorFixture.tasks(1, 8)));
+    fixture.supervisor.onLeaseSent("a", fixture.nowMs);
+    fixture.supervisor.onWorkerUnreachable("a", "silent", fixture.nowMs);
+    fixture.supervisor.unlistWorker("a", fixture.nowMs);
+    fixture.advance(4000);
+    assertThat(waitEvents().get(0).reason())
+        .containsMatch("a=ORDERED \\(unlisted, heard \\d+ ms ago, given up in \\d+ ms\\)");
+  }
+
   @Test
   void waitBeginsAnewAfterATaskHasRun() {
     fixture.listWorker("a", "r");
