--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -120,6 +120,11 @@
     return workers.size();
   }
 
+  /** Returns the identifier of the present incarnation of a worker. */
+  String idOf(int index) {
+    return workers.get(index).id();
+  }
+
   /** Makes starts in availability zones that an operator evacuates count as violations. */
   void setOperator(SimulatedOperator newOperator) {
     operator = Optional.of(newOperator);
