Later deciders do not wait anew for the leases of a silent worker

What callers saw: a job stays queued or running for up to the length of a lease after each change of the decider, although its worker had been silent long before and most workers are idle. With leases of 10 s that is 10.8 s a term, without a bound over several terms.

Cause: a run of an earlier decider on a worker that nobody hears was given up when the leases had run out that an earlier decider may have given before the begin of the present term. The log did not say that none had been given for long, so each decider counted the wait from its own begin.

Change: once a worker with runs has been silent for 1 s, the decider extends no lease there and says so in the log (L/ records). A later decider counts from when it read that record, less the record's age. A process that was started only now tells by the clocks of other workers, which the record names, how long ago it was written. The record is dropped, and that acknowledged, before a lease is extended or a task started there again; so whoever reads it can rely on it. Terms of versions that know no such records make earlier ones void.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -32,6 +32,10 @@
       case CANCEL -> recordFor(name).setCancelled(entry.content().isPresent());
       case END -> recordFor(name).setEnd(entry.content().map(LogContent.End.class::cast));
       case HOST -> applyHost(name, entry.content());
+      case LEASE_STOP -> {
+        // Kept by LeaseStops, with the time at which it was read.
+        return;
+      }
     }
     dropIfEmpty(jobIdOf(entry.key()));
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -32,6 +32,7 @@
     WORKER_REFUSES,
     WORKER_RESTARTED,
     WORKER_GONE,
+    LEASES_STOPPED,
     WORKER_SLOW,
     WORKER_AT_SPEED,
     WORKER_PACE,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -174,10 +174,21 @@
     term.permits.expireAll();
   }
 
-  /** Takes over the state in the job log. Must be called once, before any other method. */
+  /** Treats the clocks of all workers as unknown, for use after this machine was suspended. */
+  public void invalidateClocks() {
+    term.workers.records().forEach(WorkerRecord::invalidateClock);
+  }
+
+  /** Takes over the state in the job log, without lease stops. */
   public void adopt(JobTable table, long monotonicMs, long wallMs) {
+    adopt(table, new LeaseStops(), monotonicMs, wallMs);
+  }
+
+  /** Takes over the state in the job log. Must be called once, before any other method. */
+  public void adopt(JobTable table, LeaseStops leaseStops, long monotonicMs, long wallMs) {
     term.setTime(monotonicMs, wallMs);
     new TermTakeOver(term, lifecycle).takeOver(table);
+    term.leaseExtensions.adopt(leaseStops);
     term.flush();
   }
 
@@ -255,6 +266,11 @@
     }
   }
 
+  /** Returns whether a command that extends the leases on a worker may be sent. */
+  public boolean mayExtendLeases(String worker) {
+    return term.leaseExtensions.isAllowedAt(worker);
+  }
+
   /** Records that a command was sent that extends the leases on a worker. */
   public void onLeaseSent(String worker, long monotonicMs) {
     term.workers.getOrCreate(worker).onLeaseSent(monotonicMs);
@@ -404,6 +420,7 @@
     reports.tick();
     lifecycle.resendDueCommands();
     pendingStarts.tick();
+    term.leaseExtensions.tick();
     reachabilityRule.tick();
     unansweredStarts.tick();
     term.orphanedRuns.tick();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/SupervisorSettings.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/SupervisorSettings.java
@@ -38,4 +38,20 @@
   public int leaseExpiryMs() {
     return leaseMs + leaseMs * CLOCK_DRIFT_ALLOWANCE_PERCENT / 100 + DELIVERY_ALLOWANCE_MS;
   }
+
+  /**
+   * Returns the least time that can have passed while the monotonic clock of a worker advanced by
+   * {@code clockMs}, milliseconds.
+   */
+  public long leastElapsedMs(long clockMs) {
+    return Math.max(0, clockMs) * 100 / (100 + CLOCK_DRIFT_ALLOWANCE_PERCENT);
+  }
+
+  /**
+   * Returns by how much the monotonic clock of a worker can have advanced at the most in a time on
+   * this host's clock, milliseconds.
+   */
+  public long mostElapsedMs(long elapsedMs) {
+    return elapsedMs + elapsedMs * CLOCK_DRIFT_ALLOWANCE_PERCENT / 100;
+  }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -35,6 +35,7 @@
   final PendingStops pendingStops = new PendingStops(this);
   final OrphanedRuns orphanedRuns = new OrphanedRuns(this);
   final PermitManager permits = new PermitManager(this);
+  final LeaseExtensions leaseExtensions = new LeaseExtensions(this);
   final WaitTracker waits = new WaitTracker(this);
   final PreferenceRelaxation preferenceRelaxation = new PreferenceRelaxation(this);
   final Map<GroupKey, Set<String>> avoided = new HashMap<>();
@@ -152,6 +153,7 @@
       dirty = true;
       logEvent(RunEvent.Kind.WORKER_HEARD, "", worker, "it answers");
     }
+    leaseExtensions.onResponse(worker);
   }
 
   Optional<GroupRun> findRun(TaskName task, int number) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -17,10 +17,14 @@
   private boolean suspected;
   private boolean avoided;
   private boolean evacuated;
+  private boolean leasesStopped;
   private long lastLeaseSentMs;
   private boolean leaseSentSinceResponse = true;
   private long lastResponseMs = Long.MIN_VALUE / 2;
   private long silentSinceMs = Long.MAX_VALUE;
+  private boolean clockKnown;
+  private long clockMs;
+  private long clockRequestedAtMs;
   private long unlistedAtMs = Long.MAX_VALUE;
   private long lastProcessedEnd;
   private long lastAcknowledgedEnd;
@@ -80,6 +84,9 @@
     if (suspected) {
       return WorkerState.SUSPECTED;
     }
+    if (leasesStopped) {
+      return WorkerState.LEASES_STOPPED;
+    }
     if (backoff.active()) {
       return WorkerState.STARTS_DELAYED;
     }
@@ -125,6 +132,11 @@
     return evacuated;
   }
 
+  /** Sets whether no lease may be extended there, so that nothing can start. */
+  void setLeasesStopped(boolean next) {
+    leasesStopped = next;
+  }
+
   void onResponse(long nowMs) {
     responded = true;
     suspected = false;
@@ -133,6 +145,32 @@
     silentSinceMs = Long.MAX_VALUE;
   }
 
+  /** Records the clock in a report that was requested at a time, milliseconds. */
+  void onClockRead(long nextClockMs, long requestedAtMs) {
+    clockKnown = true;
+    clockMs = nextClockMs;
+    clockRequestedAtMs = requestedAtMs;
+  }
+
+  /** Records that its clock is not known until it is read again. */
+  void invalidateClock() {
+    clockKnown = false;
+  }
+
+  boolean clockKnown() {
+    return clockKnown;
+  }
+
+  /** Returns its clock in the last report, milliseconds, if it is known. */
+  long clockMs() {
+    return clockMs;
+  }
+
+  /** Returns when that report was requested, milliseconds. */
+  long clockRequestedAtMs() {
+    return clockRequestedAtMs;
+  }
+
   /** Records a call without a response. */
   void onNoResponse(long nowMs) {
     silentSinceMs = Math.min(silentSinceMs, nowMs);
@@ -158,6 +196,16 @@
     leaseSentSinceResponse = true;
   }
 
+  /** Records that no lease was extended there after a time, milliseconds. */
+  void limitLastLease(long sinceMs) {
+    lastLeaseSentMs = Math.min(lastLeaseSentMs, sinceMs);
+  }
+
+  /** Returns when a command that extends leases may last have been sent, milliseconds. */
+  long lastLeaseSentMs() {
+    return lastLeaseSentMs;
+  }
+
   /**
    * Returns whether all leases there have expired without a response since the last was sent. A
    * worker that is still listed is alive and may yet report that a run was done before its lease
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -29,6 +29,7 @@
   private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
   private final WorkerIncarnations incarnations = new WorkerIncarnations();
   private final RackCapacities rackCapacities = new RackCapacities(workers.values());
+  private final long termStartMs;
   private final long earlierCommandsUntilMs;
   private Consumer<String> removalListener = worker -> {};
   private Set<String> evacuatedZones = Set.of();
@@ -48,6 +49,7 @@
    */
   WorkerRegistry(Scheduler scheduler, long termStartMs, long earlierCommandsUntilMs) {
     this.scheduler = scheduler;
+    this.termStartMs = termStartMs;
     this.earlierCommandsUntilMs = earlierCommandsUntilMs;
     this.lastRecoveryMs = termStartMs;
   }
@@ -70,6 +72,37 @@
     return fresh;
   }
 
+  /** Returns the time after which earlier deciders sent no commands, milliseconds. */
+  long earlierCommandsUntilMs() {
+    return earlierCommandsUntilMs;
+  }
+
+  /**
+   * Returns whether a worker has not responded for a time, milliseconds: not to calls, or, if the
+   * platform has never listed it in this term, not at all.
+   */
+  boolean isSilentFor(String id, int durationMs, long nowMs) {
+    WorkerRecord record = getOrCreate(id);
+    boolean neverCalled = record.info().isEmpty();
+    long sinceMs = neverCalled ? termStartMs : record.silentSinceMs();
+    return sinceMs != Long.MAX_VALUE && nowMs - sinceMs >= durationMs;
+  }
+
+  /** Records that no lease may be extended at a worker. */
+  void stopLeases(String id) {
+    setLeasesStopped(getOrCreate(id), true);
+  }
+
+  /** Records that leases may be extended at a worker again, if it is still known. */
+  void allowLeases(String id) {
+    find(id).ifPresent(record -> setLeasesStopped(record, false));
+  }
+
+  private void setLeasesStopped(WorkerRecord record, boolean stopped) {
+    record.setLeasesStopped(stopped);
+    refresh(record);
+  }
+
   /** Returns the known incarnations of workers. */
   WorkerIncarnations incarnations() {
     return incarnations;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -45,6 +45,8 @@
    */
   void onReport(String worker, WorkerInventory report, long requestedAtMs) {
     term.onWorkerReported(worker);
+    term.workers.getOrCreate(worker).onClockRead(report.clockMs(), requestedAtMs);
+    term.leaseExtensions.onClockRead(worker, report.clockMs());
     progress.onReport(worker, report);
     Set<GroupRun> changed = new LinkedHashSet<>();
     long lastProcessed = term.workers.getOrCreate(worker).lastProcessedEnd();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRestarts.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRestarts.java
@@ -37,6 +37,7 @@
       }
     }
     term.workers.remove(earlier);
+    term.leaseExtensions.onRestarted(earlier, later);
     term.logEvent(RunEvent.Kind.WORKER_RESTARTED, "", later, "it was " + earlier + heldRuns);
   }
 
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerState.java
@@ -8,6 +8,7 @@
   EVACUATED("in an evacuated zone"),
   NOT_REPORTED("not heard"),
   SUSPECTED("without an answer"),
+  LEASES_STOPPED("heard, its leases not yet extended"),
   STARTS_DELAYED("delayed after refusals"),
   AVOIDED("left aside as slow");
 
--- a/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
@@ -1,7 +1,9 @@
 package org.wheatwall.core.batch.model;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /** Content of a job log record. */
 public sealed interface LogContent {
@@ -29,6 +31,24 @@
    */
   record Host(String address, String zone) implements LogContent {}
 
+  /**
+   * Promise that no lease is extended at a worker while this record stands.
+   *
+   * @param ageMs for how long before this record no lease had been extended there, milliseconds; at
+   *     least 1
+   * @param clocks clocks of other workers when this record was written, by which a process that was
+   *     not running then can tell how long ago that was
+   */
+  record LeaseStop(long ageMs, List<WorkerClock> clocks) implements LogContent {
+    /** Validates the age. */
+    public LeaseStop {
+      clocks = List.copyOf(clocks);
+      if (ageMs < 1) {
+        throw new IllegalArgumentException("the age of a lease stop is at least 1 ms: " + ageMs);
+      }
+    }
+  }
+
   /**
    * Claim, renewal or release of the leadership term.
    *
@@ -40,6 +60,8 @@
    * @param successor name of the host that shall claim the released term, if the holder chose one
    * @param usableAccelerators accelerators of the workers that can receive new work, if the holder
    *     knows them
+   * @param leaseStopsFrom offset from which each {@link LeaseStop} counts; empty if the holder may
+   *     extend leases although one stands, as earlier versions do
    */
   record Term(
       String holder,
@@ -48,9 +70,10 @@
       long term,
       boolean released,
       Optional<String> successor,
-      OptionalInt usableAccelerators)
+      OptionalInt usableAccelerators,
+      OptionalLong leaseStopsFrom)
       implements LogContent {
-    /** Creates the record of a term without known capacity. */
+    /** Creates the record of a term without known capacity, where each lease stop counts. */
     public Term(
         String holder,
         String address,
@@ -58,7 +81,15 @@
         long term,
         boolean released,
         Optional<String> successor) {
-      this(holder, address, incarnation, term, released, successor, OptionalInt.empty());
+      this(
+          holder,
+          address,
+          incarnation,
+          term,
+          released,
+          successor,
+          OptionalInt.empty(),
+          OptionalLong.of(0));
     }
 
     /** Creates the record of a term without a chosen successor. */
--- a/core/src/main/java/org/wheatwall/core/batch/model/LogKey.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogKey.java
@@ -5,7 +5,7 @@
 /**
  * Key of a job log record. The log keeps the newest record of each key.
  *
- * @param name name of the job, group of tasks or entry host; empty for the term
+ * @param name name of the job, group of tasks, entry host or life of a worker; empty for the term
  */
 public record LogKey(Kind kind, String name) {
   /** Key under which all deciders claim and renew their term. */
@@ -18,7 +18,8 @@
     CANCEL('C'),
     END('E'),
     GROUP('G'),
-    HOST('H');
+    HOST('H'),
+    LEASE_STOP('L');
 
     private final char letter;
 
@@ -28,7 +29,7 @@
 
     /** Returns whether only the decider writes records of this kind. */
     public boolean writtenByDecider() {
-      return this == TERM || this == END || this == GROUP;
+      return this == TERM || this == END || this == GROUP || this == LEASE_STOP;
     }
   }
 
@@ -70,6 +71,11 @@
     return new LogKey(Kind.HOST, name);
   }
 
+  /** Returns the key of the end of lease extensions at a life of a worker. */
+  public static LogKey leaseStop(String worker) {
+    return new LogKey(Kind.LEASE_STOP, worker);
+  }
+
   /** Returns the key of a group of tasks. */
   public static LogKey group(GroupKey group) {
     return new LogKey(Kind.GROUP, group.text());
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LeaseExtensionsTest.java
@@ -0,0 +1,196 @@
+package org.wheatwall.core.batch.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.CommandOutcome;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.StartCommand;
+import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.core.batch.model.WorkerClock;
+import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.core.job.decision.SchedulerSettings;
+
+/**
+ * Guards against leases that are extended although a record in the log says that none are, so that
+ * a later decider starts a task beside its earlier run, and against deciders that ignore the record
+ * and wait longer than they need.
+ */
+final class LeaseExtensionsTest extends OneJobScenario {
+  private static final String WORKER = "a..1000";
+  private static final String OTHER = "b..1000";
+  private static final LogKey STOP_KEY = LogKey.leaseStop(WORKER);
+  private static final int SCAN_MS = 250;
+
+  private void startTask() {
+    listWorker(WORKER);
+    accept(job(1, false, 2));
+    effects.acknowledgeAll();
+    resolveStarts(CommandOutcome.DONE);
+    supervisor.onLeaseSent(WORKER, nowMs);
+  }
+
+  private void makeSilent() {
+    supervisor.onCallUnanswered(WORKER, nowMs);
+    nowMs += LeaseExtensions.STOP_AFTER_MS;
+    tick(WALL_MS);
+  }
+
+  private void reportRunning() {
+    StartCommand command = effects.starts.get(0);
+    report(WORKER, List.of(new WorkerInventory.RunningTask(command.task(), 1, "", 10)), List.of());
+  }
+
+  private Optional<LogEntry> lastStopEntry() {
+    return effects.logged.stream()
+        .filter(entry -> entry.key().equals(STOP_KEY))
+        .reduce((first, second) -> second);
+  }
+
+  // Adopts the job while another decider's stop at its worker was read some time ago.
+  private void adoptWithStop(long readAtMs, LogContent.LeaseStop stop) {
+    LeaseStops stops = new LeaseStops();
+    stops.add(WORKER, stop, 5, readAtMs);
+    supervisor.adopt(tableWith(job(1, false, 2), activeOn(WORKER)), stops, nowMs, WALL_MS);
+  }
+
+  private List<String> startedOn() {
+    effects.acknowledgeAll();
+    return effects.starts.stream().map(StartCommand::worker).toList();
+  }
+
+  @Test
+  void silenceOfAWorkerWithRunsIsLoggedWithTheTimeSinceTheLastLease() {
+    startTask();
+    makeSilent();
+    assertThat(supervisor.mayExtendLeases(WORKER)).isFalse();
+    assertThat(lastStopEntry().flatMap(LogEntry::content))
+        .hasValue(new LogContent.LeaseStop(LeaseExtensions.STOP_AFTER_MS, List.of()));
+  }
+
+  @Test
+  void silenceOfAnIdleWorkerIsNotLogged() {
+    listWorker(WORKER);
+    makeSilent();
+    assertThat(lastStopEntry()).isEmpty();
+  }
+
+  @Test
+  void noLeaseIsExtendedBeforeTheRecordIsDropped() {
+    startTask();
+    makeSilent();
+    effects.acknowledgeAll();
+    reportRunning();
+    assertThat(lastStopEntry()).hasValue(LogEntry.tombstone(STOP_KEY));
+    assertThat(supervisor.mayExtendLeases(WORKER)).isFalse();
+    effects.acknowledgeAll();
+    assertThat(supervisor.mayExtendLeases(WORKER)).isTrue();
+  }
+
+  @Test
+  void nothingStartsOnAWorkerBeforeItsRecordIsDropped() {
+    startTask();
+    makeSilent();
+    effects.acknowledgeAll();
+    reportRunning();
+    assertThat(supervisor.usableWorkersIn("z")).isEmpty();
+    effects.acknowledgeAll();
+    assertThat(supervisor.usableWorkersIn("z")).containsExactly(WORKER);
+  }
+
+  @Test
+  void recordIsDroppedOnceNothingRunsThere() {
+    startTask();
+    makeSilent();
+    supervisor.unlistWorker(WORKER, nowMs);
+    nowMs += LEASE_EXPIRY_MS + SCAN_MS;
+    tick(WALL_MS);
+    nowMs += SCAN_MS;
+    tick(WALL_MS);
+    assertThat(lastStopEntry()).hasValue(LogEntry.tombstone(STOP_KEY));
+  }
+
+  @Test
+  void workOfASilentWorkerIsNotAwaitedAnewByTheNextDecider() {
+    long readAtMs = nowMs - 4000;
+    adoptWithStop(readAtMs, new LogContent.LeaseStop(500, List.of()));
+    listWorker("b");
+    nowMs = readAtMs - 500 + LEASE_EXPIRY_MS;
+    tick(WALL_MS);
+    assertThat(startedOn()).isEmpty();
+    nowMs += 20;
+    tick(WALL_MS);
+    tick(WALL_MS);
+    assertThat(startedOn()).containsExactly("b");
+  }
+
+  // A process that has just started read the record only now.
+  @Test
+  void clockOfAnotherWorkerTellsHowLongAgoTheRecordWasWritten() {
+    long clockMs = 50_000;
+    adoptWithStop(
+        nowMs, new LogContent.LeaseStop(1, List.of(new WorkerClock(OTHER, clockMs - 5150))));
+    listUnreportedWorker(OTHER);
+    reportClock(OTHER, clockMs);
+    nowMs += LEASE_EXPIRY_MS - 5000 - 10;
+    tick(WALL_MS);
+    assertThat(startedOn()).isEmpty();
+    nowMs += 20;
+    tick(WALL_MS);
+    tick(WALL_MS);
+    assertThat(startedOn()).containsExactly(OTHER);
+  }
+
+  // Leases may have been extended since the record was dropped.
+  @Test
+  void clockOfAnotherWorkerDoesNotCountOnceTheWorkerHasResponded() {
+    long clockMs = 50_000;
+    adoptWithStop(
+        nowMs, new LogContent.LeaseStop(1, List.of(new WorkerClock(OTHER, clockMs - 5150))));
+    listUnreportedWorker(WORKER);
+    report(WORKER, List.of(new WorkerInventory.RunningTask(activeTask(), 1, "", 10)), List.of());
+    effects.acknowledgeAll();
+    supervisor.onLeaseSent(WORKER, nowMs);
+    supervisor.unlistWorker(WORKER, nowMs);
+    listUnreportedWorker(OTHER);
+    reportClock(OTHER, clockMs);
+    nowMs += LEASE_EXPIRY_MS - 100;
+    tick(WALL_MS);
+    tick(WALL_MS);
+    assertThat(startedOn()).isEmpty();
+  }
+
+  // The holder before may act for some time after the start of the term.
+  @Test
+  void silenceIsNotLoggedWhileAnEarlierDeciderMayExtendLeases() {
+    RecordedEffects laterEffects = new RecordedEffects();
+    RunSupervisor later =
+        new RunSupervisor(
+            SupervisorSettings.of(LEASE_MS, 60_000),
+            SchedulerSettings.DEFAULT,
+            laterEffects,
+            8,
+            nowMs,
+            3 * LeaseExtensions.STOP_AFTER_MS);
+    later.adopt(tableWith(job(1, false, 2), activeOn(WORKER)), nowMs, WALL_MS);
+    later.tick(nowMs + 2L * LeaseExtensions.STOP_AFTER_MS, WALL_MS);
+    assertThat(laterEffects.logged).isEmpty();
+    later.tick(nowMs + 3L * LeaseExtensions.STOP_AFTER_MS, WALL_MS);
+    assertThat(laterEffects.logged.stream().map(LogEntry::key)).containsExactly(STOP_KEY);
+  }
+
+  private static TaskName activeTask() {
+    return new TaskName(ID, 0, 0, 0);
+  }
+
+  private void reportClock(String worker, long clockMs) {
+    nowMs += 10;
+    supervisor.onReport(
+        worker, new WorkerInventory(clockMs, List.of(), List.of()), nowMs - 5, nowMs, WALL_MS);
+    decideIfDue(WALL_MS);
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.decision.EndedJobs;
 import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.LeaseStops;
 import org.wheatwall.core.batch.decision.RunEffects;
 import org.wheatwall.core.batch.decision.RunEvent;
 import org.wheatwall.core.batch.decision.RunSupervisor;
@@ -137,9 +138,9 @@
   }
 
   /** Adopts the state that was read from the job log. */
-  void begin(JobTable table) {
+  void begin(JobTable table, LeaseStops leaseStops) {
     updateEvacuations();
-    supervisor.adopt(table, context.clock().nowMs(), context.clock().wallMs());
+    supervisor.adopt(table, leaseStops, context.clock().nowMs(), context.clock().wallMs());
   }
 
   RunSupervisor supervisor() {
@@ -244,6 +245,7 @@
       skippedMs = skipped;
       context.decisions().log("term-unconfirmed", field("term", term), field("cause", "clocks"));
       poller.invalidateClocks();
+      supervisor.invalidateClocks();
       supervisor.expirePermits();
       updateEvacuations();
     }
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -9,6 +9,7 @@
 import org.wheatwall.core.batch.decision.EndedJobs;
 import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.LeaseStops;
 import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.model.BatchJob;
@@ -39,6 +40,7 @@
   private final AdmissionControl admission;
   private final RunTimeTracker runTimes;
   private final EndedJobs endedJobs = new EndedJobs();
+  private final LeaseStops leaseStops = new LeaseStops();
   private final RetriedJobs retriedJobs = new RetriedJobs();
   private JobTable table = new JobTable();
   private Listener listener;
@@ -101,6 +103,11 @@
     return endedJobs;
   }
 
+  /** Returns since when this host knows of workers at which no lease is extended. */
+  LeaseStops leaseStops() {
+    return leaseStops;
+  }
+
   /** Returns the run times on workers, as learned from the records that were read. */
   RunTimeTracker runTimes() {
     return runTimes;
@@ -110,9 +117,17 @@
   public void onReset(List<KeyedLog.NewestRecord> newest) {
     table = new JobTable();
     runTimes.discardOpenRuns();
+    Set<String> stoppedWorkers = new HashSet<>();
     for (KeyedLog.NewestRecord entry : newest) {
-      decode(entry.record()).ifPresent(decoded -> table.apply(decoded, entry.offset()));
+      Optional<LogEntry> decoded = decode(entry.record());
+      decoded.ifPresent(record -> table.apply(record, entry.offset()));
+      decoded.ifPresent(record -> applyToLeaseStops(record, entry.offset()));
+      decoded
+          .map(LogEntry::key)
+          .filter(key -> key.kind() == LogKey.Kind.LEASE_STOP)
+          .ifPresent(key -> stoppedWorkers.add(key.name()));
     }
+    leaseStops.retainAll(stoppedWorkers);
     rule.onDeciderRecord(clock.nowMs());
     table.hosts().keySet().forEach(name -> roster.recordSeen(name, clock.nowMs()));
     resetEndedJobs();
@@ -147,6 +162,7 @@
     Optional<GroupState> groupBefore = groupState(entry.key());
     boolean retries = groupBefore.isPresent() && isPending(entry.key());
     table.apply(entry, offset);
+    applyToLeaseStops(entry, offset);
     if (retries && !isPending(entry.key())) {
       GroupKey.parse(entry.key().name())
           .ifPresent(group -> retriedJobs.add(group.jobId(), clock.nowMs()));
@@ -169,6 +185,20 @@
       case END -> onEnd(key.name(), entry.content().isPresent());
       case GROUP ->
           GroupKey.parse(key.name()).ifPresent(group -> onGroup(group, groupBefore, entry));
+      case LEASE_STOP -> {
+        // Nobody waits for it.
+      }
+    }
+  }
+
+  private void applyToLeaseStops(LogEntry entry, long offset) {
+    LogContent content = entry.content().orElse(null);
+    if (content instanceof LogContent.Term term) {
+      leaseStops.onTerm(term, offset);
+    } else if (content instanceof LogContent.LeaseStop stop) {
+      leaseStops.add(entry.key().name(), stop, offset, clock.nowMs());
+    } else if (entry.key().kind() == LogKey.Kind.LEASE_STOP) {
+      leaseStops.remove(entry.key().name());
     }
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -392,7 +392,7 @@
     lastTickAtMs = termStartMs;
     keepTerm(newDecider);
     newDecider.setRules(rules);
-    newDecider.begin(table);
+    newDecider.begin(table, replica.leaseStops());
     if (!newDecider.ended()) {
       ports.directory().open(newDecider);
     }
@@ -439,7 +439,12 @@
             Optional.empty(),
             settings.features().admission().enabled()
                 ? OptionalInt.of(current.supervisor().scheduler().usableAccelerators())
-                : OptionalInt.empty()));
+                : OptionalInt.empty(),
+            leaseStopsFrom()));
+  }
+
+  private OptionalLong leaseStopsFrom() {
+    return OptionalLong.of(replica.leaseStops().validFrom());
   }
 
   private LogEntry termEntry(long term, boolean released) {
@@ -450,6 +455,13 @@
     return LogEntry.of(
         LogKey.TERM,
         new LogContent.Term(
-            settings.host(), settings.address(), process.incarnation(), term, released, successor));
+            settings.host(),
+            settings.address(),
+            process.incarnation(),
+            term,
+            released,
+            successor,
+            OptionalInt.empty(),
+            leaseStopsFrom()));
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
@@ -117,10 +117,13 @@
     }
   }
 
-  /** Returns the lease for a command sent now; empty while the worker's clock is not known. */
+  /**
+   * Returns the lease for a command sent now; empty while the worker's clock is not known or no
+   * lease may be extended there.
+   */
   public Optional<WorkerPort.Lease> lease(String worker) {
     Session session = session(worker);
-    if (!session.clockKnown) {
+    if (!session.clockKnown || !supervisor.mayExtendLeases(worker)) {
       return Optional.empty();
     }
     return Optional.of(new WorkerPort.Lease(term, leaseEndMs(session)));
@@ -216,7 +219,8 @@
     boolean extendLeases =
         session.clockKnown
             && !isSilentFor(session, STOP_EXTENDING_AFTER_MS)
-            && !supervisor.hasOnlyOrphanedRuns(worker);
+            && !supervisor.hasOnlyOrphanedRuns(worker)
+            && supervisor.mayExtendLeases(worker);
     if (extendLeases) {
       supervisor.onLeaseSent(worker, sentMs);
     }
--- a/entry/src/test/java/org/wheatwall/entry/batch/EvacuationBeforeStartTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/EvacuationBeforeStartTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.LeaseStops;
 import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.TermSettings;
@@ -76,7 +77,7 @@
             0,
             new RunTimeTracker(),
             () -> {});
-    decider.begin(new JobTable());
+    decider.begin(new JobTable(), new LeaseStops());
     ports.directory().open(decider);
     time.runFor(FIRST_REPORT_MS);
   }
--- a/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -15,6 +15,7 @@
 import org.wheatwall.core.batch.model.Recurrence;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.TaskLosses;
+import org.wheatwall.core.batch.model.WorkerClock;
 import org.wheatwall.core.batch.model.WorkerIncarnation;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.job.model.HostSharing;
@@ -28,9 +29,11 @@
 import org.wheatwall.wire.message.HostRecord;
 import org.wheatwall.wire.message.JobEndRecord;
 import org.wheatwall.wire.message.JobEndState;
+import org.wheatwall.wire.message.LeaseStopRecord;
 import org.wheatwall.wire.message.SharingKind;
 import org.wheatwall.wire.message.TaskLossesRecord;
 import org.wheatwall.wire.message.TermRecord;
+import org.wheatwall.wire.message.WorkerClockRecord;
 
 /** Encodes and decodes the records of the job log. */
 public final class JobLogCodec {
@@ -89,6 +92,9 @@
           .build()
           .toByteArray();
     }
+    if (content instanceof LogContent.LeaseStop stop) {
+      return leaseStop(stop).toByteArray();
+    }
     return term((LogContent.Term) content).toByteArray();
   }
 
@@ -101,6 +107,7 @@
       case GROUP -> new LogContent.Group(group(GroupRecord.parseFrom(value)));
       case TERM -> term(TermRecord.parseFrom(value));
       case HOST -> host(HostRecord.parseFrom(value));
+      case LEASE_STOP -> leaseStop(LeaseStopRecord.parseFrom(value));
     };
   }
 
@@ -108,6 +115,23 @@
     return new LogContent.Host(record.getAddress(), record.getZone());
   }
 
+  private static LeaseStopRecord leaseStop(LogContent.LeaseStop stop) {
+    LeaseStopRecord.Builder record = LeaseStopRecord.newBuilder().setAgeMs(stop.ageMs());
+    for (WorkerClock clock : stop.clocks()) {
+      record.addClocks(
+          WorkerClockRecord.newBuilder().setWorker(clock.worker()).setClockMs(clock.clockMs()));
+    }
+    return record.build();
+  }
+
+  private static LogContent.LeaseStop leaseStop(LeaseStopRecord record) {
+    return new LogContent.LeaseStop(
+        Math.max(1, record.getAgeMs()),
+        record.getClocksList().stream()
+            .map(clock -> new WorkerClock(clock.getWorker(), clock.getClockMs()))
+            .toList());
+  }
+
   private static BatchJobRecord job(BatchJob job) {
     BatchJobRecord.Builder record =
         BatchJobRecord.newBuilder()
@@ -318,6 +342,7 @@
             .setTerm(term.term())
             .setReleased(term.released())
             .setSuccessor(term.successor().orElse(""));
+    term.leaseStopsFrom().ifPresent(record::setLeaseStopsFrom);
     term.usableAccelerators().ifPresent(record::setUsableAccelerators);
     return record.build();
   }
@@ -332,6 +357,9 @@
         text(record.getSuccessor()),
         record.hasUsableAccelerators()
             ? OptionalInt.of(record.getUsableAccelerators())
-            : OptionalInt.empty());
+            : OptionalInt.empty(),
+        record.hasLeaseStopsFrom()
+            ? OptionalLong.of(record.getLeaseStopsFrom())
+            : OptionalLong.empty());
   }
 }
--- a/wire/src/main/java/org/wheatwall/wire/message/TermRecord.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/TermRecord.java
@@ -335,6 +335,60 @@
     usableAccelerators_ = 0;
   }
 
+  public static final int LEASE_STOPS_FROM_FIELD_NUMBER = 8;
+  private long leaseStopsFrom_;
+  /**
+   * <pre>
+   * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+   * one stands.
+   * </pre>
+   *
+   * <code>optional int64 lease_stops_from = 8;</code>
+   * @return Whether the leaseStopsFrom field is set.
+   */
+  @java.lang.Override
+  public boolean hasLeaseStopsFrom() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+   * one stands.
+   * </pre>
+   *
+   * <code>optional int64 lease_stops_from = 8;</code>
+   * @return The leaseStopsFrom.
+   */
+  @java.lang.Override
+  public long getLeaseStopsFrom() {
+    return leaseStopsFrom_;
+  }
+  /**
+   * <pre>
+   * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+   * one stands.
+   * </pre>
+   *
+   * <code>optional int64 lease_stops_from = 8;</code>
+   * @param value The leaseStopsFrom to set.
+   */
+  private void setLeaseStopsFrom(long value) {
+    bitField0_ |= 0x00000002;
+    leaseStopsFrom_ = value;
+  }
+  /**
+   * <pre>
+   * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+   * one stands.
+   * </pre>
+   *
+   * <code>optional int64 lease_stops_from = 8;</code>
+   */
+  private void clearLeaseStopsFrom() {
+    bitField0_ = (bitField0_ & ~0x00000002);
+    leaseStopsFrom_ = 0L;
+  }
+
   public static org.wheatwall.wire.message.TermRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -760,6 +814,62 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+     * one stands.
+     * </pre>
+     *
+     * <code>optional int64 lease_stops_from = 8;</code>
+     * @return Whether the leaseStopsFrom field is set.
+     */
+    @java.lang.Override
+    public boolean hasLeaseStopsFrom() {
+      return instance.hasLeaseStopsFrom();
+    }
+    /**
+     * <pre>
+     * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+     * one stands.
+     * </pre>
+     *
+     * <code>optional int64 lease_stops_from = 8;</code>
+     * @return The leaseStopsFrom.
+     */
+    @java.lang.Override
+    public long getLeaseStopsFrom() {
+      return instance.getLeaseStopsFrom();
+    }
+    /**
+     * <pre>
+     * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+     * one stands.
+     * </pre>
+     *
+     * <code>optional int64 lease_stops_from = 8;</code>
+     * @param value The leaseStopsFrom to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaseStopsFrom(long value) {
+      copyOnWrite();
+      instance.setLeaseStopsFrom(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+     * one stands.
+     * </pre>
+     *
+     * <code>optional int64 lease_stops_from = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaseStopsFrom() {
+      copyOnWrite();
+      instance.clearLeaseStopsFrom();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.TermRecord)
   }
   @java.lang.Override
@@ -784,10 +894,11 @@
             "released_",
             "successor_",
             "usableAccelerators_",
+            "leaseStopsFrom_",
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0208\u0004\u0002\u0005\u0007\u0006\u0208\u0007\u100b\u0000";
+              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
+              "\u0004\u0002\u0005\u0007\u0006\u0208\u0007\u100b\u0000\b\u1002\u0001";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/TermRecordOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/TermRecordOrBuilder.java
@@ -96,4 +96,25 @@
    * @return The usableAccelerators.
    */
   int getUsableAccelerators();
+
+  /**
+   * <pre>
+   * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+   * one stands.
+   * </pre>
+   *
+   * <code>optional int64 lease_stops_from = 8;</code>
+   * @return Whether the leaseStopsFrom field is set.
+   */
+  boolean hasLeaseStopsFrom();
+  /**
+   * <pre>
+   * Offset from which LeaseStopRecords count; missing where the holder may extend leases although
+   * one stands.
+   * </pre>
+   *
+   * <code>optional int64 lease_stops_from = 8;</code>
+   * @return The leaseStopsFrom.
+   */
+  long getLeaseStopsFrom();
 }
--- a/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -17,6 +18,7 @@
 import org.wheatwall.core.batch.model.LossKind;
 import org.wheatwall.core.batch.model.Recurrence;
 import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.batch.model.WorkerClock;
 import org.wheatwall.core.batch.model.WorkerIncarnation;
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -120,11 +122,43 @@
         List.of(OptionalInt.empty(), OptionalInt.of(0), OptionalInt.of(20_000))) {
       LogContent.Term term =
           new LogContent.Term(
-              "host-1", "10.0.0.1", "life", 7, false, Optional.empty(), accelerators);
-      LogEntry entry = LogEntry.of(LogKey.TERM, term);
-      Optional<LogEntry> read =
-          JobLogCodec.decode(entry.key().text(), JobLogCodec.encodeValue(entry));
-      assertThat(read).isEqualTo(Optional.of(entry));
+              "host-1",
+              "10.0.0.1",
+              "life",
+              7,
+              false,
+              Optional.empty(),
+              accelerators,
+              OptionalLong.of(0));
+      assertReadAsWritten(LogEntry.of(LogKey.TERM, term));
+    }
+  }
+
+  // A record without the offset is of a host that may extend leases although a stop stands.
+  @Test
+  void theOffsetFromWhichLeaseStopsCountIsReadAsItWasWritten() {
+    for (OptionalLong from :
+        List.of(OptionalLong.empty(), OptionalLong.of(0), OptionalLong.of(9))) {
+      LogContent.Term term =
+          new LogContent.Term(
+              "host-1", "10.0.0.1", "life", 7, false, Optional.empty(), OptionalInt.empty(), from);
+      assertReadAsWritten(LogEntry.of(LogKey.TERM, term));
     }
   }
+
+  @Test
+  void aLeaseStopIsReadAsItWasWritten() {
+    List<WorkerClock> clocks = List.of(new WorkerClock("a..1", 0), new WorkerClock("b..2", 70_000));
+    for (List<WorkerClock> written : List.of(List.<WorkerClock>of(), clocks)) {
+      assertReadAsWritten(
+          LogEntry.of(
+              LogKey.leaseStop("worker..1700000000000"), new LogContent.LeaseStop(1, written)));
+    }
+  }
+
+  private static void assertReadAsWritten(LogEntry entry) {
+    Optional<LogEntry> read =
+        JobLogCodec.decode(entry.key().text(), JobLogCodec.encodeValue(entry));
+    assertThat(read).isEqualTo(Optional.of(entry));
+  }
 }
