A listed worker's silence is waited for by seconds, not by leases

What callers saw: work of a worker that is listed and answers nobody stands for four times the length of its leases, 43 s where leases last 10 s.

Cause: the wait covers several cuts in a row of some 6 s each, in which the worker may have finished; cuts do not last longer where leases do. Change: 20 s beyond the leases, the same as before (26.7 s) with leases of 6 s, 30.8 s with leases of 10 s.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -7,7 +7,7 @@
 /** The state of one incarnation of a worker, as the decider knows it. */
 final class WorkerRecord {
   // Long enough for several successive network partitions, of some 6 s each in deployments.
-  private static final int LISTED_EXPIRY_FACTOR = 4;
+  private static final int LISTED_WAIT_AFTER_EXPIRY_MS = 20_000;
 
   private final String id;
   private final StartBackoff backoff = new StartBackoff();
@@ -226,7 +226,7 @@
   }
 
   private long waitMs(long expiryMs) {
-    return listed ? LISTED_EXPIRY_FACTOR * expiryMs : expiryMs;
+    return listed ? expiryMs + LISTED_WAIT_AFTER_EXPIRY_MS : expiryMs;
   }
 
   /** Returns when it last responded, milliseconds; far in the past if it never did. */
--- a/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/BatchFaultSchedule.java
@@ -33,7 +33,7 @@
   private static final int LEASE_MS = 6000;
   private static final int FAULT_PHASE_MS = 30_000;
   private static final int RECOVERY_PHASE_MS = 60_000;
-  // Faults last up to 17 s, and leases of partitioned workers four times as long as usual.
+  // Faults last up to 17 s, and partitioned workers are waited for 20 s beyond their leases.
   private static final int SETTLING_MS = 35_000;
   private static final int MAX_PATH_FAULT_MS = 12_000;
   private static final int MAX_EVACUATION_MS = 12_000;
