Clocks of workers that tell nothing of their lives date a lease stop, too

Cause: only workers with a known life were named as clocks, and the workers of that deployment tell no life. A worker that tells none has another identifier after each restart, so its clock does not begin anew under that name. The age in the record now also counts where the time comes from such a clock.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/LeaseExtensions.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/LeaseExtensions.java
@@ -11,7 +11,6 @@
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.WorkerClock;
-import org.wheatwall.core.batch.model.WorkerIncarnation;
 
 /**
  * Decides at which workers leases may be extended. Once a worker with runs has been silent for
@@ -42,7 +41,7 @@
   private long lastScanAtMs = Long.MIN_VALUE / 2;
 
   /** A stop that was logged when another worker's clock showed at most {@code clockMs}. */
-  private record DatedStop(String worker, long clockMs) {}
+  private record DatedStop(String worker, long ageMs, long clockMs) {}
 
   LeaseExtensions(TermState term) {
     this.term = term;
@@ -67,7 +66,7 @@
     for (WorkerClock clock : stop.clocks()) {
       stopsByClock
           .computeIfAbsent(clock.worker(), name -> new ArrayList<>())
-          .add(new DatedStop(worker, clock.clockMs()));
+          .add(new DatedStop(worker, stop.ageMs(), clock.clockMs()));
     }
   }
 
@@ -79,7 +78,7 @@
     }
     for (DatedStop stop : dated) {
       if (inherited.contains(stop.worker())) {
-        long elapsedMs = term.settings.leastElapsedMs(clockMs - stop.clockMs());
+        long elapsedMs = term.settings.leastElapsedMs(clockMs - stop.clockMs()) + stop.ageMs();
         term.workers.getOrCreate(stop.worker()).limitLastLease(term.nowMs - elapsedMs);
       }
     }
@@ -132,12 +131,13 @@
     }
   }
 
-  // The clock of a life that is not known may begin anew unnoticed.
+  // A worker that tells nothing of its lives has another identifier after each restart, so its
+  // clock
+  // does not begin anew.
   private List<WorkerClock> clocksOfOtherWorkers() {
     return term.workers.records().stream()
         .filter(record -> record.usable() && record.clockKnown())
         .filter(record -> record.silentSinceMs() == Long.MAX_VALUE)
-        .filter(record -> WorkerIncarnation.parse(record.id()).startedAtMs().isPresent())
         .sorted(Comparator.comparingLong(WorkerRecord::lastResponseMs).reversed())
         .limit(CLOCKS_PER_STOP)
         .map(record -> new WorkerClock(record.id(), highestClockMs(record)))
