Lines of waiting groups name the share in use and what silent workers hold

Callers saw jobs that stayed queued beside free workers. Whether a group with room may be held back depends on the share of the capacity that is in use, and GROUP_WAITS gave neither that share nor how much of what is held is held at workers that nobody hears, so that a queue behind work and a queue behind the memory of work looked the same.

The scheduler's hosts now know whether they respond (a worker has responded in this term and was not called in vain since; listed or leaving does not matter), and the line ends with both shares. Nothing is decided by them yet. The new part follows the workers by state, so that the account of long waits reads the lines as before; one of the lines of StallReportTest has it.

--- a/app/src/test/java/org/wheatwall/app/account/StallReportTest.java
+++ b/app/src/test/java/org/wheatwall/app/account/StallReportTest.java
@@ -67,7 +67,9 @@
     groupWaits(
         GROUP,
         "for 7600 ms: KEPT_FOR_URGENT_WORK, 610 are free; 9 of 11 groups wait for the same;"
-            + " workers 163 usable, 15 unlisted, 65 without an answer");
+            + " workers 163 usable, 15 unlisted, 65 without an answer;"
+            + " 51.4% of the capacity counts as in use, 30.2% is held at workers that are not"
+            + " heard");
     groupWaits(
         JOB + ".0.0.7",
         "for 4000 ms: KEPT_FOR_URGENT_WORK, 2 are free; 3 of 4 groups wait for the same;"
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WaitTracker.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +26,7 @@
   private static final int SCAN_INTERVAL_MS = 1000;
   private static final int LONG_WAIT_MS = 3000;
   private static final int MAX_GROUPS_LOGGED_PER_SCAN = 5;
+  private static final double PERCENT = 100;
   // Kind of the reason of a group that is not in the scheduler's queue any more.
   private static final String RUN_NOT_STARTED = "RUN_NOT_STARTED";
 
@@ -201,7 +203,17 @@
             + " of "
             + waits.size()
             + " groups wait for the same; "
-            + workers);
+            + workers
+            + "; "
+            + capacityInUse());
+  }
+
+  private String capacityInUse() {
+    return String.format(
+        Locale.ROOT,
+        "%.1f%% of the capacity counts as in use, %.1f%% is held at workers that are not heard",
+        PERCENT * term.scheduler.shareInUse(),
+        PERCENT * term.scheduler.shareHeldUnheard());
   }
 
   private String workersByState() {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -93,9 +93,14 @@
     return avoided ? WorkerState.AVOIDED : WorkerState.USABLE;
   }
 
+  /** Returns whether it has responded in this term and was not called in vain since. */
+  boolean heard() {
+    return responded && !suspected;
+  }
+
   /** Returns whether it is listed and has not responded yet, or does not respond any more. */
   boolean silent() {
-    return listed && (!responded || suspected);
+    return listed && !heard();
   }
 
   /** Returns whether it is listed and the first call to it has neither succeeded nor failed yet. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -333,6 +333,7 @@
   }
 
   private void refresh(WorkerRecord record) {
+    scheduler.cluster().setHeard(record.id(), record.heard());
     scheduler.setHostAvailable(record.id(), record.usable());
   }
 
--- a/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
@@ -13,6 +13,7 @@
 
   private long capacity;
   private long held;
+  private long heldUnheard;
   private int usableAccelerators;
   private long usableProcessors;
   private long usableMemoryMb;
@@ -31,6 +32,7 @@
     ResourceAmount hostCapacity = host.host().capacity();
     capacity += sign * weight(hostCapacity);
     held += sign * weight(host.used());
+    heldUnheard += host.heard() ? 0 : sign * weight(host.used());
     if (host.usable()) {
       usableAccelerators += sign * hostCapacity.accelerators();
       usableProcessors += (long) sign * hostCapacity.processors();
@@ -61,4 +63,18 @@
   boolean isLessThanHalf() {
     return 2 * held < capacity;
   }
+
+  /** Returns the share of the capacity of all hosts that is held, 0 if there are none. */
+  double share() {
+    return shareOf(held);
+  }
+
+  /** Returns the share of the capacity of all hosts that is held on hosts that do not respond. */
+  double unheardShare() {
+    return shareOf(heldUnheard);
+  }
+
+  private double shareOf(long amount) {
+    return capacity == 0 ? 0 : (double) amount / capacity;
+  }
 }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -76,8 +76,8 @@
 
   /**
    * Adds a host. If it is known in the same zone and rack, only its capacity is updated, which is
-   * allowed while work runs there; whether it is usable or on probation, its labels and its speed
-   * are retained.
+   * allowed while work runs there; whether it is usable, heard or on probation, its labels and its
+   * speed are retained.
    */
   public void add(WorkerHost host) {
     HostState known = hosts.get(host.name());
@@ -135,6 +135,13 @@
     updateOffered(name, host -> host.setUsable(usable));
   }
 
+  /** Sets whether a host responds. */
+  public void setHeard(String name, boolean heard) {
+    if (host(name).filter(host -> host.heard() != heard).isPresent()) {
+      update(name, host -> host.setHeard(heard));
+    }
+  }
+
   /** Sets the speed of a host. */
   public void setSpeed(String name, HostSpeed speed) {
     update(name, host -> host.setSpeed(speed));
--- a/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/HostState.java
@@ -25,6 +25,7 @@
   private int suspects;
   private Labels labels = Labels.NONE;
   private boolean usable = true;
+  private boolean heard = true;
   private boolean onProbation;
   private HostSpeed speed = HostSpeed.USUAL;
   private double runTimeRatio = 1;
@@ -77,6 +78,11 @@
     return usable;
   }
 
+  /** Returns whether this host responds, so that what attempts hold is known to be in use. */
+  public boolean heard() {
+    return heard;
+  }
+
   /** Returns the resources that attempts hold. */
   ResourceAmount used() {
     return used;
@@ -234,6 +240,10 @@
     usable = next;
   }
 
+  void setHeard(boolean next) {
+    heard = next;
+  }
+
   void setOnProbation(boolean next) {
     onProbation = next;
   }
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -367,6 +367,16 @@
     return state.cluster.capacityInUse().isLessThanHalf();
   }
 
+  /** Returns the share of the capacity of all hosts that counts as in use. */
+  public double shareInUse() {
+    return state.cluster.capacityInUse().share();
+  }
+
+  /** Returns the share of the capacity of all hosts that is held on hosts that do not respond. */
+  public double shareHeldUnheard() {
+    return state.cluster.capacityInUse().unheardShare();
+  }
+
   /** Returns the accelerators of the usable hosts, held or free. */
   public int usableAccelerators() {
     return state.cluster.capacityInUse().usableAccelerators();
--- a/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
@@ -49,6 +49,21 @@
     assertThat(waitEvents().get(0).reason()).contains("workers 1 usable, 1 not heard");
   }
 
+  // Otherwise the line does not tell whether the group is held back for a share that is in use or
+  // for one that is only believed to be.
+  @Test
+  void logLineNamesTheShareInUseAndWhatIsHeldAtWorkersThatAreNotHeard() {
+    submitToFullWorkers(1);
+    fixture.advance(4000);
+    assertThat(waitEvents().get(0).reason())
+        .endsWith(
+            "98.6% of the capacity counts as in use, 0.0% is held at workers that are not heard");
+    fixture.supervisor.onWorkerUnreachable("a", "silent", fixture.nowMs);
+    fixture.advance(4000);
+    assertThat(waitEvents().get(1).reason())
+        .endsWith("98.6% is held at workers that are not heard");
+  }
+
   // Such groups have not been looked at and stand beside usable workers.
   @Test
   void logLineNamesUnknownEvacuationsAsWhatHoldsUpEveryStart() {
