What silent workers hold does not count as in use

What callers saw: nothing that is shown to be this; a job that stays queued although it has room and less than half of the capacity is in use fits the report of a task that could run and did not.

Cause: a job with room may be made to wait (for urgent work that may come, for an earlier job, for faster hosts, for its rack or the workers that it prefers) once half of the capacity is in use. What any attempt held on any host counted, also at workers that nobody hears, so that 30% of the workers, silent and full, and 21% in use elsewhere passed for half.

Why the fix works: only what is held on hosts that respond is in use; the capacity stays that of all known hosts. Whether a silent worker runs what it holds and whether it is still there is not known; in either case the share is not overestimated for it, so that nothing is held back that was not before. Two other measures were weighed. Without the silent hosts' capacity, work would be held back while they are idle and only cut off: 4 of 7 hosts in use beside 3 empty silent ones would pass for half, and the job behind a gang wait, which it does not today (emptySilentHostsKeepNoCapacityForAnEarlierJob). With usable hosts only, leaving, evacuated, delayed and slow workers at work would pass for idle (workAtHostsThatRespondAndGetNoNewWorkIsInUse). What it costs: while many workers are silent, less is kept free for urgent work and for gangs, and more is stopped for them; with half of the workers silent nothing is held back.

The line of WaitTrackerTest that named the share in use of a worker that fell silent now asks for the whole text: 0.0% in use, 98.6% held at workers that are not heard.

--- a/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/CapacityInUse.java
@@ -5,6 +5,10 @@
 /**
  * Running totals of the capacity and allocations of all hosts, usable or not, and of the capacity
  * of the usable ones. Updated incrementally, host by host.
+ *
+ * <p>What is held on a host that responds is in use, whether or not it gets new work. Nobody knows
+ * what runs on a host that does not respond, nor whether it is still there. It counts as capacity
+ * of which nothing is in use, so that the share in use is never overestimated.
  */
 final class CapacityInUse {
   // An accelerator counts as much as eight cores, whatever kind of host it is in. Processors are
@@ -12,7 +16,7 @@
   private static final int PROCESSORS_PER_ACCELERATOR = 8000;
 
   private long capacity;
-  private long held;
+  private long inUse;
   private long heldUnheard;
   private int usableAccelerators;
   private long usableProcessors;
@@ -31,8 +35,9 @@
   private void count(HostState host, int sign) {
     ResourceAmount hostCapacity = host.host().capacity();
     capacity += sign * weight(hostCapacity);
-    held += sign * weight(host.used());
-    heldUnheard += host.heard() ? 0 : sign * weight(host.used());
+    long held = sign * weight(host.used());
+    inUse += host.heard() ? held : 0;
+    heldUnheard += host.heard() ? 0 : held;
     if (host.usable()) {
       usableAccelerators += sign * hostCapacity.accelerators();
       usableProcessors += (long) sign * hostCapacity.processors();
@@ -59,14 +64,14 @@
     return usableMemoryMb;
   }
 
-  /** Returns whether less than half of the capacity of all hosts is held. */
+  /** Returns whether less than half of the capacity of all hosts is in use. */
   boolean isLessThanHalf() {
-    return 2 * held < capacity;
+    return 2 * inUse < capacity;
   }
 
-  /** Returns the share of the capacity of all hosts that is held, 0 if there are none. */
+  /** Returns the share of the capacity of all hosts that is in use, 0 if there are none. */
   double share() {
-    return shareOf(held);
+    return shareOf(inUse);
   }
 
   /** Returns the share of the capacity of all hosts that is held on hosts that do not respond. */
--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -362,12 +362,14 @@
     }
   }
 
-  /** Returns whether less than half of the capacity of all hosts is in use. */
+  /**
+   * Returns whether less than half of the capacity of all hosts is in use on those that respond.
+   */
   public boolean isLessThanHalfInUse() {
     return state.cluster.capacityInUse().isLessThanHalf();
   }
 
-  /** Returns the share of the capacity of all hosts that counts as in use. */
+  /** Returns the share of the capacity of all hosts that is in use on hosts that respond. */
   public double shareInUse() {
     return state.cluster.capacityInUse().share();
   }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/PreferenceRelaxationTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/PreferenceRelaxationTest.java
@@ -121,6 +121,26 @@
     assertThat(fixture.startedOn()).containsExactly("a", "b", "a").inOrder();
   }
 
+  // 4 of 10 workers that respond are held; with what is held at the 4 silent ones, 8 of 14.
+  @Test
+  void taskRunsOutsideItsDataRackIfMostOfWhatIsHeldIsHeldAtSilentWorkers() {
+    listRacks();
+    fixture.listWorker("extra-0", "rack-3");
+    fixture.listWorker("extra-1", "rack-3");
+    Optional<String> dataRack = Optional.of("rack-0");
+    fixture.accept(SupervisorFixture.job(LONG_RUNNING_JOB, step(WORKERS_PER_RACK, dataRack, true)));
+    fixture.accept(
+        SupervisorFixture.job(
+            "00000000000000cc", step(WORKERS_PER_RACK, Optional.of("rack-1"), true)));
+    fixture.resolveStarts(CommandOutcome.DONE);
+    for (int worker = 0; worker < WORKERS_PER_RACK; worker++) {
+      fixture.supervisor.onWorkerUnreachable(name(1, worker), "no answer", fixture.nowMs);
+    }
+    fixture.accept(SupervisorFixture.job(step(1, dataRack, false)));
+    fixture.advance(MAX_WAIT_MS);
+    assertThat(fixture.effects.starts).hasSize(2 * WORKERS_PER_RACK + 1);
+  }
+
   // While most workers are in use, a preferred worker becomes free soon enough to wait for it.
   @Test
   void taskWaitsForItsDataRackWhileMostWorkersAreInUse() {
--- a/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/WaitTrackerTest.java
@@ -61,7 +61,8 @@
     fixture.supervisor.onWorkerUnreachable("a", "silent", fixture.nowMs);
     fixture.advance(4000);
     assertThat(waitEvents().get(1).reason())
-        .endsWith("98.6% is held at workers that are not heard");
+        .endsWith(
+            "0.0% of the capacity counts as in use, 98.6% is held at workers that are not heard");
   }
 
   // Such groups have not been looked at and stand beside usable workers.
