--- a/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Scheduler.java
@@ -362,11 +362,23 @@
     }
   }
 
-  /** Returns whether less than half of the capacity of all hosts is in use. */
+  /**
+   * Returns whether less than half of the capacity of all hosts is in use on those that respond.
+   */
   public boolean isLessThanHalfInUse() {
     return state.cluster.capacityInUse().isLessThanHalf();
   }
 
+  /** Returns the share of the capacity of all hosts that is in use on hosts that respond. */
+  public double shareInUse() {
+    return state.cluster.capacityInUse().share();
+  }
+
+  /** Returns the share of the capacity of all hosts that is held on hosts that do not respond. */
+  public double shareHeldUnheard() {
+    return state.cluster.capacityInUse().unheardShare();
+  }
+
   /** Returns the accelerators of the usable hosts, held or free. */
   public int usableAccelerators() {
     return state.cluster.capacityInUse().usableAccelerators();
