--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
@@ -3,12 +3,24 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.decision.JobTable;
+import org.wheatwall.core.batch.decision.LeaseStops;
 import org.wheatwall.core.batch.decision.RunEvent;
+import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.EndKind;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupState;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.TaskName;
 import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.core.job.model.HostSharing;
+import org.wheatwall.core.job.model.ResourceAmount;
 
 /**
  * A new decider polls many workers a limited number at a time, and finally all of them. Workers
@@ -191,6 +203,70 @@
     assertThat(fixture.supervisor.usableWorkersIn("zone")).hasSize(8);
   }
 
+  // A later decider may take it from the record that no lease was extended since.
+  @Test
+  void aCommandHasNoLeaseWhileARecordSaysThatNoneIsExtended() {
+    adoptStoppedLeases();
+    fixture.listWorkers(1);
+    port.respondToOne(reportWithTask());
+    assertThat(poller.lease("worker-0")).isEmpty();
+    fixture.effects.unblockLog();
+    assertThat(poller.lease("worker-0")).isPresent();
+  }
+
+  @Test
+  void aPollExtendsNoLeaseWhileARecordSaysThatNoneIsExtended() {
+    adoptStoppedLeases();
+    fixture.listWorkers(1);
+    port.respondToOne(reportWithTask());
+    for (int i = 0; i < 3; i++) {
+      port.respondToOne(reportWithTask());
+      fixture.clock.advance(RENEWAL_MS);
+    }
+    assertThat(port.extendsLeases).doesNotContain(true);
+    fixture.effects.unblockLog();
+    port.respondToOne(reportWithTask());
+    assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isTrue();
+  }
+
+  private void adoptStoppedLeases() {
+    JobTable table = new JobTable();
+    BatchJob job =
+        new BatchJob(
+            TASK.jobId(), "queue", "service", "", "", List.of(step()), Optional.empty(), 1, 2, 0);
+    table.apply(LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)), 0);
+    table.apply(
+        LogEntry.of(
+            LogKey.group(new GroupKey(job.id(), 0, 0, 0)),
+            new LogContent.Group(GroupState.NEW.withRunStarted(List.of("worker-0")))),
+        1);
+    LeaseStops stops = new LeaseStops();
+    stops.add("worker-0", new LogContent.LeaseStop(1, List.of()), 2, fixture.clock.nowMs());
+    fixture.effects.blockLog();
+    fixture.supervisor.adopt(table, stops, fixture.clock.nowMs(), fixture.clock.wallMs());
+  }
+
+  private static StepSpec step() {
+    return new StepSpec(
+        1,
+        new ResourceAmount(100, 10, 1),
+        1000,
+        List.of(),
+        false,
+        false,
+        false,
+        Optional.empty(),
+        Optional.empty(),
+        0,
+        false,
+        HostSharing.ORDINARY);
+  }
+
+  private static WorkerInventory reportWithTask() {
+    return new WorkerInventory(
+        5, List.of(new WorkerInventory.RunningTask(TASK, 1, "", 0)), List.of());
+  }
+
   private void listAndPollOne() {
     fixture.listWorkers(1);
     port.respondToOne(true);
