Tests of lease stops that fail: later incarnations, dates, first calls, appends

Each fails for a fault of the code, not of the test: the record of a later incarnation stands while leases are extended there; a worker is given up before its first call in a term; clocks in a record are read before a suspension or are older than the last lease; a worker that responds once is never given up; each record is dropped in an append of its own; a superseded incarnation is awaited anew by each decider.

--- a/core/src/test/java/org/wheatwall/core/batch/decision/LeaseExtensionsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LeaseExtensionsTest.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.model.CommandOutcome;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
@@ -183,6 +185,112 @@
     assertThat(laterEffects.logged.stream().map(LogEntry::key)).containsExactly(STOP_KEY);
   }
 
+  // It may be reachable from here, and report that the run was done before its lease expired.
+  @Test
+  void listedWorkerIsNotGivenUpBeforeItWasCalledInThisTerm() {
+    adoptWithStop(nowMs - 5 * LEASE_EXPIRY_MS, new LogContent.LeaseStop(500, List.of()));
+    listUnreportedWorker(WORKER);
+    listWorker("b");
+    tick(WALL_MS);
+    nowMs += FirstReports.MAX_WAIT_MS;
+    tick(WALL_MS);
+    tick(WALL_MS);
+    assertThat(startedOn()).isEmpty();
+  }
+
+  // The log takes a limited number of appends at a time.
+  @Test
+  void recordsOfManyWorkersAreDroppedInOneAppend() {
+    LeaseStops stops = new LeaseStops();
+    for (int i = 0; i < 5000; i++) {
+      stops.add("w" + i + "..1", new LogContent.LeaseStop(500, List.of()), 5, nowMs);
+    }
+    supervisor.adopt(new JobTable(), stops, nowMs, WALL_MS);
+    tick(WALL_MS);
+    assertThat(effects.logged).hasSize(5000);
+    int appends = 0;
+    while (effects.hasPendingAcknowledgement()) {
+      effects.acknowledgeNext();
+      appends++;
+    }
+    assertThat(appends).isAtMost(10);
+  }
+
+  // A run of the earlier incarnation may still be in the log, beside one of the later.
+  @Test
+  void recordOfALaterIncarnationIsDroppedBeforeALeaseIsExtendedThere() {
+    String earlier = "a..500";
+    supervisor.adopt(
+        tableWith(job(2, false, 2), activeOn(earlier), activeGroup(1, WORKER)), nowMs, WALL_MS);
+    nowMs += LeaseExtensions.STOP_AFTER_MS;
+    tick(WALL_MS);
+    effects.acknowledgeAll();
+    assertThat(lastStopEntry().flatMap(LogEntry::content)).isPresent();
+    listUnreportedWorker(WORKER);
+    report(WORKER, List.of(), List.of());
+    effects.acknowledgeAll();
+    assertThat(supervisor.mayExtendLeases(WORKER)).isTrue();
+    assertThat(lastStopEntry()).hasValue(LogEntry.tombstone(STOP_KEY));
+  }
+
+  // The later incarnation is not listed, so the run of the earlier one is awaited.
+  @Test
+  void workOfASupersededSilentIncarnationIsNotAwaitedAnewByTheNextDecider() {
+    String earlier = "a..500";
+    long readAtMs = nowMs - 4000;
+    LeaseStops stops = new LeaseStops();
+    stops.add(earlier, new LogContent.LeaseStop(500, List.of()), 5, readAtMs);
+    supervisor.adopt(
+        tableWith(job(2, false, 2), activeOn(earlier), activeGroup(1, WORKER)),
+        stops,
+        nowMs,
+        WALL_MS);
+    listWorker("b");
+    nowMs = readAtMs - 500 + LEASE_EXPIRY_MS + 20;
+    tick(WALL_MS);
+    tick(WALL_MS);
+    assertThat(startedOn()).containsExactly("b");
+  }
+
+  @Test
+  void clockThatWasRequestedBeforeASuspensionIsNotLogged() {
+    startTask();
+    listWorker(OTHER);
+    long requestedAtMs = nowMs;
+    supervisor.invalidateClocks();
+    supervisor.onReport(
+        OTHER, new WorkerInventory(nowMs, List.of(), List.of()), requestedAtMs, nowMs, WALL_MS);
+    makeSilent();
+    LogContent.LeaseStop stop =
+        (LogContent.LeaseStop) lastStopEntry().flatMap(LogEntry::content).orElseThrow();
+    assertThat(stop.clocks()).isEmpty();
+  }
+
+  // The process may have been frozen between the start of a tick and a start sent in it.
+  @Test
+  void clockInTheRecordIsNoEarlierThanTheLastLease() {
+    startTask();
+    listWorker(OTHER);
+    long clockMs = nowMs;
+    supervisor.onCallUnanswered(WORKER, nowMs);
+    nowMs += LeaseExtensions.STOP_AFTER_MS;
+    supervisor.onLeaseSent(WORKER, nowMs + 1500);
+    tick(WALL_MS);
+    lastStopEntry()
+        .flatMap(LogEntry::content)
+        .map(LogContent.LeaseStop.class::cast)
+        .ifPresent(
+            stop ->
+                assertThat(stop.clocks().get(0).clockMs())
+                    .isAtLeast(clockMs + LeaseExtensions.STOP_AFTER_MS + 1500));
+  }
+
+  private static LogEntry activeGroup(int index, String worker) {
+    return LogEntry.of(
+        LogKey.group(new GroupKey(ID, 0, 0, index)),
+        new LogContent.Group(GroupState.NEW.withRunStarted(List.of(worker))));
+  }
+
   private static TaskName activeTask() {
     return new TaskName(ID, 0, 0, 0);
   }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
@@ -68,6 +68,10 @@
     pendingAcknowledgements.poll().run();
   }
 
+  boolean hasPendingAcknowledgement() {
+    return !pendingAcknowledgements.isEmpty();
+  }
+
   void acknowledgeAll() {
     while (!pendingAcknowledgements.isEmpty()) {
       pendingAcknowledgements.poll().run();
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
@@ -229,6 +229,30 @@
     assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isTrue();
   }
 
+  // The record was not dropped yet when the last poll that got a response was followed by another.
+  @Test
+  void aWorkerThatRespondsOnceAfterASilenceIsGivenUpIfItStaysSilentThen() {
+    adoptStoppedLeases();
+    fixture.listWorkers(1);
+    port.respondToOne(reportWithTask());
+    port.respondToOne(reportWithTask());
+    fixture.effects.unblockLog();
+    fixture.clock.advance(1600);
+    port.respondToOne(false);
+    fixture.clock.advance(450);
+    fixture.runScheduledTasks();
+    for (int i = 0; i < 300; i++) {
+      fixture.clock.advance(200);
+      if (!port.inFlight.isEmpty()) {
+        port.respondToOne(false);
+      }
+      fixture.runScheduledTasks();
+      fixture.supervisor.tick(fixture.clock.nowMs(), fixture.clock.wallMs());
+      poller.tick(fixture.clock.nowMs());
+    }
+    assertThat(fixture.supervisor.workersInUse()).isEmpty();
+  }
+
   private void adoptStoppedLeases() {
     JobTable table = new JobTable();
     BatchJob job =
