--- a/core/src/main/java/org/wheatwall/core/batch/decision/LeaseExtensions.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/LeaseExtensions.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
@@ -13,27 +14,32 @@
 import org.wheatwall.core.batch.model.WorkerClock;
 
 /**
- * Decides at which workers leases may be extended. Once a worker with runs has been silent for
- * {@link #STOP_AFTER_MS}, the decider extends no lease there and says so in the job log, so that
- * later deciders count the expiry of its leases from then on instead of from the start of their own
- * term. The record is dropped before a lease is extended there again.
+ * Decides at which workers leases may be extended. If a worker with runs is silent, the decider
+ * extends no lease there and says so in the job log, so that later deciders count the expiry of its
+ * leases from then on instead of from the start of their own term. The record is dropped before a
+ * lease is extended there again.
  */
 final class LeaseExtensions {
   /** For how long a worker is silent before no lease is extended there, milliseconds. */
-  static final int STOP_AFTER_MS = 1000;
+  static final int STOP_AFTER_MS = 2000;
 
-  private enum Stop {
-    LOGGED,
-    /** Its tombstone is not acknowledged yet. */
-    BEING_DROPPED
-  }
+  /**
+   * The same for a worker that has not responded in this term, milliseconds. No lease is extended
+   * there before its first response anyway.
+   */
+  static final int FIRST_STOP_AFTER_MS = 1000;
 
   private static final int SCAN_INTERVAL_MS = 250;
+  // Keeps an append well below the largest that the log takes.
+  private static final int MAX_STOPS_PER_SCAN = 2000;
   // A few, since some of them may end or be cut off before a later decider reads the record.
   private static final int CLOCKS_PER_STOP = 3;
 
   private final TermState term;
-  private final Map<String, Stop> stops = new HashMap<>();
+  // Workers with a record in the log.
+  private final Set<String> stopped = new HashSet<>();
+  // Number of tombstones that have to be acknowledged before leases are extended at a worker.
+  private final Map<String, Integer> openDrops = new HashMap<>();
   // Stops of earlier deciders by the workers whose clocks tell how long ago they were logged.
   private final Map<String, List<DatedStop>> stopsByClock = new HashMap<>();
   // Workers with a stop of an earlier decider that has not been dropped since.
@@ -49,17 +55,20 @@
 
   /** Takes over the stops of earlier deciders, after their runs. */
   void adopt(LeaseStops logged) {
+    List<String> useless = new ArrayList<>();
     for (String worker : logged.workers()) {
-      stops.put(worker, Stop.LOGGED);
-      if (term.runs.isWorkerInUse(worker)) {
-        inherited.add(worker);
-        term.workers.stopLeases(worker);
-        logged
-            .noLeaseSinceMs(worker)
-            .ifPresent(sinceMs -> term.workers.getOrCreate(worker).limitLastLease(sinceMs));
-        logged.stop(worker).ifPresent(stop -> indexClocks(worker, stop));
+      Optional<LogContent.LeaseStop> stop = logged.stop(worker);
+      if (stop.isEmpty() || !term.runs.isWorkerInUse(worker)) {
+        useless.add(worker);
+        continue;
       }
+      stopped.add(worker);
+      inherited.add(worker);
+      term.workers.stopLeases(worker);
+      term.workers.limitLastLease(worker, logged.noLeaseSinceMs(worker).getAsLong());
+      indexClocks(worker, stop.get());
     }
+    drop(useless);
   }
 
   private void indexClocks(String worker, LogContent.LeaseStop stop) {
@@ -79,29 +88,28 @@
     for (DatedStop stop : dated) {
       if (inherited.contains(stop.worker())) {
         long elapsedMs = term.settings.leastElapsedMs(clockMs - stop.clockMs()) + stop.ageMs();
-        term.workers.getOrCreate(stop.worker()).limitLastLease(term.nowMs - elapsedMs);
+        term.workers.limitLastLease(stop.worker(), term.nowMs - elapsedMs);
       }
     }
   }
 
   /** Returns whether leases may be extended at a worker. */
   boolean isAllowedAt(String worker) {
-    return !stops.containsKey(worker);
+    return !stopped.contains(worker) && !openDrops.containsKey(worker);
   }
 
   /** Records a response of a worker. */
   void onResponse(String worker) {
-    if (stops.get(worker) == Stop.LOGGED) {
-      drop(worker, worker);
+    if (stopped.contains(worker)) {
+      drop(List.of(worker));
     }
   }
 
   /** Records that a later incarnation of a worker may have runs of an earlier one. */
   void onRestarted(String earlier, String later) {
-    if (stops.containsKey(earlier)) {
-      stops.put(later, Stop.BEING_DROPPED);
+    if (!isAllowedAt(earlier)) {
       term.workers.stopLeases(later);
-      drop(earlier, later);
+      drop(List.of(earlier, later));
     }
   }
 
@@ -111,45 +119,50 @@
       return;
     }
     lastScanAtMs = term.nowMs;
-    for (String worker : List.copyOf(stops.keySet())) {
-      if (stops.get(worker) == Stop.LOGGED && !term.runs.isWorkerInUse(worker)) {
-        drop(worker, worker);
-      }
-    }
+    drop(stopped.stream().filter(worker -> !term.runs.isWorkerInUse(worker)).toList());
     // Until then an earlier decider may extend leases.
-    if (term.nowMs < term.workers.earlierCommandsUntilMs()) {
-      return;
+    if (term.nowMs >= term.workers.earlierCommandsUntilMs()) {
+      stopAll(
+          term.runs.workers().stream()
+              .filter(this::isAllowedAt)
+              .filter(worker -> term.workers.isSilent(worker, term.nowMs))
+              .limit(MAX_STOPS_PER_SCAN)
+              .toList());
     }
-    List<String> silent =
-        term.runs.workers().stream()
-            .filter(this::isAllowedAt)
-            .filter(worker -> term.workers.isSilentFor(worker, STOP_AFTER_MS, term.nowMs))
-            .toList();
-    if (!silent.isEmpty()) {
-      List<WorkerClock> clocks = clocksOfOtherWorkers();
-      silent.forEach(worker -> stop(worker, clocks));
+  }
+
+  private void stopAll(List<String> silent) {
+    if (silent.isEmpty()) {
+      return;
     }
+    // A lease may have been sent after the start of this tick, if the process was frozen since.
+    long asOfMs =
+        silent.stream()
+            .mapToLong(worker -> term.workers.getOrCreate(worker).lastLeaseSentMs())
+            .reduce(term.nowMs, Math::max);
+    List<WorkerClock> clocks = clocksOfOtherWorkers(asOfMs);
+    silent.forEach(worker -> stop(worker, clocks));
   }
 
   // A worker that tells nothing of its lives has another identifier after each restart, so its
   // clock
   // does not begin anew.
-  private List<WorkerClock> clocksOfOtherWorkers() {
+  private List<WorkerClock> clocksOfOtherWorkers(long asOfMs) {
     return term.workers.records().stream()
         .filter(record -> record.usable() && record.clockKnown())
         .filter(record -> record.silentSinceMs() == Long.MAX_VALUE)
         .sorted(Comparator.comparingLong(WorkerRecord::lastResponseMs).reversed())
         .limit(CLOCKS_PER_STOP)
-        .map(record -> new WorkerClock(record.id(), highestClockMs(record)))
+        .map(record -> new WorkerClock(record.id(), highestClockMs(record, asOfMs)))
         .toList();
   }
 
-  private long highestClockMs(WorkerRecord record) {
-    return record.clockMs() + term.settings.mostElapsedMs(term.nowMs - record.clockRequestedAtMs());
+  private long highestClockMs(WorkerRecord record, long asOfMs) {
+    return record.clockMs() + term.settings.mostElapsedMs(asOfMs - record.clockRequestedAtMs());
   }
 
   private void stop(String worker, List<WorkerClock> clocks) {
-    stops.put(worker, Stop.LOGGED);
+    stopped.add(worker);
     term.workers.stopLeases(worker);
     long ageMs = term.nowMs - term.workers.getOrCreate(worker).lastLeaseSentMs();
     term.pendingEntries.add(
@@ -162,17 +175,26 @@
         "none was extended for " + ageMs + " ms, " + term.runs.onWorker(worker).size() + " runs");
   }
 
-  private void drop(String worker, String allowed) {
-    stops.put(worker, Stop.BEING_DROPPED);
-    inherited.remove(worker);
-    term.pendingEntries.add(LogEntry.tombstone(LogKey.leaseStop(worker)));
-    term.flushThen(
-        () -> {
-          stops.remove(worker);
-          stops.remove(allowed);
-          term.workers.allowLeases(allowed);
-          term.dirty = true;
-          term.effects.requestReport(allowed);
-        });
+  private void drop(List<String> workers) {
+    if (workers.isEmpty()) {
+      return;
+    }
+    for (String worker : workers) {
+      stopped.remove(worker);
+      inherited.remove(worker);
+      openDrops.merge(worker, 1, Integer::sum);
+      term.workers.removeLastLeaseLimit(worker);
+      term.pendingEntries.add(LogEntry.tombstone(LogKey.leaseStop(worker)));
+    }
+    term.flushThen(() -> workers.forEach(this::onDropped));
+  }
+
+  private void onDropped(String worker) {
+    if (openDrops.merge(worker, -1, (open, less) -> open + less == 0 ? null : open + less) == null
+        && !stopped.contains(worker)) {
+      term.workers.allowLeases(worker);
+      term.dirty = true;
+      term.effects.requestReport(worker);
+    }
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -205,9 +205,9 @@
 
   void endMembersWithExpiredLeases() {
     for (String worker : List.copyOf(term.runs.workers())) {
-      if (term.workers
-          .getOrCreate(worker)
-          .leasesExpired(term.nowMs, term.settings.leaseExpiryMs())) {
+      boolean expired =
+          term.workers.getOrCreate(worker).leasesExpired(term.nowMs, term.settings.leaseExpiryMs());
+      if (expired && !term.workers.awaitsFirstResponse(worker, term.nowMs)) {
         String reason = "every lease at its worker has run out";
         List<StopCommand> stops = stopsOfPossibleStarts(worker);
         endMembersOn(worker, reason, (run, member) -> lostRuns.classifyExpired(worker));
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -174,8 +174,13 @@
     term.permits.expireAll();
   }
 
-  /** Treats the clocks of all workers as unknown, for use after this machine was suspended. */
-  public void invalidateClocks() {
+  /**
+   * Treats the clocks of all workers as unknown until they are requested anew, for use after this
+   * machine was suspended.
+   */
+  public void invalidateClocks(long monotonicMs) {
+    term.nowMs = monotonicMs;
+    term.clocksInvalidUntilMs = monotonicMs;
     term.workers.records().forEach(WorkerRecord::invalidateClock);
   }
 
@@ -226,7 +231,7 @@
   }
 
   private void addToList(WorkerInfo info) {
-    boolean isNew = term.workers.updateListing(info);
+    boolean isNew = term.workers.updateListing(info, term.nowMs);
     restarts.endIncarnationsBefore(info.id());
     if (isNew) {
       term.logEvent(RunEvent.Kind.WORKER_LISTED, "", info.id(), "rack " + info.rack());
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -44,6 +44,8 @@
   boolean dirty;
   boolean evacuationsKnown = true;
   private int appliedWorkersVersion;
+  // Clocks of workers in reports that were requested by then are not used.
+  long clocksInvalidUntilMs = Long.MIN_VALUE;
   long nowMs;
   long wallMs;
 
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -142,6 +142,11 @@
     leasesStopped = next;
   }
 
+  /** Returns whether it has responded in this term. */
+  boolean responded() {
+    return responded;
+  }
+
   void onResponse(long nowMs) {
     responded = true;
     suspected = false;
@@ -212,28 +217,28 @@
   }
 
   /**
-   * Returns whether all leases there have expired without a response since the last was sent. A
-   * worker that is still listed is alive and may yet report that a run was done before its lease
-   * expired, so it gets more time. The time is limited, because it may stay unreachable for good.
+   * Returns whether all leases there have expired without a response since. A worker that is still
+   * listed is alive and may yet report that a run was done before its lease expired, so it gets
+   * more time. The time is limited, because it may stay unreachable for good.
    */
   boolean leasesExpired(long nowMs, long expiryMs) {
-    return leaseSentSinceResponse && nowMs - lastLeaseSentMs > waitMs(expiryMs);
+    OptionalLong givenUpAtMs = givenUpAtMs(expiryMs);
+    return givenUpAtMs.isPresent() && nowMs > givenUpAtMs.getAsLong();
   }
 
   /**
-   * Returns when its runs are given up at the latest if it stays silent, milliseconds; empty if it
-   * has responded since the last lease was sent.
+   * Returns when its runs are given up if it stays silent, milliseconds; empty while it responds
+   * and no lease was sent since. An idle worker is not called, so that its last response may be
+   * long ago when a run is planned there.
    */
   OptionalLong givenUpAtMs(long expiryMs) {
-    return leaseSentSinceResponse
-        ? OptionalLong.of(lastLeaseSentMs + waitMs(expiryMs))
+    boolean mayBeSilent = leaseSentSinceResponse || silentSinceMs != Long.MAX_VALUE;
+    long waitMs = listed ? expiryMs + LISTED_WAIT_AFTER_EXPIRY_MS : expiryMs;
+    return mayBeSilent
+        ? OptionalLong.of(Math.max(lastLeaseSentMs, lastResponseMs) + waitMs)
         : OptionalLong.empty();
   }
 
-  private long waitMs(long expiryMs) {
-    return listed ? expiryMs + LISTED_WAIT_AFTER_EXPIRY_MS : expiryMs;
-  }
-
   /** Returns when it last responded, milliseconds; far in the past if it never did. */
   long lastResponseMs() {
     return lastResponseMs;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -24,6 +24,8 @@
 final class WorkerRegistry {
   // If a larger share seems slow, something else is at fault, and the work needs their capacity.
   private static final int AVOIDED_SHARE_DIVISOR = 4;
+  // A first call takes its time limit at the most, and waits for others before it.
+  private static final int FIRST_RESPONSE_MS = 5000;
 
   private final Scheduler scheduler;
   private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
@@ -31,6 +33,8 @@
   private final RackCapacities rackCapacities = new RackCapacities(workers.values());
   private final long termStartMs;
   private final long earlierCommandsUntilMs;
+  private long firstListedAtMs = Long.MAX_VALUE;
+  private final Map<String, Long> lastLeaseLimits = new HashMap<>();
   private Consumer<String> removalListener = worker -> {};
   private Set<String> evacuatedZones = Set.of();
   private int version;
@@ -63,7 +67,8 @@
     if (known != null) {
       return known;
     }
-    WorkerRecord fresh = new WorkerRecord(id, earlierCommandsUntilMs);
+    long lastLeaseMs = lastLeaseLimits.getOrDefault(id, earlierCommandsUntilMs);
+    WorkerRecord fresh = new WorkerRecord(id, Math.min(earlierCommandsUntilMs, lastLeaseMs));
     if (!incarnations.isSuperseded(id)) {
       workers.put(id, fresh);
       count(fresh, 1);
@@ -78,16 +83,39 @@
   }
 
   /**
-   * Returns whether a worker has not responded for a time, milliseconds: not to calls, or, if the
-   * platform has never listed it in this term, not at all.
+   * Returns whether a worker has been silent for so long that no lease is to be extended there: a
+   * call to it failed, or the platform lists other workers and has not listed it in this term.
    */
-  boolean isSilentFor(String id, int durationMs, long nowMs) {
+  boolean isSilent(String id, long nowMs) {
     WorkerRecord record = getOrCreate(id);
-    boolean neverCalled = record.info().isEmpty();
-    long sinceMs = neverCalled ? termStartMs : record.silentSinceMs();
+    long sinceMs = record.info().isEmpty() ? firstListedAtMs : record.silentSinceMs();
+    int durationMs =
+        record.responded() ? LeaseExtensions.STOP_AFTER_MS : LeaseExtensions.FIRST_STOP_AFTER_MS;
     return sinceMs != Long.MAX_VALUE && nowMs - sinceMs >= durationMs;
   }
 
+  /**
+   * Returns whether the first call to a listed worker may still be answered, so that its runs are
+   * not given up whatever is known of their leases: it may report that they are done.
+   */
+  boolean awaitsFirstResponse(String id, long nowMs) {
+    return nowMs - termStartMs < FIRST_RESPONSE_MS && getOrCreate(id).awaitsFirstResponse();
+  }
+
+  /**
+   * Records that no lease was extended at a worker after a time, milliseconds. This counts until
+   * {@link #removeLastLeaseLimit}, also for a superseded incarnation, of which no record is kept.
+   */
+  void limitLastLease(String id, long sinceMs) {
+    lastLeaseLimits.merge(id, sinceMs, Math::min);
+    find(id).ifPresent(record -> record.limitLastLease(sinceMs));
+  }
+
+  /** Records that leases may be extended at a worker from now on. */
+  void removeLastLeaseLimit(String id) {
+    lastLeaseLimits.remove(id);
+  }
+
   /** Records that no lease may be extended at a worker. */
   void stopLeases(String id) {
     setLeasesStopped(getOrCreate(id), true);
@@ -146,7 +174,8 @@
   }
 
   /** Applies an entry of the platform's list; returns whether the worker was not listed before. */
-  boolean updateListing(WorkerInfo info) {
+  boolean updateListing(WorkerInfo info, long nowMs) {
+    firstListedAtMs = Math.min(firstListedAtMs, nowMs);
     WorkerRecord record = getOrCreate(info.id());
     boolean fresh = !record.listed();
     boolean sameCapacity =
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -45,7 +45,9 @@
    */
   void onReport(String worker, WorkerInventory report, long requestedAtMs) {
     term.onWorkerReported(worker);
-    term.workers.getOrCreate(worker).onClockRead(report.clockMs(), requestedAtMs);
+    if (requestedAtMs > term.clocksInvalidUntilMs) {
+      term.workers.getOrCreate(worker).onClockRead(report.clockMs(), requestedAtMs);
+    }
     term.leaseExtensions.onClockRead(worker, report.clockMs());
     progress.onReport(worker, report);
     Set<GroupRun> changed = new LinkedHashSet<>();
--- a/core/src/test/java/org/wheatwall/core/batch/decision/WorkerRegistryTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/WorkerRegistryTest.java
@@ -42,7 +42,7 @@
 
   @Test
   void aDelayThatEndedAtOnceDoesNotHideTheNext() {
-    registry.updateListing(info("a"));
+    registry.updateListing(info("a"), 0);
     registry.onResponse("a", 0);
     assertThat(registry.onStartRefused("a", 0)).isGreaterThan(0);
     registry.onStartAccepted("a");
@@ -61,7 +61,7 @@
   private void change(long nowMs) {
     String id = "worker-" + random.nextInt(WORKERS);
     switch (random.nextInt(8)) {
-      case 0, 1, 2 -> registry.updateListing(info(id));
+      case 0, 1, 2 -> registry.updateListing(info(id), 0);
       case 3 -> registry.markUnlisted(id, nowMs);
       case 4 -> registry.onResponse(id, nowMs);
       case 5 -> registry.markSuspected(id);
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -245,7 +245,7 @@
       skippedMs = skipped;
       context.decisions().log("term-unconfirmed", field("term", term), field("cause", "clocks"));
       poller.invalidateClocks();
-      supervisor.invalidateClocks();
+      supervisor.invalidateClocks(context.clock().nowMs());
       supervisor.expirePermits();
       updateEvacuations();
     }
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
@@ -202,8 +202,11 @@
       return;
     }
     long sentMs = clock.nowMs();
+    // It is polled once more as soon as the log allows to extend its leases.
+    boolean awaitsLog =
+        session.clockKnown && session.silentSinceMs < 0 && !supervisor.mayExtendLeases(worker);
     boolean logging = session.clockKnown && supervisor.hasUnloggedEnds(worker);
-    if (logging && sentMs - session.polledAtMs < POLL_INTERVAL_WHILE_LOGGING_MS) {
+    if ((logging || awaitsLog) && sentMs - session.polledAtMs < POLL_INTERVAL_WHILE_LOGGING_MS) {
       return;
     }
     session.polling = true;
