A rack without hosts leaves no empty group in the index by free capacity

Callers saw nothing: a search passes over an empty group. The removal of a rack's last host took the rack out of its group by another way than all other changes, which left the group behind. Both use the same method now.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -125,7 +125,7 @@
     adjustRack(rack, -state.free().accelerators());
     totalAccelerators -= state.host().capacity().accelerators();
     if (rack.hosts().isEmpty()) {
-      racksByFree.getOrDefault(rack.freeAccelerators(), new TreeSet<>(RACK_ORDER)).remove(rack);
+      unindexRack(rack);
       racks.remove(rack.name());
     }
   }
@@ -441,6 +441,15 @@
   }
 
   private void adjustRack(RackState rack, int difference) {
+    unindexRack(rack);
+    rack.adjustFree(difference);
+    freeAccelerators += difference;
+    racksByFree
+        .computeIfAbsent(rack.freeAccelerators(), free -> new TreeSet<>(RACK_ORDER))
+        .add(rack);
+  }
+
+  private void unindexRack(RackState rack) {
     NavigableSet<RackState> group = racksByFree.get(rack.freeAccelerators());
     if (group != null) {
       group.remove(rack);
@@ -448,10 +457,5 @@
         racksByFree.remove(rack.freeAccelerators());
       }
     }
-    rack.adjustFree(difference);
-    freeAccelerators += difference;
-    racksByFree
-        .computeIfAbsent(rack.freeAccelerators(), free -> new TreeSet<>(RACK_ORDER))
-        .add(rack);
   }
 }
