Tasks moved to a host of the same attempt are counted once

What callers could see: a task waits for free capacity beside a free worker for the rest of a decider's term.

Cause: if an attempt's tasks move to a host that holds others of its tasks, Cluster.moveTasks held the count of both there, so that those present were counted twice. The amount in use was right again with the attempt's release; its tasks in the host's spread group, of its kind of sharing and as suspects were not, as the release takes off each task once. Such a host refuses tasks of the group, of incompatible kinds and of suspect jobs from then on. The supervisor moves tasks when a worker restarts under its identifier; for the fault an attempt must hold tasks at two of the worker's incarnations.

Only the tasks that move are added at their new host now.

--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -239,7 +239,7 @@
     adjustTaskCounts(from, allocation, -tasks);
     Allocation moved = allocation.moved(from, to);
     allocations.put(attemptId, moved);
-    holdOnHost(attemptId, moved, to);
+    holdOnHost(attemptId, moved, to, tasks);
   }
 
   /** Allocates the resources of {@code job} at {@code placement} to the attempt. */
@@ -380,14 +380,19 @@
   }
 
   private void holdOnHost(String attemptId, Allocation allocation, String name) {
-    Integer count = allocation.placement().tasksByHost().get(name);
-    if (count != null) {
-      ResourceAmount amount = allocation.amount().times(count);
-      update(name, host -> host.hold(attemptId, amount, allocation.reclaimable()));
-      adjustTaskCounts(name, allocation, count);
+    Integer tasks = allocation.placement().tasksByHost().get(name);
+    if (tasks != null) {
+      holdOnHost(attemptId, allocation, name, tasks);
     }
   }
 
+  // Adds to what the attempt holds there already.
+  private void holdOnHost(String attemptId, Allocation allocation, String name, int tasks) {
+    ResourceAmount amount = allocation.amount().times(tasks);
+    update(name, host -> host.hold(attemptId, amount, allocation.reclaimable()));
+    adjustTaskCounts(name, allocation, tasks);
+  }
+
   // For changes of what a host offers if it is empty.
   private void updateOffered(String name, Consumer<HostState> action) {
     update(
