Permits are renewed first, and in time, for workers that have room

What callers could see, where a queue needs permits: a step waits beside a worker that may run it and has room, for as long as other permits of the step are valid, or for good with more than 100 permitted workers.

Cause: permits were renewed only once none of the step was left, and then for the first 100 of a hash map's keys, whether or not these had room or were still listed.

Change: with no permit left, the listed permitted workers are asked for, those with room first. With some left, expired and refused ones are renewed for workers with room as soon as the workers whose permits outlast a request have no room for a group, 0.5 s after the last response at the earliest. So they are renewed before the last one expires. A worker missing in a response is no longer permitted, so that it cannot hold up questions for others.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/PermitManager.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/PermitManager.java
@@ -15,8 +15,8 @@
 /**
  * Requests permits for the steps of queues that need them, and restricts the scheduler to permitted
  * workers. Permits of a step are requested as soon as it may start: first for the workers with most
- * free capacity, then for further ones while the step waits, and again for permitted workers once
- * their permits have expired.
+ * free capacity, then for further ones while the step waits, and again for permitted workers: for
+ * those with room once no others have room for a group, for all once no permit is left.
  */
 final class PermitManager {
   // Deployments budget one request for so many workers into the time of a step.
@@ -87,8 +87,10 @@
         needsPermits(job)
             && permits != null
             && permits.requestedCount() > 0
-            && PermitCandidates.of(term, job, job.steps().get(group.step()), permits).isEmpty();
-    return allRequested ? Optional.of(Set.copyOf(permits.grantedWorkers())) : Optional.empty();
+            && new PermitCandidates(term, job, job.steps().get(group.step()))
+                .notRequested(permits)
+                .isEmpty();
+    return allRequested ? Optional.of(permits.grantedWorkers()) : Optional.empty();
   }
 
   /**
@@ -193,22 +195,32 @@
     if (workers.isEmpty()) {
       return;
     }
-    permits.onRequestSent();
+    permits.onRequestSent(term.nowMs);
     term.effects.requestPermits(new PermitRequest(key, workers, job.urgent()));
   }
 
   private List<String> workersToRequest(BatchJob job, StepKey key, StepPermits permits) {
-    boolean expired =
-        permits.plannableWorkers(term.nowMs).isEmpty() && !permits.grantedWorkers().isEmpty();
-    if (expired) {
-      return firstOf(permits.grantedWorkers(), PermitRequest.MAX_WORKERS);
+    StepSpec step = job.steps().get(key.step());
+    PermitCandidates candidates = new PermitCandidates(term, job, step);
+    Set<String> renewable = permits.renewableWorkers(term.nowMs);
+    if (permits.plannableWorkers(term.nowMs).isEmpty()) {
+      List<String> listed = candidates.listedAmong(renewable);
+      if (!listed.isEmpty()) {
+        return firstOf(listed, PermitRequest.MAX_WORKERS);
+      }
     }
     boolean tooEarly = term.nowMs - permits.lastResponseMs() < REQUEST_MORE_AFTER_MS;
     if (permits.requestedCount() > 0 && tooEarly) {
       return List.of();
     }
-    StepSpec step = job.steps().get(key.step());
-    return firstOf(PermitCandidates.of(term, job, step, permits), workersWanted(step));
+    renewable.removeIf(worker -> !candidates.hasRoom(worker));
+    if (!candidates.haveRoomForGroup(permits.lastingWorkers(term.nowMs))) {
+      List<String> withRoom = candidates.listedAmong(renewable);
+      if (!withRoom.isEmpty()) {
+        return firstOf(withRoom, PermitRequest.MAX_WORKERS);
+      }
+    }
+    return firstOf(candidates.notRequested(permits), workersWanted(step));
   }
 
   private static List<String> firstOf(List<String> workers, int limit) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/StepPermits.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/StepPermits.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -22,13 +21,19 @@
   private static final int PLANNING_RESERVE_DIVISOR = 3;
   // Time from recording the intended run in the job log to the arrival of the start at its worker.
   private static final int LAUNCH_RESERVE_MS = 200;
+  // A renewal may take longer than the request before it.
+  private static final int RENEWAL_RESERVE_MS = 200;
+  // Limits how much more often permits are renewed if responses are slow.
+  private static final int RENEWAL_LEAD_DIVISOR = 4;
 
   private final Map<String, Permit> permits = new HashMap<>();
   private final Set<String> requestedWorkers = new HashSet<>();
   private final Set<GroupKey> groups = new LinkedHashSet<>();
   private Set<String> lastPlannable = Set.of();
   private boolean requestPending;
+  private long requestedAtMs;
   private long lastResponseMs;
+  private long renewalLeadMs;
 
   private record Permit(String text, long validUntilMs, long plannableUntilMs) {}
 
@@ -41,8 +46,9 @@
     return requestPending;
   }
 
-  void onRequestSent() {
+  void onRequestSent(long nowMs) {
     requestPending = true;
+    requestedAtMs = nowMs;
   }
 
   /** Records that a request failed. */
@@ -60,8 +66,13 @@
     requestPending = false;
     lastResponseMs = nowMs;
     requestedWorkers.addAll(request.workers());
+    request.workers().forEach(permits::remove);
     long validUntilMs = sentAtMs + response.validMs();
     int reserveMs = Math.min(PLANNING_RESERVE_MS, response.validMs() / PLANNING_RESERVE_DIVISOR);
+    long requestTookMs = nowMs - requestedAtMs;
+    int plannableMs = response.validMs() - reserveMs;
+    renewalLeadMs =
+        Math.min(requestTookMs + RENEWAL_RESERVE_MS, plannableMs / RENEWAL_LEAD_DIVISOR);
     response
         .permitByWorker()
         .forEach(
@@ -92,8 +103,20 @@
   }
 
   /** Returns the workers that may run the step, including those whose permits have expired. */
-  List<String> grantedWorkers() {
-    return List.copyOf(permits.keySet());
+  Set<String> grantedWorkers() {
+    return Set.copyOf(permits.keySet());
+  }
+
+  /** Returns the workers on which a start can still be planned when a request made now is done. */
+  Set<String> lastingWorkers(long nowMs) {
+    return plannableWorkers(nowMs + renewalLeadMs);
+  }
+
+  /** Returns the workers that may run the step but are not among {@link #lastingWorkers}. */
+  Set<String> renewableWorkers(long nowMs) {
+    Set<String> workers = new HashSet<>(permits.keySet());
+    workers.removeAll(lastingWorkers(nowMs));
+    return workers;
   }
 
   /** Returns the workers whose permits last long enough to plan a start on them now. */
