--- a/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
+++ b/core/src/main/java/org/wheatwall/core/job/decision/Cluster.java
@@ -125,7 +125,7 @@
     adjustRack(rack, -state.free().accelerators());
     totalAccelerators -= state.host().capacity().accelerators();
     if (rack.hosts().isEmpty()) {
-      racksByFree.getOrDefault(rack.freeAccelerators(), new TreeSet<>(RACK_ORDER)).remove(rack);
+      unindexRack(rack);
       racks.remove(rack.name());
     }
   }
@@ -246,7 +246,7 @@
     adjustTaskCounts(from, allocation, -tasks);
     Allocation moved = allocation.moved(from, to);
     allocations.put(attemptId, moved);
-    holdOnHost(attemptId, moved, to);
+    holdOnHost(attemptId, moved, to, tasks);
   }
 
   /** Allocates the resources of {@code job} at {@code placement} to the attempt. */
@@ -387,14 +387,19 @@
   }
 
   private void holdOnHost(String attemptId, Allocation allocation, String name) {
-    Integer count = allocation.placement().tasksByHost().get(name);
-    if (count != null) {
-      ResourceAmount amount = allocation.amount().times(count);
-      update(name, host -> host.hold(attemptId, amount, allocation.reclaimable()));
-      adjustTaskCounts(name, allocation, count);
+    Integer tasks = allocation.placement().tasksByHost().get(name);
+    if (tasks != null) {
+      holdOnHost(attemptId, allocation, name, tasks);
     }
   }
 
+  // Adds to what the attempt holds there already.
+  private void holdOnHost(String attemptId, Allocation allocation, String name, int tasks) {
+    ResourceAmount amount = allocation.amount().times(tasks);
+    update(name, host -> host.hold(attemptId, amount, allocation.reclaimable()));
+    adjustTaskCounts(name, allocation, tasks);
+  }
+
   // For changes of what a host offers if it is empty.
   private void updateOffered(String name, Consumer<HostState> action) {
     update(
@@ -448,6 +453,15 @@
   }
 
   private void adjustRack(RackState rack, int difference) {
+    unindexRack(rack);
+    rack.adjustFree(difference);
+    freeAccelerators += difference;
+    racksByFree
+        .computeIfAbsent(rack.freeAccelerators(), free -> new TreeSet<>(RACK_ORDER))
+        .add(rack);
+  }
+
+  private void unindexRack(RackState rack) {
     NavigableSet<RackState> group = racksByFree.get(rack.freeAccelerators());
     if (group != null) {
       group.remove(rack);
@@ -455,10 +469,5 @@
         racksByFree.remove(rack.freeAccelerators());
       }
     }
-    rack.adjustFree(difference);
-    freeAccelerators += difference;
-    racksByFree
-        .computeIfAbsent(rack.freeAccelerators(), free -> new TreeSet<>(RACK_ORDER))
-        .add(rack);
   }
 }
