A test of runs on workers that are cut off for less than their lease

Guards against leases that are no longer extended too soon after a worker fell silent, or too late after it is back: with leases of 6 s a run on a worker that is cut off for 4.5 s goes on.

--- a/entry/src/test/java/org/wheatwall/entry/batch/SilentWorkerAcrossTermsTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SilentWorkerAcrossTermsTest.java
@@ -31,6 +31,8 @@
   // for first reports.
   private static final int MAX_TIME_WITHOUT_DECISIONS_MS = 3700;
   private static final int SILENCE_MS = 60_000;
+  private static final int SHORT_SILENCE_MS = 4500;
+  private static final int LONG_WORK_MS = 12_000;
 
   private final List<SimulatedHost> hosts = new ArrayList<>();
   private VirtualTime time;
@@ -47,6 +49,18 @@
     checkSeeds(10_000);
   }
 
+  // Leases are extended until some time after a worker falls silent, and as soon as it is back.
+  @Test
+  void runOnAWorkerThatIsCutOffForLessThanItsLeaseGoesOn() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      startHosts(seed, 6000);
+      TaskLedger.Event start = startTask(LONG_WORK_MS);
+      workers.cutOff(indexOf(start.worker()), SHORT_SILENCE_MS);
+      time.runFor(2 * LONG_WORK_MS);
+      assertWithMessage("seed " + seed).that(startsOf(start.task())).isEqualTo(1);
+    }
+  }
+
   private void checkSeeds(int leaseMs) {
     long first = Long.getLong("wheatwall.seed", 1);
     int count = Integer.getInteger("wheatwall.schedules", SEEDS);
@@ -57,7 +71,7 @@
 
   private void checkRestartOfLostTask(long seed, int leaseMs) {
     startHosts(seed, leaseMs);
-    TaskLedger.Event lost = startTask();
+    TaskLedger.Event lost = startTask(WORK_MS);
     int worker = indexOf(lost.worker());
     workers.cutOff(worker, SILENCE_MS);
     long silentSinceMs = time.nowMs();
@@ -88,12 +102,12 @@
     time.runFor(3000);
   }
 
-  private TaskLedger.Event startTask() {
+  private TaskLedger.Event startTask(int workMs) {
     hosts
         .get(0)
         .batch()
         .submit(
-            SimulatedJobs.singleTask(SimulatedJobs.id(1), WORK_MS, ACCELERATORS, 1, time.nowMs()),
+            SimulatedJobs.singleTask(SimulatedJobs.id(1), workMs, ACCELERATORS, 1, time.nowMs()),
             time.nowMs() + 2000);
     time.runFor(1000);
     return workers.ledger().events().stream()
