--- a/core/src/main/java/org/wheatwall/core/batch/decision/LeaseExtensions.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/LeaseExtensions.java
@@ -144,9 +144,8 @@
     silent.forEach(worker -> stop(worker, clocks));
   }
 
-  // A worker that tells nothing of its lives has another identifier after each restart, so its
-  // clock
-  // does not begin anew.
+  // A worker whose start time is not known has another identifier after each restart, so its
+  // clock does not begin anew under that name.
   private List<WorkerClock> clocksOfOtherWorkers(long asOfMs) {
     return term.workers.records().stream()
         .filter(record -> record.usable() && record.clockKnown())
--- a/core/src/main/java/org/wheatwall/core/batch/model/LogKey.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogKey.java
@@ -5,7 +5,8 @@
 /**
  * Key of a job log record. The log keeps the newest record of each key.
  *
- * @param name name of the job, group of tasks, entry host or life of a worker; empty for the term
+ * @param name name of the job, group of tasks, entry host or incarnation of a worker; empty for the
+ *     term
  */
 public record LogKey(Kind kind, String name) {
   /** Key under which all deciders claim and renew their term. */
@@ -71,7 +72,7 @@
     return new LogKey(Kind.HOST, name);
   }
 
-  /** Returns the key of the end of lease extensions at a life of a worker. */
+  /** Returns the key of the end of lease extensions at an incarnation of a worker. */
   public static LogKey leaseStop(String worker) {
     return new LogKey(Kind.LEASE_STOP, worker);
   }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LeaseExtensionsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LeaseExtensionsTest.java
@@ -150,9 +150,9 @@
     assertThat(startedOn()).containsExactly(OTHER);
   }
 
-  // Some deployments have workers that do not tell when they were started.
+  // Some deployments have workers that do not report when they were started.
   @Test
-  void recordNamesTheClocksOfWorkersThatTellNothingOfTheirLives() {
+  void recordNamesTheClocksOfWorkersWhoseStartTimeIsNotKnown() {
     startTask();
     listWorker("b");
     makeSilent();
