Leases on a worker that is about to leave are shorter

Cause: a worker's leases are extended to the most that the platform allows, 10 s there, until the last moment, and its runs are awaited until those have run out. Of a worker that says it drains, or whose entry is gone, it is known that it leaves soon.

Change: renewals there are for 5 s, which covers a change of the decider. A shorter lease counts as one of full length that was sent earlier; a longer one that was given before still counts. Where leases last 6 s it gains 1 s.

LastLeaseTest and WorkerPollerTest hold it; before, renewals were always of full length.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -40,6 +40,10 @@
   private static final int MAX_DECISION_INTERVAL_MS = 250;
   private static final int RETENTION_SWEEP_INTERVAL_MS = 5000;
   private static final int MAX_JOBS_DROPPED_PER_SWEEP = 50;
+  // The runs of a worker that has left are awaited until its leases have expired. Covers a change
+  // of
+  // the decider, so that its runs can go on until it leaves.
+  private static final int MAX_LEAVING_LEASE_MS = 5000;
 
   private final TermState term;
   private final RunLifecycle lifecycle;
@@ -276,9 +280,27 @@
     return term.leaseExtensions.isAllowedAt(worker);
   }
 
-  /** Records that a command was sent that extends the leases on a worker. */
+  /** Returns the lease for a renewal at a worker, milliseconds: shorter if it is about to leave. */
+  public int renewalLeaseMs(String worker) {
+    return term.workers.find(worker).filter(WorkerRecord::isLeaving).isPresent()
+        ? Math.min(MAX_LEAVING_LEASE_MS, term.settings.leaseMs())
+        : term.settings.leaseMs();
+  }
+
+  /** Records that a command was sent that extends the leases on a worker by their maximum. */
   public void onLeaseSent(String worker, long monotonicMs) {
-    term.workers.getOrCreate(worker).onLeaseSent(monotonicMs);
+    onLeaseSent(worker, term.settings.leaseMs(), monotonicMs);
+  }
+
+  /**
+   * Records that a command was sent that extends the leases on a worker.
+   *
+   * @param leaseMs by how much, at most the maximum lease, milliseconds
+   */
+  public void onLeaseSent(String worker, int leaseMs, long monotonicMs) {
+    // A shorter lease ends when a maximum lease would that was sent earlier.
+    long maximumSentAtMs = monotonicMs - (term.settings.leaseMs() - leaseMs);
+    term.workers.getOrCreate(worker).onLeaseSent(maximumSentAtMs);
   }
 
   /** Records that a call to a worker got no response. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -201,8 +201,22 @@
     return newlySuspected;
   }
 
-  void onLeaseSent(long nowMs) {
-    lastLeaseSentMs = Math.max(lastLeaseSentMs, nowMs);
+  /**
+   * Returns whether it is about to leave: it shuts down as planned, or its entry is gone although
+   * it was listed.
+   */
+  boolean isLeaving() {
+    return info.isPresent() && (!listed || info.get().draining());
+  }
+
+  /**
+   * Records a lease that was sent.
+   *
+   * @param maximumSentAtMs when a lease of maximum length would have been sent that ends at the
+   *     same time, milliseconds
+   */
+  void onLeaseSent(long maximumSentAtMs) {
+    lastLeaseSentMs = Math.max(lastLeaseSentMs, maximumSentAtMs);
     leaseSentSinceResponse = true;
   }
 
@@ -211,7 +225,10 @@
     lastLeaseSentMs = Math.min(lastLeaseSentMs, sinceMs);
   }
 
-  /** Returns when a command that extends leases may last have been sent, milliseconds. */
+  /**
+   * Returns when a command that extends leases by their maximum may last have been sent,
+   * milliseconds.
+   */
   long lastLeaseSentMs() {
     return lastLeaseSentMs;
   }
@@ -232,11 +249,13 @@
    * long ago when a run is planned there.
    */
   OptionalLong givenUpAtMs(long expiryMs) {
-    boolean mayBeSilent = leaseSentSinceResponse || silentSinceMs != Long.MAX_VALUE;
     long waitMs = listed ? expiryMs + LISTED_WAIT_AFTER_EXPIRY_MS : expiryMs;
-    return mayBeSilent
-        ? OptionalLong.of(Math.max(lastLeaseSentMs, lastResponseMs) + waitMs)
-        : OptionalLong.empty();
+    if (leaseSentSinceResponse) {
+      return OptionalLong.of(lastLeaseSentMs + waitMs);
+    }
+    return silentSinceMs == Long.MAX_VALUE
+        ? OptionalLong.empty()
+        : OptionalLong.of(Math.max(lastLeaseSentMs, lastResponseMs) + waitMs);
   }
 
   /** Returns when it last responded, milliseconds; far in the past if it never did. */
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LastLeaseTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LastLeaseTest.java
@@ -9,7 +9,6 @@
 import org.wheatwall.core.batch.model.CommandOutcome;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupPhase;
-import org.wheatwall.core.batch.model.StartCommand;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -30,8 +29,7 @@
     accept(job(1, false, 2));
     effects.acknowledgeAll();
     resolveStarts(CommandOutcome.DONE);
-    StartCommand command = effects.starts.get(0);
-    report("a", List.of(new WorkerInventory.RunningTask(command.task(), 1, "", 10)), List.of());
+    report("a", List.of(runningTask()), List.of());
     supervisor.onLeaseSent("a", nowMs);
     supervisor.onWorkerUnreachable("a", "silent", nowMs);
   }
@@ -70,4 +68,40 @@
       assertThat(record.leasesExpired(expiryMs + 20_001, expiryMs)).isTrue();
     }
   }
+
+  // Its runs ended as it left, and nobody can say so.
+  @Test
+  void runsOfAWorkerThatLeftAsPlannedAreGivenUpAfterItsShorterLeases() {
+    supervisor.listWorker(
+        new WorkerInfo("a", "127.0.0.1:1", "s", "z", "r", Set.of(), ResourceAmount.ZERO, true),
+        nowMs);
+    int leaseMs = supervisor.renewalLeaseMs("a");
+    assertThat(leaseMs).isLessThan(LEASE_MS);
+    nowMs += LEASE_MS - leaseMs;
+    report("a", List.of(runningTask()), List.of());
+    supervisor.onLeaseSent("a", leaseMs, nowMs);
+    supervisor.onWorkerUnreachable("a", "silent", nowMs);
+    supervisor.unlistWorker("a", nowMs);
+    nowMs += LEASE_EXPIRY_MS - (LEASE_MS - leaseMs);
+    tick(WALL_MS);
+    assertThat(lastLoggedPhase(GROUP)).hasValue(GroupPhase.ACTIVE);
+    nowMs += 20;
+    tick(WALL_MS);
+    assertThat(lastLoggedPhase(GROUP)).hasValue(GroupPhase.WAITING);
+  }
+
+  // The worker keeps the longest lease that it got.
+  @Test
+  void shorterLeaseDoesNotEndAnEarlierLongerOne() {
+    int leaseMs = supervisor.renewalLeaseMs("a") / 2;
+    supervisor.onLeaseSent("a", leaseMs, nowMs + 100);
+    supervisor.unlistWorker("a", nowMs);
+    nowMs += LEASE_EXPIRY_MS;
+    tick(WALL_MS);
+    assertThat(lastLoggedPhase(GROUP)).hasValue(GroupPhase.ACTIVE);
+  }
+
+  private WorkerInventory.RunningTask runningTask() {
+    return new WorkerInventory.RunningTask(effects.starts.get(0).task(), 1, "", 10);
+  }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
@@ -126,7 +126,7 @@
     if (!session.clockKnown || !supervisor.mayExtendLeases(worker)) {
       return Optional.empty();
     }
-    return Optional.of(new WorkerPort.Lease(term, leaseEndMs(session)));
+    return Optional.of(new WorkerPort.Lease(term, leaseEndMs(session, leaseMs)));
   }
 
   /** Marks the clocks of all workers as unknown until they respond again. */
@@ -187,8 +187,8 @@
     lateResponses.remove(worker);
   }
 
-  private long leaseEndMs(Session session) {
-    return session.clockMs + (clock.nowMs() - session.clockAtMs) + leaseMs;
+  private long leaseEndMs(Session session, int durationMs) {
+    return session.clockMs + (clock.nowMs() - session.clockAtMs) + durationMs;
   }
 
   private void poll(String worker, int waitMs) {
@@ -224,13 +224,16 @@
             && !isSilentFor(session, STOP_EXTENDING_AFTER_MS)
             && !supervisor.hasOnlyOrphanedRuns(worker)
             && supervisor.mayExtendLeases(worker);
+    int renewalLeaseMs = supervisor.renewalLeaseMs(worker);
     if (extendLeases) {
-      supervisor.onLeaseSent(worker, sentMs);
+      supervisor.onLeaseSent(worker, renewalLeaseMs, sentMs);
     }
     WorkerPort.RenewCall call =
         new WorkerPort.RenewCall(
             term,
-            extendLeases ? OptionalLong.of(leaseEndMs(session)) : OptionalLong.empty(),
+            extendLeases
+                ? OptionalLong.of(leaseEndMs(session, renewalLeaseMs))
+                : OptionalLong.empty(),
             newAcknowledgement(worker, session),
             longPollMs);
     LoopCallbacks.whenDone(
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
@@ -138,6 +138,8 @@
     final List<Integer> waitMs = new ArrayList<>();
     final List<Long> acknowledged = new ArrayList<>();
     final List<Boolean> extendsLeases = new ArrayList<>();
+    // On the worker's clock; 0 for a poll that extends none.
+    final List<Long> leaseEndsMs = new ArrayList<>();
 
     @Override
     public CompletableFuture<CommandOutcome> start(
@@ -159,6 +161,7 @@
       waitMs.add(call.waitMs());
       acknowledged.add(call.acknowledged());
       extendsLeases.add(call.untilMs().isPresent());
+      leaseEndsMs.add(call.untilMs().orElse(0));
       return response;
     }
 
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
@@ -254,6 +254,19 @@
     assertThat(fixture.supervisor.workersInUse()).isEmpty();
   }
 
+  // Its leases are awaited once it has left.
+  @Test
+  void leasesOfAWorkerThatIsAboutToLeaveAreExtendedByLess() {
+    adoptStoppedLeases();
+    fixture.effects.unblockLog();
+    fixture.listWorkers(1);
+    port.respondToOne(reportWithTask());
+    long fullMs = port.leaseEndsMs.get(port.leaseEndsMs.size() - 1);
+    fixture.supervisor.unlistWorker("worker-0", fixture.clock.nowMs());
+    port.respondToOne(reportWithTask());
+    assertThat(port.leaseEndsMs.get(port.leaseEndsMs.size() - 1)).isLessThan(fullMs);
+  }
+
   private void adoptStoppedLeases() {
     JobTable table = new JobTable();
     BatchJob job =
