Suspect jobs start only on workers that have just responded

Its starts went to workers that had crashed unnoticed; as nobody can tell such a start from one that crashed its worker, each counted as a worker lost, and the fourth failed the job.

Cause: a suspect job is started on whatever worker is believed to be up. An idle worker is not called, so its crash is noticed only by the start itself.

A worker whose call fails counts as unreachable, and the group is placed elsewhere without a loss; without a response or a failure it is planned anew after 1 s. No start is added and every loss still counts, so the bound on starts after three crashes holds as before.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/PendingStarts.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/PendingStarts.java
@@ -6,12 +6,15 @@
 
 /**
  * Runs that were decided on but whose starts have not been sent: they wait for their victims to end
- * or for the job log to acknowledge their record. A run that waits for too long is abandoned, and
- * its group waits again, for whatever capacity is free by then.
+ * or their workers to respond, or for the job log to acknowledge their record. A run that waits for
+ * too long is abandoned, and its group waits again, for whatever capacity is free by then.
  */
 final class PendingStarts {
-  /** Maximum wait for victims to end, milliseconds; a stop takes less than a second. */
-  static final int MAX_VICTIM_WAIT_MS = 1000;
+  /**
+   * Maximum wait for victims to end and for workers to respond, milliseconds; a stop takes less
+   * than a second.
+   */
+  static final int MAX_LAUNCH_WAIT_MS = 1000;
 
   /**
    * Maximum wait for the job log to acknowledge a record, milliseconds; without an acknowledgement
@@ -71,8 +74,12 @@
     wait.waitedMs += elapsedMs;
     if (run.launched() && wait.waitedMs >= MAX_RECORD_WAIT_MS) {
       lifecycle.stopRun(run, "not ordered " + wait.waitedMs + " ms after it was written down");
-    } else if (!run.launched() && wait.waitedMs >= MAX_VICTIM_WAIT_MS) {
-      lifecycle.stopRun(run, "what it waits for has not ended after " + wait.waitedMs + " ms");
+    } else if (!run.launched() && wait.waitedMs >= MAX_LAUNCH_WAIT_MS) {
+      String cause =
+          run.waitsForVictims()
+              ? "what it waits for has not ended after "
+              : "its workers have not responded after ";
+      lifecycle.stopRun(run, cause + wait.waitedMs + " ms");
     }
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -16,6 +16,7 @@
     GROUP_FAILED,
     GROUP_WAITS,
     DECISION_FAILED,
+    RUN_AWAITS_RESPONSES,
     RUN_STOPPING,
     RUN_HELD_UP,
     END_PASSED_OVER,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
@@ -18,11 +18,13 @@
   private final TermState term;
   private final RunLifecycle lifecycle;
   private final StartChecks startChecks;
+  private final ResponseWaits responseWaits;
 
   RunStarter(TermState term, RunLifecycle lifecycle) {
     this.term = term;
     this.lifecycle = lifecycle;
     this.startChecks = new StartChecks(term);
+    this.responseWaits = new ResponseWaits(term);
   }
 
   /** Returns whether the operator allows starts on a worker, as far as this host knows. */
@@ -37,6 +39,9 @@
       lifecycle.stopRun(run, obstacle.get() + " before the start");
       return;
     }
+    if (run.state().suspect() && !haveWorkersResponded(run)) {
+      return;
+    }
     GroupState state = run.state().withRunStarted(run.workers());
     run.launch(state);
     term.jobs.get(run.group().jobId()).setState(run.group(), state);
@@ -44,6 +49,26 @@
     term.flushThen(() -> sendStarts(run));
   }
 
+  private boolean haveWorkersResponded(GroupRun run) {
+    Optional<String> silent = responseWaits.findSilentWorker(run);
+    if (silent.isPresent()) {
+      term.onWorkerUnreachable(silent.get(), "it did not respond before a start");
+      lifecycle.stopRun(run, "no answer from " + silent.get() + " before the start");
+      return false;
+    }
+    return !responseWaits.mustWait(run);
+  }
+
+  /** Continues the launch of runs that wait for a worker that has responded, or failed to. */
+  void continueLaunchesOn(String worker) {
+    for (GroupRun run : responseWaits.runsOn(worker)) {
+      // Stopping one run can end its job, and with it other runs.
+      if (responseWaits.isWaiting(run)) {
+        launch(run);
+      }
+    }
+  }
+
   private void sendStarts(GroupRun run) {
     if (run.stopping() || term.runs.ofGroup(run.group()).orElse(null) != run) {
       return;
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -307,6 +307,7 @@
   public void onCallUnanswered(String worker, long monotonicMs) {
     term.nowMs = monotonicMs;
     term.onCallUnanswered(worker);
+    lifecycle.starter().continueLaunchesOn(worker);
   }
 
   /** Records that a worker is unreachable. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerReports.java
@@ -64,6 +64,7 @@
     Set<String> reported = processRunning(worker, report);
     endMissing(worker, report, reported, requestedAtMs, changed);
     recordChanged(changed);
+    lifecycle.starter().continueLaunchesOn(worker);
     if (last > lastProcessed) {
       term.workers.getOrCreate(worker).onEndsProcessed(last);
       acknowledgeWhenPersisted(worker, last);
--- a/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/RecordedEffects.java
@@ -16,6 +16,7 @@
   final List<StopCommand> stops = new ArrayList<>();
   final List<PermitRequest> permitRequests = new ArrayList<>();
   final List<RunEvent> events = new ArrayList<>();
+  final List<String> requestedReports = new ArrayList<>();
   int longWorkSteps;
   private final Deque<Runnable> pendingAcknowledgements = new ArrayDeque<>();
   private boolean nextStopFails;
@@ -51,7 +52,9 @@
   }
 
   @Override
-  public void requestReport(String worker) {}
+  public void requestReport(String worker) {
+    requestedReports.add(worker);
+  }
 
   @Override
   public void requestPermits(PermitRequest request) {
--- /dev/null
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -0,0 +1,149 @@
+package org.wheatwall.core.batch.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.CommandOutcome;
+import org.wheatwall.core.batch.model.GroupKey;
+import org.wheatwall.core.batch.model.GroupPhase;
+import org.wheatwall.core.batch.model.GroupState;
+import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
+import org.wheatwall.core.batch.model.LossKind;
+import org.wheatwall.core.batch.model.StartCommand;
+
+/**
+ * Guards against jobs that fail although they crash nothing: their starts were sent to workers that
+ * had crashed unnoticed, and each such start counted as a worker lost.
+ */
+final class ResponseWaitsTest extends OneJobScenario {
+  private static final GroupKey GROUP = new GroupKey(ID, 0, 0, 0);
+  private static final int IDLE_MS = 900;
+  private static final int IDLE_LONG_MS = 2000;
+
+  private int workers;
+
+  // No usable worker is listed, so that the first run is planned on the next one.
+  private void adoptSuspectJob() {
+    GroupState suspect =
+        GroupState.NEW
+            .withRunStarted(List.of("gone"))
+            .withLoss(1, 0, LossKind.UNANSWERED_START)
+            .withoutActiveRun(GroupPhase.WAITING);
+    LogEntry entry = LogEntry.of(LogKey.group(GROUP), new LogContent.Group(suspect));
+    supervisor.adopt(tableWith(job(1, false, 9), entry), nowMs, WALL_MS);
+    tick(WALL_MS);
+  }
+
+  // Its capacity is taken until it has been idle for a while, so nothing is planned there before.
+  private String listIdleWorker(int idleMs) {
+    String id = "worker" + workers++;
+    supervisor.setEvacuatedZones(Optional.empty(), nowMs);
+    listWorker(id);
+    nowMs += idleMs;
+    supervisor.setEvacuatedZones(Optional.of(Set.of()), nowMs);
+    tick(WALL_MS);
+    effects.acknowledgeAll();
+    return id;
+  }
+
+  private int lostRuns() {
+    return effects.logged.stream()
+        .filter(entry -> entry.key().equals(LogKey.group(GROUP)))
+        .flatMap(entry -> entry.content().stream())
+        .map(content -> ((LogContent.Group) content).state().losses().get(0).lost())
+        .reduce(1, (first, second) -> second);
+  }
+
+  @Test
+  void workersThatCrashedBeforeTheStartDoNotCountAsLost() {
+    adoptSuspectJob();
+    for (int i = 0; i < 4; i++) {
+      String worker = listIdleWorker(IDLE_LONG_MS);
+      supervisor.onCallUnanswered(worker, nowMs);
+      supervisor.onWorkerGone(worker, nowMs, WALL_MS);
+      tick(WALL_MS);
+      effects.acknowledgeAll();
+    }
+    assertThat(loggedEndState()).isEmpty();
+    assertThat(effects.starts).isEmpty();
+    assertThat(lostRuns()).isEqualTo(1);
+  }
+
+  @Test
+  void suspectJobStartsOnceItsWorkerHasResponded() {
+    adoptSuspectJob();
+    String worker = listIdleWorker(IDLE_MS);
+    assertThat(effects.starts).isEmpty();
+    assertThat(effects.requestedReports).contains(worker);
+    report(worker, List.of(), List.of());
+    effects.acknowledgeAll();
+    assertThat(effects.starts).hasSize(1);
+    assertThat(effects.starts.get(0).worker()).isEqualTo(worker);
+  }
+
+  @Test
+  void startsOfOtherJobsAreNotDelayed() {
+    accept(job(1, false, 9));
+    listIdleWorker(IDLE_LONG_MS);
+    assertThat(effects.starts).hasSize(1);
+  }
+
+  @Test
+  void workerThatJustRespondedIsNotAskedAgain() {
+    adoptSuspectJob();
+    listWorker("worker");
+    tick(WALL_MS);
+    effects.acknowledgeAll();
+    assertThat(effects.starts).hasSize(1);
+  }
+
+  @Test
+  void suspectJobIsPlacedElsewhereOnceItsWorkerFailsToRespond() {
+    adoptSuspectJob();
+    String silent = listIdleWorker(IDLE_MS);
+    supervisor.onCallUnanswered(silent, nowMs);
+    tick(WALL_MS);
+    listWorker("other");
+    tick(WALL_MS);
+    effects.acknowledgeAll();
+    assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("other");
+  }
+
+  @Test
+  void suspectJobIsPlannedAnewIfItsWorkerNeitherRespondsNorFails() {
+    adoptSuspectJob();
+    listIdleWorker(IDLE_MS);
+    for (int i = 0; i <= PendingStarts.MAX_LAUNCH_WAIT_MS; i += 100) {
+      nowMs += 100;
+      tick(WALL_MS);
+    }
+    assertThat(
+            effects.events.stream()
+                .filter(event -> event.kind() == RunEvent.Kind.RUN_STOPPING)
+                .map(RunEvent::reason)
+                .toList())
+        .contains("its workers have not responded after 1000 ms");
+  }
+
+  // A start without an answer may have crashed the worker, so it still counts.
+  @Test
+  void workerThatRespondedAndCrashedAtTheStartCountsAsLost() {
+    adoptSuspectJob();
+    for (int i = 0; i < 3; i++) {
+      assertThat(loggedEndState()).isEmpty();
+      String worker = listIdleWorker(IDLE_LONG_MS);
+      report(worker, List.of(), List.of());
+      effects.acknowledgeAll();
+      StartCommand command = effects.starts.get(effects.starts.size() - 1);
+      supervisor.onStartOutcome(command, CommandOutcome.UNKNOWN, nowMs, WALL_MS);
+      supervisor.onWorkerGone(worker, nowMs, WALL_MS);
+    }
+    assertThat(loggedEndState()).hasValue(BatchState.FAILED);
+  }
+}
