Leases on a draining worker last about as long as it says that it stays

With leases of 5 s on workers that leave, its runs were still given up only 6.5 to 7.3 s after its entry was gone, and the 3 s promised beside free room did not hold.

Change: a draining worker gets leases until it says that it leaves, between 2 and 5 s, and none once a call to it fails, until it responds again. An entry that goes without draining keeps 5 s, as entries also go while the store is down.

With the time that it stays left out, two tests of LastLeaseTest fail, and with leases extended for 2 s after a failed call, one of WorkerPollerTest.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -40,10 +40,6 @@
   private static final int MAX_DECISION_INTERVAL_MS = 250;
   private static final int RETENTION_SWEEP_INTERVAL_MS = 5000;
   private static final int MAX_JOBS_DROPPED_PER_SWEEP = 50;
-  // The runs of a worker that has left are awaited until its leases have expired. Covers a change
-  // of
-  // the decider, so that its runs can go on until it leaves.
-  private static final int MAX_LEAVING_LEASE_MS = 5000;
 
   private final TermState term;
   private final RunLifecycle lifecycle;
@@ -281,10 +277,16 @@
   }
 
   /** Returns the lease for a renewal at a worker, milliseconds: shorter if it is about to leave. */
-  public int renewalLeaseMs(String worker) {
-    return term.workers.find(worker).filter(WorkerRecord::isLeaving).isPresent()
-        ? Math.min(MAX_LEAVING_LEASE_MS, term.settings.leaseMs())
-        : term.settings.leaseMs();
+  public int renewalLeaseMs(String worker, long monotonicMs) {
+    return term.workers
+        .find(worker)
+        .map(record -> record.renewalLeaseMs(term.settings.leaseMs(), monotonicMs))
+        .orElse(term.settings.leaseMs());
+  }
+
+  /** Returns whether a worker shuts down as planned, or did so when it was last listed. */
+  public boolean isDraining(String worker) {
+    return term.workers.find(worker).filter(WorkerRecord::isDraining).isPresent();
   }
 
   /** Records that a command was sent that extends the leases on a worker by their maximum. */
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -8,6 +8,10 @@
 final class WorkerRecord {
   // Long enough for several successive network partitions, of some 6 s each in deployments.
   private static final int LISTED_WAIT_AFTER_EXPIRY_MS = 20_000;
+  // Covers a change of the decider, so that the runs of a worker that is about to leave go on.
+  private static final int MAX_LEAVING_LEASE_MS = 5000;
+  // Covers the time between two renewals, and a few that fail.
+  private static final int MIN_LEAVING_LEASE_MS = 2000;
 
   private final String id;
   private final StartBackoff backoff = new StartBackoff();
@@ -26,6 +30,7 @@
   private long clockMs;
   private long clockRequestedAtMs;
   private long unlistedAtMs = Long.MAX_VALUE;
+  private long staysUntilMs = Long.MAX_VALUE;
   private long lastProcessedEnd;
   private long lastAcknowledgedEnd;
 
@@ -47,10 +52,12 @@
     return info;
   }
 
-  void updateListing(WorkerInfo next) {
+  void updateListing(WorkerInfo next, long nowMs) {
     info = Optional.of(next);
     listed = true;
     unlistedAtMs = Long.MAX_VALUE;
+    staysUntilMs =
+        next.remainingMs().isPresent() ? nowMs + next.remainingMs().getAsInt() : Long.MAX_VALUE;
   }
 
   void markUnlisted(long nowMs) {
@@ -206,7 +213,32 @@
    * it was listed.
    */
   boolean isLeaving() {
-    return info.isPresent() && (!listed || info.get().draining());
+    return info.isPresent() && (!listed || isDraining());
+  }
+
+  /** Returns whether it shuts down as planned, or did so when it was last listed. */
+  boolean isDraining() {
+    return info.filter(WorkerInfo::draining).isPresent();
+  }
+
+  /**
+   * Returns the lease for a renewal there. Its runs end when it leaves, and are awaited until its
+   * leases have expired, so leases do not last much longer than it stays.
+   *
+   * @param maximumMs the longest lease, milliseconds
+   */
+  int renewalLeaseMs(int maximumMs, long nowMs) {
+    if (!isLeaving()) {
+      return maximumMs;
+    }
+    long leaseMs = MAX_LEAVING_LEASE_MS;
+    if (!listed && isDraining()) {
+      leaseMs = MIN_LEAVING_LEASE_MS;
+    } else if (staysUntilMs != Long.MAX_VALUE) {
+      long staysForMs = staysUntilMs - nowMs;
+      leaseMs = Math.max(MIN_LEAVING_LEASE_MS, Math.min(MAX_LEAVING_LEASE_MS, staysForMs));
+    }
+    return (int) Math.min(maximumMs, leaseMs);
   }
 
   /**
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRegistry.java
@@ -184,7 +184,7 @@
       rackCapacities.clear();
     }
     count(record, -1);
-    record.updateListing(info);
+    record.updateListing(info, nowMs);
     count(record, 1);
     record.setEvacuated(evacuatedZones.contains(info.zone()));
     version += fresh || !sameCapacity ? 1 : 0;
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LastLeaseTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LastLeaseTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -63,7 +64,8 @@
       long expiryMs = SupervisorSettings.of(leaseMs, 60_000).leaseExpiryMs();
       WorkerRecord record = new WorkerRecord("a", 0);
       record.updateListing(
-          new WorkerInfo("a", "127.0.0.1:1", "s", "z", "r", Set.of(), ResourceAmount.ZERO, false));
+          new WorkerInfo("a", "127.0.0.1:1", "s", "z", "r", Set.of(), ResourceAmount.ZERO, false),
+          0);
       assertThat(record.leasesExpired(expiryMs + 20_000, expiryMs)).isFalse();
       assertThat(record.leasesExpired(expiryMs + 20_001, expiryMs)).isTrue();
     }
@@ -75,7 +77,7 @@
     supervisor.listWorker(
         new WorkerInfo("a", "127.0.0.1:1", "s", "z", "r", Set.of(), ResourceAmount.ZERO, true),
         nowMs);
-    int leaseMs = supervisor.renewalLeaseMs("a");
+    int leaseMs = supervisor.renewalLeaseMs("a", nowMs);
     assertThat(leaseMs).isLessThan(LEASE_MS);
     nowMs += LEASE_MS - leaseMs;
     report("a", List.of(runningTask()), List.of());
@@ -90,10 +92,54 @@
     assertThat(lastLoggedPhase(GROUP)).hasValue(GroupPhase.WAITING);
   }
 
+  @Test
+  void leasesOfADrainingWorkerLastAboutAsLongAsItStays() {
+    listDraining(OptionalInt.of(3000));
+    assertThat(supervisor.renewalLeaseMs("a", nowMs)).isEqualTo(3000);
+    assertThat(supervisor.renewalLeaseMs("a", nowMs + 500)).isEqualTo(2500);
+    assertThat(supervisor.renewalLeaseMs("a", nowMs + 2900)).isEqualTo(2000);
+    listDraining(OptionalInt.of(60_000));
+    assertThat(supervisor.renewalLeaseMs("a", nowMs)).isEqualTo(5000);
+    listDraining(OptionalInt.empty());
+    assertThat(supervisor.renewalLeaseMs("a", nowMs)).isEqualTo(5000);
+    supervisor.unlistWorker("a", nowMs);
+    assertThat(supervisor.renewalLeaseMs("a", nowMs)).isEqualTo(2000);
+  }
+
+  // Entries may be gone although their workers run, for example after an outage of the store.
+  @Test
+  void leasesOfAWorkerThatLostItsEntryWithoutDrainingCoverAChangeOfTheDecider() {
+    supervisor.unlistWorker("a", nowMs);
+    assertThat(supervisor.renewalLeaseMs("a", nowMs)).isEqualTo(5000);
+  }
+
+  // Its runs ended as it left; with longer leases their work stands beside idle workers.
+  @Test
+  void runsOfAWorkerThatLeftWhenItSaidAreGivenUpWithinThreeSeconds() {
+    listDraining(OptionalInt.of(LEASE_MS));
+    for (int i = 0; i <= LEASE_MS; i += 500) {
+      nowMs += 500;
+      report("a", List.of(runningTask()), List.of());
+      supervisor.onLeaseSent("a", supervisor.renewalLeaseMs("a", nowMs), nowMs);
+    }
+    supervisor.onWorkerUnreachable("a", "silent", nowMs);
+    supervisor.unlistWorker("a", nowMs);
+    nowMs += 3000;
+    tick(WALL_MS);
+    assertThat(lastLoggedPhase(GROUP)).hasValue(GroupPhase.WAITING);
+  }
+
+  private void listDraining(OptionalInt remainingMs) {
+    supervisor.listWorker(
+        new WorkerInfo(
+            "a", "127.0.0.1:1", "s", "z", "r", Set.of(), ResourceAmount.ZERO, true, remainingMs),
+        nowMs);
+  }
+
   // The worker keeps the longest lease that it got.
   @Test
   void shorterLeaseDoesNotEndAnEarlierLongerOne() {
-    int leaseMs = supervisor.renewalLeaseMs("a") / 2;
+    int leaseMs = supervisor.renewalLeaseMs("a", nowMs) / 2;
     supervisor.onLeaseSent("a", leaseMs, nowMs + 100);
     supervisor.unlistWorker("a", nowMs);
     nowMs += LEASE_EXPIRY_MS;
--- a/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/worker/WorkerPoller.java
@@ -221,10 +221,10 @@
     firstCallsInFlight += firstCall ? 1 : 0;
     boolean extendLeases =
         session.clockKnown
-            && !isSilentFor(session, STOP_EXTENDING_AFTER_MS)
+            && !isSilentFor(session, stopExtendingAfterMs(worker))
             && !supervisor.hasOnlyOrphanedRuns(worker)
             && supervisor.mayExtendLeases(worker);
-    int renewalLeaseMs = supervisor.renewalLeaseMs(worker);
+    int renewalLeaseMs = supervisor.renewalLeaseMs(worker, sentMs);
     if (extendLeases) {
       supervisor.onLeaseSent(worker, renewalLeaseMs, sentMs);
     }
@@ -262,6 +262,11 @@
     }
   }
 
+  // A draining worker that does not respond has probably left.
+  private int stopExtendingAfterMs(String worker) {
+    return supervisor.isDraining(worker) ? 0 : STOP_EXTENDING_AFTER_MS;
+  }
+
   private boolean isSilentFor(Session session, int ms) {
     return session.silentSinceMs >= 0 && clock.nowMs() - session.silentSinceMs >= ms;
   }
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
@@ -18,6 +18,7 @@
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -267,6 +268,37 @@
     assertThat(port.leaseEndsMs.get(port.leaseEndsMs.size() - 1)).isLessThan(fullMs);
   }
 
+  // It has probably left, and its leases are awaited.
+  @Test
+  void leasesOfADrainingWorkerAreNotExtendedAfterACallWithoutAResponse() {
+    adoptStoppedLeases();
+    fixture.effects.unblockLog();
+    fixture.listWorkers(1);
+    port.respondToOne(reportWithTask());
+    fixture.supervisor.listWorker(drainingWorker("worker-0"), fixture.clock.nowMs());
+    port.respondToOne(reportWithTask());
+    assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isTrue();
+    port.respondToOne(false);
+    fixture.clock.advance(RENEWAL_MS);
+    fixture.runScheduledTasks();
+    assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isFalse();
+    port.respondToOne(reportWithTask());
+    assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isTrue();
+  }
+
+  private WorkerInfo drainingWorker(String name) {
+    WorkerInfo info = fixture.supervisor.workerInfo(name).orElseThrow();
+    return new WorkerInfo(
+        info.id(),
+        info.address(),
+        info.service(),
+        info.zone(),
+        info.rack(),
+        info.labels(),
+        info.capacity(),
+        true);
+  }
+
   private void adoptStoppedLeases() {
     JobTable table = new JobTable();
     BatchJob job =
