Tests of lease stops for parts that no test held

No fault was found. With one part taken out at a time, the tests of lease stops passed without these, and each now fails one test at least:

A task could run twice: a later incarnation gets leases before the record of an earlier one is dropped, or once the first of several drops is acknowledged; the age in a record counts from the last response, although a lease was sent since; the clocks in a record allow neither for their drift nor for the time since the report was requested; the offset from which records count falls; a record that the log no longer has still counts; a run is given up beside an end that its worker may yet report.

Work could wait longer, or a run be lost: 1 s and 2 s of silence, whichever applies; a silence that has ended; workers that count as silent before the list is read; fewer clocks, or those heard longest ago; a later limit that replaces an earlier one; starts that fail while a record of an earlier decider stands.

Otherwise: a record for each scan instead of one; all of many stops in one append; a shorter lease that is longer than the maximum.

--- a/core/src/test/java/org/wheatwall/core/batch/decision/LastLeaseTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LastLeaseTest.java
@@ -11,6 +11,7 @@
 import org.wheatwall.core.batch.model.GroupPhase;
 import org.wheatwall.core.batch.model.WorkerInfo;
 import org.wheatwall.core.batch.model.WorkerInventory;
+import org.wheatwall.core.job.decision.SchedulerSettings;
 import org.wheatwall.core.job.model.ResourceAmount;
 
 /**
@@ -101,6 +102,42 @@
     assertThat(lastLoggedPhase(GROUP)).hasValue(GroupPhase.ACTIVE);
   }
 
+  @Test
+  void leasesOfAWorkerThatIsAboutToLeaveAreNotLongerThanTheMaximum() {
+    int maximumMs = 3000;
+    RunSupervisor other =
+        new RunSupervisor(
+            SupervisorSettings.of(maximumMs, 60_000),
+            SchedulerSettings.DEFAULT,
+            new RecordedEffects(),
+            7,
+            0,
+            0);
+    other.listWorker(
+        new WorkerInfo("a", "127.0.0.1:1", "s", "z", "r", Set.of(), ResourceAmount.ZERO, true), 0);
+    assertThat(other.renewalLeaseMs("a")).isEqualTo(maximumMs);
+  }
+
+  // It may yet report that a run was done before the lease expired.
+  @Test
+  void runsAreAwaitedFromTheLastResponseIfNoLeaseWasSentSince() {
+    long respondedAtMs = 10_000;
+    WorkerRecord record = new WorkerRecord("a", 0);
+    record.onResponse(respondedAtMs);
+    record.onNoResponse(respondedAtMs + 1);
+    assertThat(record.leasesExpired(respondedAtMs + LEASE_EXPIRY_MS, LEASE_EXPIRY_MS)).isFalse();
+    assertThat(record.leasesExpired(respondedAtMs + LEASE_EXPIRY_MS + 1, LEASE_EXPIRY_MS)).isTrue();
+  }
+
+  // Otherwise work would be awaited anew for each clock that tells less than what is known.
+  @Test
+  void laterLimitOfTheLastLeaseDoesNotReplaceAnEarlierOne() {
+    WorkerRecord record = new WorkerRecord("a", 1000);
+    record.limitLastLease(500);
+    record.limitLastLease(900);
+    assertThat(record.lastLeaseSentMs()).isEqualTo(500);
+  }
+
   private WorkerInventory.RunningTask runningTask() {
     return new WorkerInventory.RunningTask(effects.starts.get(0).task(), 1, "", 10);
   }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LeaseExtensionsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LeaseExtensionsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.model.CommandOutcome;
 import org.wheatwall.core.batch.model.GroupKey;
@@ -27,6 +28,7 @@
  */
 final class LeaseExtensionsTest extends OneJobScenario {
   private static final String WORKER = "a..1000";
+  private static final String LATER = "a..2000";
   private static final String OTHER = "b..1000";
   private static final LogKey STOP_KEY = LogKey.leaseStop(WORKER);
   private static final int SCAN_MS = 250;
@@ -56,6 +58,10 @@
         .reduce((first, second) -> second);
   }
 
+  private LogContent.LeaseStop lastStop() {
+    return (LogContent.LeaseStop) lastStopEntry().flatMap(LogEntry::content).orElseThrow();
+  }
+
   // Adopts the job while another decider's stop at its worker was read some time ago.
   private void adoptWithStop(long readAtMs, LogContent.LeaseStop stop) {
     LeaseStops stops = new LeaseStops();
@@ -303,6 +309,170 @@
                     .isAtLeast(clockMs + LeaseExtensions.STOP_AFTER_MS + 1500));
   }
 
+  // The run moves to the later incarnation, which the log does not say.
+  @Test
+  void noLeaseIsExtendedAtALaterIncarnationBeforeTheRecordOfTheEarlierOneIsDropped() {
+    adoptWithStop(nowMs, new LogContent.LeaseStop(500, List.of()));
+    listUnreportedWorker(LATER);
+    report(LATER, List.of(new WorkerInventory.RunningTask(activeTask(), 1, "", 10)), List.of());
+    assertThat(lastStopEntry()).hasValue(LogEntry.tombstone(STOP_KEY));
+    assertThat(supervisor.mayExtendLeases(LATER)).isFalse();
+    assertThat(supervisor.usableWorkersIn("z")).isEmpty();
+    effects.acknowledgeAll();
+    assertThat(supervisor.mayExtendLeases(LATER)).isTrue();
+    assertThat(supervisor.usableWorkersIn("z")).containsExactly(LATER);
+  }
+
+  @Test
+  void noLeaseIsExtendedBeforeTheRecordsOfAllEarlierIncarnationsAreDropped() {
+    String earlier = "a..500";
+    LeaseStops stops = new LeaseStops();
+    stops.add(earlier, new LogContent.LeaseStop(500, List.of()), 5, nowMs);
+    stops.add(WORKER, new LogContent.LeaseStop(500, List.of()), 6, nowMs);
+    supervisor.adopt(
+        tableWith(job(2, false, 2), activeOn(earlier), activeGroup(1, WORKER)),
+        stops,
+        nowMs,
+        WALL_MS);
+    effects.acknowledgeAll();
+    listUnreportedWorker(LATER);
+    int appends = 0;
+    for (; !supervisor.mayExtendLeases(LATER); appends++) {
+      effects.acknowledgeNext();
+    }
+    assertThat(appends).isAtLeast(2);
+    assertThat(effects.logged)
+        .containsAtLeast(
+            LogEntry.tombstone(LogKey.leaseStop(earlier)), LogEntry.tombstone(STOP_KEY));
+  }
+
+  @Test
+  void nothingStartsOnAWorkerBeforeTheRecordOfAnEarlierDeciderIsDropped() {
+    adoptWithStop(nowMs, new LogContent.LeaseStop(500, List.of()));
+    listUnreportedWorker(WORKER);
+    report(WORKER, List.of(), List.of());
+    assertThat(supervisor.usableWorkersIn("z")).isEmpty();
+    effects.acknowledgeAll();
+    assertThat(supervisor.usableWorkersIn("z")).containsExactly(WORKER);
+  }
+
+  // A poll that extends leases may be the first call without a response.
+  @Test
+  void ageInTheRecordCountsFromALeaseThatWasSentAfterTheLastResponse() {
+    int lastLeaseAfterMs = 1500;
+    startTask();
+    supervisor.onCallUnanswered(WORKER, nowMs);
+    supervisor.onLeaseSent(WORKER, nowMs + lastLeaseAfterMs);
+    nowMs += LeaseExtensions.STOP_AFTER_MS;
+    tick(WALL_MS);
+    assertThat(lastStop().ageMs()).isEqualTo(LeaseExtensions.STOP_AFTER_MS - lastLeaseAfterMs);
+  }
+
+  // A later decider would take it that more time has passed since, and give up runs too early.
+  @Test
+  void clockInTheRecordAllowsForAFastClockSinceItsReportWasRequested() {
+    long longPollMs = 900;
+    startTask();
+    listWorker(OTHER);
+    nowMs += longPollMs;
+    long clockMs = 50_000;
+    supervisor.onReport(
+        OTHER,
+        new WorkerInventory(clockMs, List.of(), List.of()),
+        nowMs - longPollMs,
+        nowMs,
+        WALL_MS);
+    makeSilent();
+    long elapsedMs = longPollMs + LeaseExtensions.STOP_AFTER_MS;
+    assertThat(lastStop().clocks())
+        .containsExactly(new WorkerClock(OTHER, clockMs + elapsedMs + elapsedMs * 3 / 100));
+  }
+
+  // Some of them may end or be cut off before a later decider reads the record.
+  @Test
+  void recordNamesTheClocksOfThoseThatRespondedLast() {
+    startTask();
+    List.of("b", "c", "d", "e").forEach(this::listWorker);
+    makeSilent();
+    assertThat(lastStop().clocks().stream().map(WorkerClock::worker))
+        .containsExactly("e", "d", "c");
+  }
+
+  // Such a worker gets no lease anyway, and its work is awaited.
+  @Test
+  void silenceOfAWorkerThatHasNotRespondedInThisTermIsLoggedEarlier() {
+    adoptJobActiveOn(WORKER);
+    listUnreportedWorker(WORKER);
+    supervisor.onCallUnanswered(WORKER, nowMs);
+    nowMs += LeaseExtensions.FIRST_STOP_AFTER_MS - 1;
+    tick(WALL_MS);
+    assertThat(lastStopEntry()).isEmpty();
+    nowMs += SCAN_MS;
+    tick(WALL_MS);
+    assertThat(lastStopEntry()).isPresent();
+  }
+
+  // Leases are extended there meanwhile, so that its runs outlive a short cut-off.
+  @Test
+  void silenceOfAWorkerThatHasRespondedInThisTermIsNotLoggedEarlier() {
+    startTask();
+    supervisor.onCallUnanswered(WORKER, nowMs);
+    nowMs += LeaseExtensions.STOP_AFTER_MS - 1;
+    tick(WALL_MS);
+    assertThat(lastStopEntry()).isEmpty();
+  }
+
+  // Otherwise nothing could start on a healthy worker until it is polled again.
+  @Test
+  void silenceThatEndedIsNotLogged() {
+    startTask();
+    supervisor.onCallUnanswered(WORKER, nowMs);
+    reportRunning();
+    nowMs += LeaseExtensions.STOP_AFTER_MS;
+    tick(WALL_MS);
+    assertThat(lastStopEntry()).isEmpty();
+  }
+
+  // The list is read at the start of a term, and takes its time where the store is slow.
+  @Test
+  void noWorkerCountsAsSilentBeforeTheListIsRead() {
+    adoptJobActiveOn(WORKER);
+    nowMs += LEASE_EXPIRY_MS / 2;
+    tick(WALL_MS);
+    assertThat(lastStopEntry()).isEmpty();
+  }
+
+  // Each record costs an append, and readers count from the newest.
+  @Test
+  void silenceIsLoggedOnce() {
+    startTask();
+    makeSilent();
+    for (int i = 0; i < 5; i++) {
+      nowMs += SCAN_MS;
+      tick(WALL_MS);
+    }
+    assertThat(effects.logged.stream().filter(entry -> entry.key().equals(STOP_KEY))).hasSize(1);
+  }
+
+  // The log refuses an append that is too large.
+  @Test
+  void silenceOfManyWorkersIsLoggedInSeveralAppends() {
+    int silent = 2500;
+    int maxPerAppend = 2000;
+    LogEntry[] runs =
+        IntStream.range(0, silent)
+            .mapToObj(i -> activeGroup(i, "w" + i + "..1"))
+            .toArray(LogEntry[]::new);
+    supervisor.adopt(tableWith(job(silent, false, 2), runs), nowMs, WALL_MS);
+    listWorker(OTHER);
+    nowMs += LeaseExtensions.FIRST_STOP_AFTER_MS;
+    tick(WALL_MS);
+    assertThat(effects.logged).hasSize(maxPerAppend);
+    nowMs += SCAN_MS;
+    tick(WALL_MS);
+    assertThat(effects.logged).hasSize(silent);
+  }
+
   private static LogEntry activeGroup(int index, String worker) {
     return LogEntry.of(
         LogKey.group(new GroupKey(ID, 0, 0, index)),
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LeaseStopsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LeaseStopsTest.java
@@ -75,4 +75,23 @@
     stops.onTerm(term(OptionalLong.of(0)), 11);
     assertThat(stops.noLeaseSinceMs("w")).hasValue(1500L);
   }
+
+  // Its holder may not have read yet that a term of an earlier version came between.
+  @Test
+  void offsetFromWhichRecordsCountDoesNotFall() {
+    stops.add("w", STOP, 10, 2000);
+    stops.onTerm(term(OptionalLong.empty()), 11);
+    stops.onTerm(term(OptionalLong.of(0)), 12);
+    assertThat(stops.noLeaseSinceMs("w")).isEmpty();
+    assertThat(stops.validFrom()).isEqualTo(11);
+  }
+
+  // The store may have removed the tombstone by the time the log is read anew.
+  @Test
+  void recordThatIsNotInTheLogAnyMoreDoesNotCount() {
+    stops.add("w", STOP, 10, 2000);
+    stops.retainAll(Set.of("other"));
+    assertThat(stops.noLeaseSinceMs("w")).isEmpty();
+    assertThat(stops.workers()).isEmpty();
+  }
 }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/WorkerRegistryTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/WorkerRegistryTest.java
@@ -53,6 +53,18 @@
     assertThat(registry.find("a").orElseThrow().usable()).isTrue();
   }
 
+  // No record is kept of a superseded incarnation, so each look at it creates one.
+  @Test
+  void earliestLimitOfTheLastLeaseCountsUntilItIsRemoved() {
+    WorkerRegistry later = new WorkerRegistry(new Scheduler(SchedulerSettings.DEFAULT), 1000, 1000);
+    later.limitLastLease("a", 500);
+    later.limitLastLease("a", 900);
+    assertThat(later.getOrCreate("a").lastLeaseSentMs()).isEqualTo(500);
+    later.remove("a");
+    later.removeLastLeaseLimit("a");
+    assertThat(later.getOrCreate("a").lastLeaseSentMs()).isEqualTo(1000);
+  }
+
   private static int count(
       List<WorkerRecord> records, java.util.function.Predicate<WorkerRecord> which) {
     return (int) records.stream().filter(which).count();
