--- a/entry/src/test/java/org/wheatwall/entry/batch/TermElectionTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/TermElectionTest.java
@@ -3,8 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.decision.JobTable;
@@ -12,13 +16,18 @@
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.TermSettings;
 import org.wheatwall.core.batch.model.LogContent;
+import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.common.Mechanisms;
 import org.wheatwall.core.job.model.SchedulingFeatures;
+import org.wheatwall.entry.batch.log.KeyedLog;
+import org.wheatwall.entry.batch.log.KeyedRecord;
 import org.wheatwall.entry.batch.log.LogFollower;
 import org.wheatwall.entry.batch.peer.HostRoster;
 import org.wheatwall.entry.common.Clock;
 import org.wheatwall.entry.common.LoopExecutor;
 import org.wheatwall.entry.common.MachineClock;
+import org.wheatwall.wire.batch.JobLogCodec;
 
 /** Terms that a host has won, and its own records of them that it reads late. */
 final class TermElectionTest {
@@ -166,4 +175,41 @@
     election.onTerm(claim, offset);
     assertThat(election.decider().isPresent()).isFalse();
   }
+
+  // A process that reads only the newest record of each key does not see the earlier term.
+  @Test
+  void recordOfATermTellsFromWhichOffsetLeaseStopsCount() {
+    LogEntry earlierVersion =
+        LogEntry.of(
+            LogKey.TERM,
+            new LogContent.Term(
+                "other",
+                "other-address",
+                "other-life",
+                0,
+                false,
+                Optional.empty(),
+                OptionalInt.empty(),
+                OptionalLong.empty()));
+    KeyedRecord record =
+        new KeyedRecord(LogKey.TERM.text(), JobLogCodec.encodeValue(earlierVersion));
+    KeyedLog log = store.logOf(host);
+    CompletableFuture<KeyedLog.Appended> appended =
+        log.append(
+            new KeyedLog.AppendCall(List.of(record, record), OptionalLong.empty(), "other", 1, 1));
+    winTerm();
+    CompletableFuture<KeyedLog.NewestPage> newest = log.newest(Optional.empty());
+    time.runFor(TICK_MS);
+    LogContent.Term term =
+        newest.join().records().stream()
+            .map(KeyedLog.NewestRecord::record)
+            .filter(entry -> entry.key().equals(LogKey.TERM.text()))
+            .flatMap(entry -> JobLogCodec.decode(entry.key(), entry.value()).stream())
+            .flatMap(entry -> entry.content().stream())
+            .map(LogContent.Term.class::cast)
+            .findFirst()
+            .orElseThrow();
+    assertThat(term.holder()).isEqualTo("host");
+    assertThat(term.leaseStopsFrom()).hasValue(appended.join().offset() + 1);
+  }
 }
