--- a/core/src/test/java/org/wheatwall/core/batch/decision/OrphanedRunsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/OrphanedRunsTest.java
@@ -70,6 +70,17 @@
     assertThat(effects.stops).containsExactly(STOP);
   }
 
+  // Otherwise a run of this decider would end when its lease does.
+  @Test
+  void leasesAreExtendedWhereAnOrphanedRunIsBesideARunOfThisDecider() {
+    accept(job(1, false, 2));
+    effects.acknowledgeAll();
+    resolveStarts(CommandOutcome.DONE);
+    TaskName orphan = new TaskName("00000000000000bb", 0, 0, 0);
+    report("a", List.of(new WorkerInventory.RunningTask(orphan, 1, "", 0)), List.of());
+    assertThat(supervisor.hasOnlyOrphanedRuns("a")).isFalse();
+  }
+
   // The report may be older than the end that was processed last.
   @Test
   void aRunThatIsReportedOnceOnlyIsNotStopped() {
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerFixture.java
@@ -23,7 +23,7 @@
 
 /** A poller with workers, log and clock that the test controls. */
 final class WorkerPollerFixture {
-  private static final int LEASE_MS = 6000;
+  static final int LEASE_MS = 6000;
   private static final int TERM = 7;
 
   final ManualWorkerPort port = new ManualWorkerPort();
--- a/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/worker/WorkerPollerTest.java
@@ -9,6 +9,7 @@
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.LeaseStops;
 import org.wheatwall.core.batch.decision.RunEvent;
+import org.wheatwall.core.batch.decision.SupervisorSettings;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.EndKind;
 import org.wheatwall.core.batch.model.GroupKey;
@@ -30,6 +31,8 @@
   private static final int WORKERS = 245;
   private static final int MAX_FIRST_CALLS = 100;
   private static final int RENEWAL_MS = 600;
+  private static final int LEASE_EXPIRY_MS =
+      SupervisorSettings.of(WorkerPollerFixture.LEASE_MS, 60_000).leaseExpiryMs();
   private static final TaskName TASK = new TaskName("00000000000000aa", 0, 0, 0);
 
   private final WorkerPollerFixture fixture = new WorkerPollerFixture();
@@ -267,6 +270,41 @@
     assertThat(port.leaseEndsMs.get(port.leaseEndsMs.size() - 1)).isLessThan(fullMs);
   }
 
+  // Otherwise its runs would be given up while their leases last.
+  @Test
+  void runsAreAwaitedFromTheLastPollThatExtendedTheirLeases() {
+    adoptStoppedLeases();
+    fixture.effects.unblockLog();
+    fixture.listWorkers(1);
+    port.respondToOne(reportWithTask());
+    fixture.clock.advance(2L * LEASE_EXPIRY_MS);
+    port.respondToOne(reportWithTask());
+    assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isTrue();
+    fixture.supervisor.unlistWorker("worker-0", fixture.clock.nowMs());
+    fixture.clock.advance(LEASE_EXPIRY_MS);
+    fixture.supervisor.tick(fixture.clock.nowMs(), fixture.clock.wallMs());
+    assertThat(fixture.supervisor.workersInUse()).containsExactly("worker-0");
+    fixture.clock.advance(1);
+    fixture.supervisor.tick(fixture.clock.nowMs(), fixture.clock.wallMs());
+    assertThat(fixture.supervisor.workersInUse()).isEmpty();
+  }
+
+  // Its work is awaited from the last lease on.
+  @Test
+  void leasesOfAWorkerThatHasBeenSilentForSomeTimeAreNotExtended() {
+    adoptStoppedLeases();
+    fixture.effects.unblockLog();
+    fixture.listWorkers(1);
+    port.respondToOne(reportWithTask());
+    for (int i = 0; i < 2; i++) {
+      assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isTrue();
+      fixture.clock.advance(1500);
+      port.respondToOne(false);
+      fixture.runScheduledTasks();
+    }
+    assertThat(port.extendsLeases.get(port.extendsLeases.size() - 1)).isFalse();
+  }
+
   private void adoptStoppedLeases() {
     JobTable table = new JobTable();
     BatchJob job =
