--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedWorkers.java
@@ -228,6 +228,23 @@
         });
   }
 
+  /** Lists a worker as draining; it goes on running. */
+  void drain(int index) {
+    WorkerInfo info = infos.get(index);
+    WorkerInfo draining =
+        new WorkerInfo(
+            info.id(),
+            info.address(),
+            info.service(),
+            info.zone(),
+            info.rack(),
+            info.labels(),
+            info.capacity(),
+            true);
+    infos.set(index, draining);
+    List.copyOf(listeners.values()).forEach(listener -> listener.onWorkerListed(draining));
+  }
+
   /** Crashes a worker; it is down for some time, and its directory entry may expire meanwhile. */
   void crash(int index) {
     if (!down.contains(index)) {
