A worker whose entry is gone without draining keeps leases of full length

What callers saw: nothing yet; found while measuring what shorter leases cost. Entries are gone for a while although their workers run, and a new decider cannot renew there until the worker is listed again, so runs ended with their leases.

Change: only workers that drain get shorter leases.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -276,7 +276,9 @@
     return term.leaseExtensions.isAllowedAt(worker);
   }
 
-  /** Returns the lease for a renewal at a worker, milliseconds: shorter if it is about to leave. */
+  /**
+   * Returns the lease for a renewal at a worker, milliseconds: shorter if it shuts down as planned.
+   */
   public int renewalLeaseMs(String worker, long monotonicMs) {
     return term.workers
         .find(worker)
--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -208,31 +208,25 @@
     return newlySuspected;
   }
 
-  /**
-   * Returns whether it is about to leave: it shuts down as planned, or its entry is gone although
-   * it was listed.
-   */
-  boolean isLeaving() {
-    return info.isPresent() && (!listed || isDraining());
-  }
-
   /** Returns whether it shuts down as planned, or did so when it was last listed. */
   boolean isDraining() {
     return info.filter(WorkerInfo::draining).isPresent();
   }
 
   /**
-   * Returns the lease for a renewal there. Its runs end when it leaves, and are awaited until its
-   * leases have expired, so leases do not last much longer than it stays.
+   * Returns the lease for a renewal there. The runs of a draining worker end when it leaves, and
+   * are awaited until its leases have expired, so they do not last much longer than it stays. An
+   * entry that is gone without draining says nothing: entries are also gone after an outage of the
+   * store.
    *
    * @param maximumMs the longest lease, milliseconds
    */
   int renewalLeaseMs(int maximumMs, long nowMs) {
-    if (!isLeaving()) {
+    if (!isDraining()) {
       return maximumMs;
     }
     long leaseMs = MAX_LEAVING_LEASE_MS;
-    if (!listed && isDraining()) {
+    if (!listed) {
       leaseMs = MIN_LEAVING_LEASE_MS;
     } else if (staysUntilMs != Long.MAX_VALUE) {
       long staysForMs = staysUntilMs - nowMs;
