Starts of suspect jobs are not sent to workers that fell silent meanwhile

What callers saw: a suspect job can still lose a run to a worker whose crash was already noticed. While the record of its run is written, which can take seconds, a failed call does not yet make the worker unusable (only 1.5 s of silence do), so the start is sent, gets no answer and counts as a worker lost.

Change: the check for a worker without a response is repeated when the record is acknowledged.

Evidence: the new test of ResponseWaitsTest failed before (the start was sent).

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
@@ -50,13 +50,17 @@
   }
 
   private boolean haveWorkersResponded(GroupRun run) {
+    return !stopIfWorkerIsSilent(run) && !responseWaits.mustWait(run);
+  }
+
+  private boolean stopIfWorkerIsSilent(GroupRun run) {
     Optional<String> silent = responseWaits.findSilentWorker(run);
-    if (silent.isPresent()) {
-      term.onWorkerUnreachable(silent.get(), "it did not respond before a start");
-      lifecycle.stopRun(run, "no answer from " + silent.get() + " before the start");
-      return false;
-    }
-    return !responseWaits.mustWait(run);
+    silent.ifPresent(
+        worker -> {
+          term.onWorkerUnreachable(worker, "it did not respond before a start");
+          lifecycle.stopRun(run, "no answer from " + worker + " before the start");
+        });
+    return silent.isPresent();
   }
 
   /** Continues the launch of runs that wait for a worker that has responded, or failed to. */
@@ -79,6 +83,9 @@
       lifecycle.stopRun(run, obstacle.get() + " before the order");
       return;
     }
+    if (run.state().suspect() && stopIfWorkerIsSilent(run)) {
+      return;
+    }
     term.logEvent(
         RunEvent.Kind.GROUP_STARTED,
         run.group().jobId(),
--- a/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -146,4 +146,17 @@
     }
     assertThat(loggedEndState()).hasValue(BatchState.FAILED);
   }
+
+  // The log may take seconds, and the crash of an idle worker is noticed by then.
+  @Test
+  void startIsNotSentToAWorkerThatFellSilentWhileItsRecordWasWritten() {
+    adoptSuspectJob();
+    listWorker("worker");
+    tick(WALL_MS);
+    supervisor.onCallUnanswered("worker", nowMs);
+    effects.acknowledgeAll();
+    assertThat(effects.starts).isEmpty();
+    supervisor.onWorkerGone("worker", nowMs, WALL_MS);
+    assertThat(lostRuns()).isEqualTo(1);
+  }
 }
