Suspect jobs are placed elsewhere as soon as a response is late

What callers saw: a suspect job waits for the full second for a worker that is already known to respond late and gets no other work; only a failed call ended the wait early, and one with a long poll takes 1.6 s to fail.

Change: a worker that becomes unreachable for any reason continues the launches that wait for it, as a failed call does.

Evidence: the new test of ResponseWaitsTest failed before (nothing was started).

--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -316,6 +316,7 @@
   public void onWorkerUnreachable(String worker, String reason, long monotonicMs) {
     term.nowMs = monotonicMs;
     term.onWorkerUnreachable(worker, reason);
+    lifecycle.starter().continueLaunchesOn(worker);
   }
 
   /** Records that an incarnation of a worker has ended: nothing runs or can start there. */
--- a/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -159,4 +159,16 @@
     supervisor.onWorkerGone("worker", nowMs, WALL_MS);
     assertThat(lostRuns()).isEqualTo(1);
   }
+
+  // The call to it is late; it may take long to fail.
+  @Test
+  void suspectJobIsPlacedElsewhereOnceTheResponseOfItsWorkerIsLate() {
+    adoptSuspectJob();
+    String late = listIdleWorker(IDLE_MS);
+    supervisor.onWorkerUnreachable(late, "its answer is late", nowMs);
+    listWorker("other");
+    tick(WALL_MS);
+    effects.acknowledgeAll();
+    assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("other");
+  }
 }
