A start without an answer does not stand for a response of its worker

What callers saw: a suspect job still starts on an idle worker that crashed up to 1.5 s ago without notice, if another job's start is sent there in the same pass: the worker counted as in use and so as one with a pending call, which it had not yet.

Change: a worker counts as in use once it has confirmed a task; the confirmation is a response itself, and the worker is called from then on.

Evidence: the new test of ResponseWaitsTest failed before (both jobs were started).

--- a/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/GroupRun.java
@@ -103,6 +103,14 @@
     return members.stream().map(MemberRun::worker).toList();
   }
 
+  /**
+   * Returns whether a worker has confirmed that a task of this run is there, and it has not ended.
+   */
+  boolean hasConfirmedTaskOn(String worker) {
+    return members.stream()
+        .anyMatch(m -> m.worker().equals(worker) && m.isConfirmed() && !m.ended());
+  }
+
   TaskName task(MemberRun member) {
     return group.task(member.position());
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/ResponseWaits.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/ResponseWaits.java
@@ -13,8 +13,8 @@
 final class ResponseWaits {
   // A worker that responded this recently need not be asked again.
   private static final int MAX_RESPONSE_AGE_MS = 50;
-  // A worker with tasks always has a pending call, which fails as soon as the worker crashes; it
-  // responds at least this often.
+  // A worker that has confirmed a task always has a pending call, which fails as soon as the worker
+  // crashes; it responds at least this often.
   private static final int MAX_RESPONSE_AGE_IN_USE_MS = 1500;
 
   private final TermState term;
@@ -58,7 +58,8 @@
 
   private boolean hasResponded(GroupRun run, String worker, long sinceMs) {
     boolean inUse =
-        term.runs.onWorker(worker).stream().anyMatch(other -> other != run && other.launched());
+        term.runs.onWorker(worker).stream()
+            .anyMatch(other -> other != run && other.hasConfirmedTaskOn(worker));
     long requiredMs = inUse ? sinceMs - MAX_RESPONSE_AGE_IN_USE_MS : sinceMs;
     return term.workers.getOrCreate(worker).lastResponseMs() >= requiredMs;
   }
--- a/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -23,6 +23,7 @@
  */
 final class ResponseWaitsTest extends OneJobScenario {
   private static final GroupKey GROUP = new GroupKey(ID, 0, 0, 0);
+  private static final String OTHER_ID = "00000000000000bb";
   private static final int IDLE_MS = 900;
   private static final int IDLE_LONG_MS = 2000;
 
@@ -171,4 +172,15 @@
     effects.acknowledgeAll();
     assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("other");
   }
+
+  // Its start has not been answered, so no call to the worker need have failed since its crash.
+  @Test
+  void startOfAnotherJobDoesNotReplaceTheResponseOfItsWorker() {
+    adoptSuspectJob();
+    supervisor.accept(
+        job(OTHER_ID, step(1, false, false, 1), Optional.empty(), 0, 9), nowMs, WALL_MS);
+    listIdleWorker(IDLE_MS);
+    assertThat(effects.starts.stream().map(command -> command.task().jobId()))
+        .containsExactly(OTHER_ID);
+  }
 }
