Responses count from the decision on if a suspect job waits for victims

What callers saw: a suspect gang that preempts waits up to 1 s more after its last victim has ended. Its other workers have a long poll pending, so a response of the last 50 ms is rare, and both waits share the limit of 1 s: the run is abandoned, although its workers have responded since they were chosen, and planned anew.

Change: responses are requested and counted from the decision on. The run keeps a call to each of its workers pending meanwhile, so a crash after the response is noticed as on a worker with tasks.

Evidence: the new test of ResponseWaitsTest failed before (nothing was started).

--- a/core/src/main/java/org/wheatwall/core/batch/decision/DecisionExecutor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/DecisionExecutor.java
@@ -72,7 +72,9 @@
             victims);
     term.runs.add(run);
     pendingStarts.add(run);
-    if (!run.waitsForVictims()) {
+    if (run.waitsForVictims()) {
+      lifecycle.starter().prepareLaunch(run);
+    } else {
       lifecycle.starter().launch(run);
     }
   }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/ResponseWaits.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/ResponseWaits.java
@@ -34,18 +34,25 @@
 
   /** Returns whether a run must wait for responses of its workers; requests them if so. */
   boolean mustWait(GroupRun run) {
-    waiting.keySet().removeIf(other -> !isCurrent(other));
-    long sinceMs = waiting.getOrDefault(run, term.nowMs - MAX_RESPONSE_AGE_MS);
-    List<String> awaited =
-        run.workers().stream()
-            .distinct()
-            .filter(worker -> !hasResponded(run, worker, sinceMs))
-            .toList();
-    if (awaited.isEmpty()) {
+    if (!waiting.containsKey(run)) {
+      begin(run);
+    }
+    boolean responded = findAwaited(run).isEmpty();
+    if (responded) {
       waiting.remove(run);
-      return false;
     }
-    if (waiting.putIfAbsent(run, sinceMs) == null) {
+    return !responded;
+  }
+
+  /**
+   * Begins to count the responses of a run's workers, and requests those that are missing. From its
+   * decision on, a run has a pending call to each of them.
+   */
+  void begin(GroupRun run) {
+    waiting.keySet().removeIf(other -> !isCurrent(other));
+    waiting.put(run, term.nowMs - MAX_RESPONSE_AGE_MS);
+    List<String> awaited = findAwaited(run);
+    if (!awaited.isEmpty()) {
       awaited.forEach(term.effects::requestReport);
       term.logEvent(
           RunEvent.Kind.RUN_AWAITS_RESPONSES,
@@ -53,7 +60,14 @@
           run.group().text(),
           String.join(",", awaited) + "; " + LostRuns.describeCounts(run.state()));
     }
-    return true;
+  }
+
+  private List<String> findAwaited(GroupRun run) {
+    long sinceMs = waiting.get(run);
+    return run.workers().stream()
+        .distinct()
+        .filter(worker -> !hasResponded(run, worker, sinceMs))
+        .toList();
   }
 
   private boolean hasResponded(GroupRun run, String worker, long sinceMs) {
@@ -71,9 +85,9 @@
         .toList();
   }
 
-  /** Returns whether a run still waits. */
+  /** Returns whether a run still waits, and for nothing but responses. */
   boolean isWaiting(GroupRun run) {
-    return waiting.containsKey(run) && isCurrent(run);
+    return waiting.containsKey(run) && isCurrent(run) && !run.waitsForVictims();
   }
 
   private boolean isCurrent(GroupRun run) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunStarter.java
@@ -32,6 +32,13 @@
     return startChecks.isAllowedOn(worker);
   }
 
+  /** Prepares the launch of a run that waits for its victims to end. */
+  void prepareLaunch(GroupRun run) {
+    if (run.state().suspect()) {
+      responseWaits.begin(run);
+    }
+  }
+
   /** Logs the intent to run, and sends the commands once it is logged. */
   void launch(GroupRun run) {
     Optional<String> obstacle = startChecks.findObstacle(run);
--- a/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.CommandOutcome;
+import org.wheatwall.core.batch.model.EndKind;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupPhase;
 import org.wheatwall.core.batch.model.GroupState;
@@ -16,6 +18,8 @@
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.LossKind;
 import org.wheatwall.core.batch.model.StartCommand;
+import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.core.batch.model.WorkerInventory;
 
 /**
  * Guards against jobs that fail although they crash nothing: their starts were sent to workers that
@@ -148,6 +152,17 @@
     assertThat(loggedEndState()).hasValue(BatchState.FAILED);
   }
 
+  // Its start has not been answered, so no call to the worker need have failed since its crash.
+  @Test
+  void startOfAnotherJobDoesNotReplaceTheResponseOfItsWorker() {
+    adoptSuspectJob();
+    supervisor.accept(
+        job(OTHER_ID, step(1, false, false, 1), Optional.empty(), 0, 9), nowMs, WALL_MS);
+    listIdleWorker(IDLE_MS);
+    assertThat(effects.starts.stream().map(command -> command.task().jobId()))
+        .containsExactly(OTHER_ID);
+  }
+
   // The log may take seconds, and the crash of an idle worker is noticed by then.
   @Test
   void startIsNotSentToAWorkerThatFellSilentWhileItsRecordWasWritten() {
@@ -173,14 +188,31 @@
     assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("other");
   }
 
-  // Its start has not been answered, so no call to the worker need have failed since its crash.
+  // Its other workers would have to respond within the rest of the wait for the victims.
   @Test
-  void startOfAnotherJobDoesNotReplaceTheResponseOfItsWorker() {
-    adoptSuspectJob();
-    supervisor.accept(
-        job(OTHER_ID, step(1, false, false, 1), Optional.empty(), 0, 9), nowMs, WALL_MS);
-    listIdleWorker(IDLE_MS);
-    assertThat(effects.starts.stream().map(command -> command.task().jobId()))
-        .containsExactly(OTHER_ID);
+  void responsesDuringTheWaitForVictimsCount() {
+    GroupKey gang = new GroupKey(ID, 0, 0, GroupKey.WHOLE_STEP);
+    GroupState suspect =
+        GroupState.NEW
+            .withRunStarted(List.of("gone", "away"))
+            .withLoss(1, 0, LossKind.UNANSWERED_START)
+            .withoutActiveRun(GroupPhase.WAITING);
+    LogEntry entry = LogEntry.of(LogKey.group(gang), new LogContent.Group(suspect));
+    BatchJob urgent = job(ID, step(2, true, false, 8), Optional.empty(), 0, 9);
+    supervisor.adopt(tableWith(urgent, entry), nowMs, WALL_MS);
+    accept(job(OTHER_ID, step(1, false, false, 8), Optional.empty(), 1, 9));
+    listWorker("a");
+    effects.acknowledgeAll();
+    resolveStarts(CommandOutcome.DONE);
+    listWorker("b");
+    tick(WALL_MS);
+    assertThat(effects.stops).hasSize(1);
+    report("b", List.of(), List.of());
+    nowMs += 400;
+    WorkerInventory.EndedTask end =
+        new WorkerInventory.EndedTask(1, new TaskName(OTHER_ID, 0, 0, 0), 1, EndKind.STOPPED, "");
+    report("a", List.of(), List.of(end));
+    effects.acknowledgeAll();
+    assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("a", "a", "b");
   }
 }
