Test that suspect jobs start at once on workers that run other tasks

The older age that responses of workers in use may have was held by no test: with it set to 0 the tests of ResponseWaitsTest passed. The new one fails then.

--- a/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -215,4 +215,21 @@
     effects.acknowledgeAll();
     assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("a", "a", "b");
   }
+
+  // The confirmation of its task is a response, and a call to it has been pending since.
+  @Test
+  void suspectJobNeedNotWaitForAWorkerThatRunsAnotherTask() {
+    adoptSuspectJob();
+    supervisor.accept(
+        job(OTHER_ID, step(1, false, false, 1), Optional.empty(), 0, 9), nowMs, WALL_MS);
+    listIdleWorker(IDLE_MS);
+    resolveStarts(CommandOutcome.DONE);
+    for (int i = 0; i <= PendingStarts.MAX_LAUNCH_WAIT_MS; i += 100) {
+      nowMs += 100;
+      tick(WALL_MS);
+    }
+    effects.acknowledgeAll();
+    assertThat(effects.starts.stream().map(command -> command.task().jobId()))
+        .containsExactly(OTHER_ID, ID);
+  }
 }
