--- a/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.CommandOutcome;
+import org.wheatwall.core.batch.model.EndKind;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupPhase;
 import org.wheatwall.core.batch.model.GroupState;
@@ -16,6 +18,8 @@
 import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.LossKind;
 import org.wheatwall.core.batch.model.StartCommand;
+import org.wheatwall.core.batch.model.TaskName;
+import org.wheatwall.core.batch.model.WorkerInventory;
 
 /**
  * Guards against jobs that fail although they crash nothing: their starts were sent to workers that
@@ -23,6 +27,7 @@
  */
 final class ResponseWaitsTest extends OneJobScenario {
   private static final GroupKey GROUP = new GroupKey(ID, 0, 0, 0);
+  private static final String OTHER_ID = "00000000000000bb";
   private static final int IDLE_MS = 900;
   private static final int IDLE_LONG_MS = 2000;
 
@@ -146,4 +151,85 @@
     }
     assertThat(loggedEndState()).hasValue(BatchState.FAILED);
   }
+
+  // Its start has not been answered, so no call to the worker need have failed since its crash.
+  @Test
+  void startOfAnotherJobDoesNotReplaceTheResponseOfItsWorker() {
+    adoptSuspectJob();
+    supervisor.accept(
+        job(OTHER_ID, step(1, false, false, 1), Optional.empty(), 0, 9), nowMs, WALL_MS);
+    listIdleWorker(IDLE_MS);
+    assertThat(effects.starts.stream().map(command -> command.task().jobId()))
+        .containsExactly(OTHER_ID);
+  }
+
+  // The log may take seconds, and the crash of an idle worker is noticed by then.
+  @Test
+  void startIsNotSentToAWorkerThatFellSilentWhileItsRecordWasWritten() {
+    adoptSuspectJob();
+    listWorker("worker");
+    tick(WALL_MS);
+    supervisor.onCallUnanswered("worker", nowMs);
+    effects.acknowledgeAll();
+    assertThat(effects.starts).isEmpty();
+    supervisor.onWorkerGone("worker", nowMs, WALL_MS);
+    assertThat(lostRuns()).isEqualTo(1);
+  }
+
+  // The call to it is late; it may take long to fail.
+  @Test
+  void suspectJobIsPlacedElsewhereOnceTheResponseOfItsWorkerIsLate() {
+    adoptSuspectJob();
+    String late = listIdleWorker(IDLE_MS);
+    supervisor.onWorkerUnreachable(late, "its answer is late", nowMs);
+    listWorker("other");
+    tick(WALL_MS);
+    effects.acknowledgeAll();
+    assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("other");
+  }
+
+  // Its other workers would have to respond within the rest of the wait for the victims.
+  @Test
+  void responsesDuringTheWaitForVictimsCount() {
+    GroupKey gang = new GroupKey(ID, 0, 0, GroupKey.WHOLE_STEP);
+    GroupState suspect =
+        GroupState.NEW
+            .withRunStarted(List.of("gone", "away"))
+            .withLoss(1, 0, LossKind.UNANSWERED_START)
+            .withoutActiveRun(GroupPhase.WAITING);
+    LogEntry entry = LogEntry.of(LogKey.group(gang), new LogContent.Group(suspect));
+    BatchJob urgent = job(ID, step(2, true, false, 8), Optional.empty(), 0, 9);
+    supervisor.adopt(tableWith(urgent, entry), nowMs, WALL_MS);
+    accept(job(OTHER_ID, step(1, false, false, 8), Optional.empty(), 1, 9));
+    listWorker("a");
+    effects.acknowledgeAll();
+    resolveStarts(CommandOutcome.DONE);
+    listWorker("b");
+    tick(WALL_MS);
+    assertThat(effects.stops).hasSize(1);
+    report("b", List.of(), List.of());
+    nowMs += 400;
+    WorkerInventory.EndedTask end =
+        new WorkerInventory.EndedTask(1, new TaskName(OTHER_ID, 0, 0, 0), 1, EndKind.STOPPED, "");
+    report("a", List.of(), List.of(end));
+    effects.acknowledgeAll();
+    assertThat(effects.starts.stream().map(StartCommand::worker)).containsExactly("a", "a", "b");
+  }
+
+  // The confirmation of its task is a response, and a call to it has been pending since.
+  @Test
+  void suspectJobNeedNotWaitForAWorkerThatRunsAnotherTask() {
+    adoptSuspectJob();
+    supervisor.accept(
+        job(OTHER_ID, step(1, false, false, 1), Optional.empty(), 0, 9), nowMs, WALL_MS);
+    listIdleWorker(IDLE_MS);
+    resolveStarts(CommandOutcome.DONE);
+    for (int i = 0; i <= PendingStarts.MAX_LAUNCH_WAIT_MS; i += 100) {
+      nowMs += 100;
+      tick(WALL_MS);
+    }
+    effects.acknowledgeAll();
+    assertThat(effects.starts.stream().map(command -> command.task().jobId()))
+        .containsExactly(OTHER_ID, ID);
+  }
 }
