--- a/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/WorkerRecord.java
@@ -10,7 +10,7 @@
   private static final int LISTED_WAIT_AFTER_EXPIRY_MS = 20_000;
   // Covers a change of the decider, so that the runs of a worker that is about to leave go on.
   private static final int MAX_LEAVING_LEASE_MS = 5000;
-  // Covers the time between two renewals, and a few that fail.
+  // Covers the time between two renewals, and one call that fails.
   private static final int MIN_LEAVING_LEASE_MS = 2000;
 
   private final String id;
@@ -226,11 +226,8 @@
       return maximumMs;
     }
     long leaseMs = MAX_LEAVING_LEASE_MS;
-    if (!listed) {
-      leaseMs = MIN_LEAVING_LEASE_MS;
-    } else if (staysUntilMs != Long.MAX_VALUE) {
-      long staysForMs = staysUntilMs - nowMs;
-      leaseMs = Math.max(MIN_LEAVING_LEASE_MS, Math.min(MAX_LEAVING_LEASE_MS, staysForMs));
+    if (staysUntilMs != Long.MAX_VALUE) {
+      leaseMs = Math.max(MIN_LEAVING_LEASE_MS, Math.min(leaseMs, staysUntilMs - nowMs));
     }
     return (int) Math.min(maximumMs, leaseMs);
   }
