--- a/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/ResponseWaitsTest.java
@@ -45,7 +45,8 @@
     tick(WALL_MS);
   }
 
-  // Its capacity is taken until it has been idle for a while, so nothing is planned there before.
+  // No evacuations are known until it has been idle for a while, so nothing is planned there
+  // before.
   private String listIdleWorker(int idleMs) {
     String id = "worker" + workers++;
     supervisor.setEvacuatedZones(Optional.empty(), nowMs);
