--- a/app/src/test/java/org/wheatwall/app/TestProcess.java
+++ b/app/src/test/java/org/wheatwall/app/TestProcess.java
@@ -50,6 +50,10 @@
     return process.pid();
   }
 
+  Process process() {
+    return process;
+  }
+
   /** Sends SIGTERM, which starts a planned stop, and waits for the process to exit. */
   void stopAsPlanned() throws InterruptedException {
     process.destroy();
