What callers make a server hold before a call is admitted is limited by its sum

What callers saw: clients that sent legal requests of very many short header lines ended an entry host (out of memory); clients that sent large bodies without their end kept every other caller from an answer for as long as they stayed.

Cause: CallLimiter counts bodies, and a call only once it is whole. Nothing counted what a request takes while it arrives. A header line of 4 bytes becomes some 150 bytes of objects, so 900 requests of 8 KB are more than the heap; trailer lines the same; an admitted call keeps its lines. Bodies were aggregated in direct memory as composite buffers that keep every chunk: 150 of 200 KB are more than its 32 MB, and each event loop then waits in java.nio.Bits.reserveMemory, the loop that also carries peers, store and workers. Responses that a caller does not read were counted nowhere.

Change, the same on every port that HttpServer stands before: - InboundMemory, shared by the servers of a process, counts undecoded bytes, header lines, the parser's buffer, bodies that arrive, requests that wait behind another, and unread responses; an eighth of the heap, in equal parts by event loop, so that accounting needs no lock and what is given up is free at once. Above it, of the connections that hold more than an equal part, the one with most bytes times seconds is refused (503, Retry-After) and closed. A call that is being handled is answered first. A request that is refused or cut off so has not run. - RequestAssembler replaces Netty's aggregator: one array on the heap that grows with what arrives.

Beside it: a malformed request behind another one was answered before it, and the 17th request that waited closed the connection without the response to the call in flight; both are in order now.

InboundMemoryTest plays each way of holding memory against the smallest limits; a slow caller with an ordinary request, the largest body and a request of 2,000 lines are served there.

--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -36,6 +36,9 @@
 import org.wheatwall.wire.http.HttpHandler;
 import org.wheatwall.wire.http.HttpReply;
 import org.wheatwall.wire.http.HttpServer;
+import org.wheatwall.wire.http.InboundMemory;
+import org.wheatwall.wire.http.RejectionReason;
+import org.wheatwall.wire.http.ServerLimits;
 import org.wheatwall.wire.json.Json;
 import org.wheatwall.wire.message.PeerIdentity;
 import org.wheatwall.wire.peer.PeerClient;
@@ -120,9 +123,24 @@
         new PeerRequests(membership, stepAdmission, slots, configuration, jobs);
     peerServer =
         PeerServer.start(group, settings.listen().peer(), settings.peerKey(), peerRequests::handle);
+    InboundMemory memory = InboundMemory.ofHeap(group, settings.requests().maxBodyBytes());
     httpServer =
         HttpServer.start(
-            group, settings.listen().http(), settings.requests().maxBodyBytes(), new CallRouter());
+            group,
+            settings.listen().http(),
+            ServerLimits.forMaxBody(settings.requests().maxBodyBytes()),
+            memory,
+            new CallRouter());
+    registerCallerGauges(memory);
+  }
+
+  private void registerCallerGauges(InboundMemory memory) {
+    metrics.registerGauge("callers.held-bytes", memory::heldBytes);
+    metrics.registerGauge("callers.connections", httpServer::openConnections);
+    for (RejectionReason reason : RejectionReason.values()) {
+      metrics.registerGauge(
+          "callers.rejected." + reason.label(), () -> httpServer.rejections(reason));
+    }
   }
 
   /** Starts an entry host on {@code group}. */
--- a/wire/src/main/java/org/wheatwall/wire/http/CallLimiter.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/CallLimiter.java
@@ -9,6 +9,14 @@
  * still arrives on an open connection is refused, so that its caller gets a response.
  */
 final class CallLimiter {
+  /**
+   * What a call holds in memory while it is in flight.
+   *
+   * @param bodyBytes size of the body, bytes
+   * @param headerBytes estimated size of the header lines, bytes
+   */
+  record CallSize(int bodyBytes, int headerBytes) {}
+
   /** Whether a call is admitted. */
   enum Admission {
     ADMITTED,
@@ -18,32 +26,45 @@
     CLOSED
   }
 
-  private final ServerLimits limits;
+  private final int maxCalls;
+  private final ByteBudget bodies;
+  private final ByteBudget headers;
   private final AtomicInteger inFlight = new AtomicInteger();
-  private final AtomicLong bytes = new AtomicLong();
   private final AtomicLong abandoned = new AtomicLong();
   private volatile boolean draining;
   private volatile boolean closed;
 
   CallLimiter(ServerLimits limits) {
-    this.limits = limits;
+    maxCalls = limits.maxCalls();
+    bodies = new ByteBudget(limits.maxCallBytes());
+    headers = new ByteBudget(limits.maxHeaderBytes());
   }
 
-  /** Admits a call with a body of {@code size} bytes, unless closed or at a limit. */
-  Admission admit(int size) {
+  /** Admits a call, unless closed or at a limit. */
+  Admission admit(CallSize size) {
     int calls = inFlight.incrementAndGet();
-    long callBytes = bytes.addAndGet(size);
     if (closed) {
-      release(size);
+      inFlight.decrementAndGet();
       return Admission.CLOSED;
     }
-    if (calls > limits.maxCalls() || callBytes > limits.maxCallBytes()) {
-      release(size);
+    if (calls > maxCalls || !tryAcquire(size)) {
+      inFlight.decrementAndGet();
       return Admission.LIMIT_REACHED;
     }
     return Admission.ADMITTED;
   }
 
+  private boolean tryAcquire(CallSize size) {
+    if (!bodies.tryAcquire(size.bodyBytes())) {
+      return false;
+    }
+    if (!headers.tryAcquire(size.headerBytes())) {
+      bodies.release(size.bodyBytes());
+      return false;
+    }
+    return true;
+  }
+
   /** Records that a caller closed its connection before the response to its call was written. */
   void recordAbandoned() {
     abandoned.incrementAndGet();
@@ -55,9 +76,10 @@
   }
 
   /** Records that the response to a call is written, or can no longer be. */
-  void release(int size) {
+  void release(CallSize size) {
+    bodies.release(size.bodyBytes());
+    headers.release(size.headerBytes());
     inFlight.decrementAndGet();
-    bytes.addAndGet(-size);
   }
 
   /** Requests that connections be closed after their next response. */
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
@@ -1,6 +1,9 @@
 package org.wheatwall.wire.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -9,9 +12,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
@@ -19,39 +19,56 @@
 
 /** An HTTP/1.1 server based on Netty's codec. */
 public final class HttpServer {
-  private static final int IDLE_SECONDS = 60;
   private static final int BACKLOG = 1024;
   private static final long IDLE_CHECK_MS = 10;
 
-  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-  private final CallLimiter limiter;
-  private final int maxConnections;
+  // What the kernel holds for a caller that sends without being read, or does not read.
+  private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
+
+  private static final int MIN_READ_BYTES = 512;
+  private static final int FIRST_READ_BYTES = 2048;
+  private static final int MAX_READ_BYTES = 8192;
+
+  // Buffers of callers are on the heap, where their sum is accounted for. An event loop that needs
+  // direct memory which callers hold would wait for it.
+  private static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false);
+
+  private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final CallLimiter calls;
+  private final ConnectionLimiter connections;
+  private final Rejections rejections = new Rejections();
   private final Channel listener;
 
   private HttpServer(
-      EventLoopGroup group, InetSocketAddress address, ServerLimits limits, HttpHandler handler) {
-    limiter = new CallLimiter(limits);
-    maxConnections = limits.maxConnections();
+      EventLoopGroup group,
+      InetSocketAddress address,
+      ServerLimits limits,
+      InboundMemory memory,
+      HttpHandler handler) {
+    calls = new CallLimiter(limits);
+    connections = new ConnectionLimiter(limits.maxConnections());
+    HttpServerContext context = new HttpServerContext(handler, limits.maxBody(), calls, rejections);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+            .childOption(ChannelOption.SO_SNDBUF, SOCKET_BUFFER_BYTES)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    register(channel);
-                    channel
-                        .pipeline()
-                        .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
-                        .addLast(new StrictRequestDecoder())
-                        .addLast(new HttpResponseEncoder())
-                        .addLast(new HttpServerKeepAliveHandler())
-                        .addLast(new BodyLimit(limits.maxBody(), handler))
-                        .addLast(new HttpServerConnection(handler, limiter));
+                    channels.add(channel);
+                    LoopMemory loop = memory.of(channel.eventLoop());
+                    connections.add(channel);
+                    HttpServerConnection.addTo(channel.pipeline(), context, loop);
                   }
                 });
     listener = bootstrap.bind(address).syncUninterruptibly().channel();
@@ -63,10 +80,24 @@
     return start(group, address, ServerLimits.forMaxBody(maxBody), handler);
   }
 
-  /** Starts a server with the given limits. */
+  /** Starts a server with the given limits, the only one of its process. */
   public static HttpServer start(
       EventLoopGroup group, InetSocketAddress address, ServerLimits limits, HttpHandler handler) {
-    return new HttpServer(group, address, limits, handler);
+    return start(group, address, limits, InboundMemory.ofHeap(group, limits.maxBody()), handler);
+  }
+
+  /**
+   * Starts a server with the given limits.
+   *
+   * @param memory limit that the servers of a process share
+   */
+  public static HttpServer start(
+      EventLoopGroup group,
+      InetSocketAddress address,
+      ServerLimits limits,
+      InboundMemory memory,
+      HttpHandler handler) {
+    return new HttpServer(group, address, limits, memory, handler);
   }
 
   /** Returns the port. */
@@ -76,12 +107,22 @@
 
   /** Returns the number of calls without a complete response whose callers still wait. */
   public int inFlight() {
-    return limiter.inFlight();
+    return calls.inFlight();
   }
 
   /** Returns how many callers have closed their connections before their response was written. */
   public long abandonedCalls() {
-    return limiter.abandoned();
+    return calls.abandoned();
+  }
+
+  /** Returns the number of open connections. */
+  public int openConnections() {
+    return connections.open();
+  }
+
+  /** Returns how often something was rejected for a reason. */
+  public long rejections(RejectionReason reason) {
+    return rejections.count(reason);
   }
 
   /**
@@ -90,7 +131,7 @@
    * are refused.
    */
   public CompletableFuture<Void> drain() {
-    limiter.drain();
+    calls.drain();
     CompletableFuture<Void> drained = new CompletableFuture<>();
     listener.close().addListener(closed -> completeWhenIdle(drained));
     return drained;
@@ -99,21 +140,11 @@
   /** Closes the server and all connections immediately. */
   public void close() {
     listener.close().syncUninterruptibly();
-    connections.close().awaitUninterruptibly(1000);
-  }
-
-  // Connections beyond the limit wait in the kernel's accept queue, where they use no memory of
-  // this process.
-  private void register(Channel channel) {
-    connections.add(channel);
-    if (connections.size() >= maxConnections) {
-      channel.parent().config().setAutoRead(false);
-      channel.closeFuture().addListener(closed -> channel.parent().config().setAutoRead(true));
-    }
+    channels.close().awaitUninterruptibly(1000);
   }
 
   private void completeWhenIdle(CompletableFuture<Void> drained) {
-    if (limiter.tryClose()) {
+    if (calls.tryClose()) {
       drained.complete(null);
       return;
     }
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
@@ -1,22 +1,29 @@
 package org.wheatwall.wire.http;
 
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 
@@ -24,77 +31,114 @@
  * A connection of a caller. Pipelined requests are handled one after another, in order. While a
  * request waits behind another, nothing more is read, so that a caller that reads slowly delays
  * only itself.
+ *
+ * <p>What a caller makes the connection hold is counted: by {@link ConnectionMemory} while a
+ * request arrives or waits and while a response is not read, by {@link CallLimiter} while a call is
+ * in flight.
  */
-final class HttpServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class HttpServerConnection extends SimpleChannelInboundHandler<ReceivedRequest> {
   private static final int MAX_PIPELINED = 16;
+  private static final int IDLE_SECONDS = 60;
+  private static final int PART_BYTES = 64 * 1024;
+  private static final byte[] NO_BODY = new byte[0];
+  private static final String OVERLOAD_RETRY_SECONDS = "1";
 
-  private final HttpHandler handler;
-  private final CallLimiter limiter;
-  private final Deque<HttpCall> waiting = new ArrayDeque<>();
-  private boolean busy;
-  private boolean admitted;
-  private int admittedBytes;
+  private final HttpServerContext server;
+  private final ConnectionMemory memory;
+  private final StrictRequestDecoder decoder;
+  private final RequestAssembler assembler;
+  private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
+  private ChannelHandlerContext context;
+  private boolean handling;
+  private boolean writing;
+  private long unreadBytes;
+  private Optional<CallLimiter.CallSize> admitted = Optional.empty();
   private boolean reading = true;
+  private boolean acceptsRequests = true;
 
-  HttpServerConnection(HttpHandler handler, CallLimiter limiter) {
-    this.handler = handler;
-    this.limiter = limiter;
+  private HttpServerConnection(HttpServerContext server, LoopMemory loop) {
+    this.server = server;
+    memory = loop.open(() -> giveUp(RejectionReason.MEMORY_LIMIT));
+    decoder = new StrictRequestDecoder(memory);
+    assembler = new RequestAssembler(server.maxBody(), memory);
+  }
+
+  /** Adds the handlers of a new connection to its pipeline; called on its event loop. */
+  static HttpServerConnection addTo(
+      ChannelPipeline pipeline, HttpServerContext server, LoopMemory loop) {
+    HttpServerConnection connection = new HttpServerConnection(server, loop);
+    pipeline
+        // A response that a caller reads slowly counts as activity.
+        .addLast(new IdleStateHandler(true, 0, 0, IDLE_SECONDS, TimeUnit.SECONDS))
+        .addLast(connection.decoder)
+        .addLast(new HttpResponseEncoder())
+        .addLast(new HttpServerKeepAliveHandler())
+        .addLast(connection.assembler)
+        .addLast(connection);
+    return connection;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext handlerContext) {
+    context = handlerContext;
   }
 
   @Override
-  protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-    if (isAmbiguous(request)) {
-      Refusal refusal =
-          Refusal.invalid(
-              "the request's framing is malformed or ambiguous",
-              "send one Content-Length or chunked encoding, not both, in well-formed HTTP/1.1");
-      write(context, false, handler.refuse(request.uri(), refusal), true);
+  protected void channelRead0(ChannelHandlerContext ignored, ReceivedRequest request) {
+    if (!acceptsRequests) {
+      memory.remove(request.heldBytes());
       return;
     }
-    HttpCall call =
-        new HttpCall(
-            request.method().name(),
-            request.uri(),
-            request.headers(),
-            ByteBufUtil.getBytes(request.content()));
     if (waiting.size() >= MAX_PIPELINED) {
-      context.close();
+      memory.remove(request.heldBytes());
+      record(RejectionReason.PIPELINE_LIMIT, request.call().target());
+      stopAccepting();
       return;
     }
-    waiting.add(call);
-    if (busy) {
+    waiting.add(request);
+    if (isBusy()) {
       // Reading stops only once a request waits behind another. Most connections never pipeline,
       // and turning reading off and on costs two system calls per request.
-      setReading(context, false);
+      setReading(false);
       return;
     }
-    handleNext(context);
+    handleNext();
+  }
+
+  private boolean isBusy() {
+    return handling || writing;
   }
 
-  // A request that two servers could frame differently is never handled (RFC 9112, 6.3).
-  private static boolean isAmbiguous(FullHttpRequest request) {
-    HttpHeaders headers = request.headers();
-    boolean twoLengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1;
-    boolean twoHosts = headers.getAll(HttpHeaderNames.HOST).size() > 1;
-    return request.decoderResult().isFailure() || twoLengths || twoHosts;
+  // Requests that have been accepted are still handled; then the connection is closed.
+  private void stopAccepting() {
+    acceptsRequests = false;
+    decoder.discard();
+    assembler.discard();
+    setReading(false);
   }
 
-  private void handleNext(ChannelHandlerContext context) {
-    HttpCall call = busy ? null : waiting.poll();
-    if (call == null) {
+  private void handleNext() {
+    ReceivedRequest request = isBusy() ? null : waiting.poll();
+    if (request == null) {
+      return;
+    }
+    memory.remove(request.heldBytes());
+    HttpCall call = request.call();
+    if (request.rejection().isPresent()) {
+      ReceivedRequest.Rejection rejection = request.rejection().get();
+      record(rejection.reason(), call.target());
+      write(false, server.handler().refuse(call.target(), rejection.refusal()), true);
       return;
     }
-    busy = true;
     boolean headOnly = call.method().equals("HEAD");
-    CallLimiter.Admission admission = limiter.admit(call.body().length);
+    CallLimiter.CallSize size = new CallLimiter.CallSize(call.body().length, request.headerBytes());
+    CallLimiter.Admission admission = server.calls().admit(size);
     if (admission != CallLimiter.Admission.ADMITTED) {
-      boolean stopping = admission == CallLimiter.Admission.CLOSED;
-      Refusal refusal = stopping ? stoppingRefusal() : overloadRefusal();
-      write(context, headOnly, handler.refuse(call.target(), refusal), stopping);
+      refuse(call, headOnly, admission == CallLimiter.Admission.CLOSED);
       return;
     }
-    admitted = true;
-    admittedBytes = call.body().length;
+    admitted = Optional.of(size);
+    handling = true;
     boolean close =
         HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(call.header("Connection").orElse(""));
     handle(call)
@@ -102,10 +146,22 @@
             (reply, failure) -> {
               HttpReply result =
                   withIdentifier(call, failure == null ? reply : Problems.reply(failure));
-              runOn(context, () -> write(context, headOnly, result, close));
+              runOnEventLoop(() -> write(headOnly, result, close));
             });
   }
 
+  private void refuse(HttpCall call, boolean headOnly, boolean stopping) {
+    record(stopping ? RejectionReason.STOPPING : RejectionReason.CALL_LIMIT, call.target());
+    Refusal refusal = stopping ? stoppingRefusal() : overloadRefusal();
+    write(headOnly, overloadReply(call.target(), refusal), stopping);
+  }
+
+  private HttpReply overloadReply(String target, Refusal refusal) {
+    HttpReply reply = server.handler().refuse(target, refusal);
+    boolean saysWhen = reply.header("Retry-After").isPresent();
+    return saysWhen ? reply : reply.with("Retry-After", OVERLOAD_RETRY_SECONDS);
+  }
+
   private static Refusal stoppingRefusal() {
     return new Refusal(
         RefusalKind.UNAVAILABLE,
@@ -120,7 +176,7 @@
         "repeat after the time in Retry-After, or through another entry host");
   }
 
-  private static void runOn(ChannelHandlerContext context, Runnable task) {
+  private void runOnEventLoop(Runnable task) {
     if (context.executor().inEventLoop()) {
       task.run();
     } else {
@@ -128,7 +184,7 @@
     }
   }
 
-  private void setReading(ChannelHandlerContext context, boolean enabled) {
+  private void setReading(boolean enabled) {
     if (reading != enabled) {
       reading = enabled;
       context.channel().config().setAutoRead(enabled);
@@ -146,69 +202,117 @@
 
   private CompletableFuture<HttpReply> handle(HttpCall call) {
     try {
-      return handler.handle(call);
+      return server.handler().handle(call);
     } catch (RuntimeException failure) {
       return CompletableFuture.failedFuture(failure);
     }
   }
 
-  // The response to HEAD has the Content-Length of a body that is not sent (RFC 9110, 9.3.2).
-  private void write(
-      ChannelHandlerContext context, boolean headOnly, HttpReply reply, boolean close) {
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(reply.status()),
-            headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body()));
-    response.headers().set(reply.headers());
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
-    boolean last = close || limiter.isDraining();
+  private void write(boolean headOnly, HttpReply reply, boolean close) {
+    handling = false;
+    writing = true;
+    boolean last = close || server.calls().isDraining() || (!acceptsRequests && waiting.isEmpty());
+    ChannelFuture written = send(headOnly, reply, last);
+    if (!written.isDone()) {
+      unreadBytes = reply.body().length;
+      memory.add(unreadBytes);
+    }
+    written.addListener(done -> onWritten(last || !done.isSuccess()));
+  }
+
+  // Large bodies are written in parts, because the virtual machine copies what is written at once
+  // to direct memory. The response to HEAD has the Content-Length of a body that is not sent
+  // (RFC 9110, 9.3.2).
+  private ChannelFuture send(boolean headOnly, HttpReply reply, boolean last) {
+    byte[] body = headOnly ? NO_BODY : reply.body();
+    HttpResponse head =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()));
+    head.headers().set(reply.headers());
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
     if (last) {
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
-    context
-        .writeAndFlush(response)
-        .addListener(
-            written -> {
-              busy = false;
-              release();
-              if (last || !written.isSuccess()) {
-                context.close();
-                return;
-              }
-              handleNext(context);
-              setReading(context, waiting.isEmpty());
-            });
+      head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    context.write(head);
+    int sent = 0;
+    for (; body.length - sent > PART_BYTES; sent += PART_BYTES) {
+      context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(body, sent, PART_BYTES)));
+    }
+    ByteBuf rest = Unpooled.wrappedBuffer(body, sent, body.length - sent);
+    return context.writeAndFlush(new DefaultLastHttpContent(rest));
+  }
+
+  private void onWritten(boolean close) {
+    writing = false;
+    memory.remove(unreadBytes);
+    unreadBytes = 0;
+    release();
+    if (close) {
+      context.close();
+      return;
+    }
+    handleNext();
+    setReading(acceptsRequests && waiting.isEmpty());
   }
 
   private void release() {
-    if (admitted) {
-      admitted = false;
-      limiter.release(admittedBytes);
+    admitted.ifPresent(server.calls()::release);
+    admitted = Optional.empty();
+  }
+
+  /**
+   * Drops every request of the caller that is not being handled, and closes the connection: at
+   * once, or after the response to the call that is being handled. Called on the event loop.
+   */
+  void giveUp(RejectionReason reason) {
+    boolean answer = !isBusy() && decoder.isReceiving();
+    record(reason, assembler.target());
+    waiting.clear();
+    stopAccepting();
+    memory.discard();
+    if (handling) {
+      return;
+    }
+    if (answer) {
+      // The connection is closed whether or not the caller takes the response.
+      HttpReply reply = overloadReply(assembler.target(), overloadRefusal());
+      send(false, reply, true);
     }
+    context.close();
+  }
+
+  private void record(RejectionReason reason, String detail) {
+    Channel channel = context.channel();
+    server.rejections().record(reason, channel, memory.latestHeldBytes(), detail);
   }
 
   // The response to a caller that has gone may come late or never, and nobody waits for it.
   @Override
-  public void channelInactive(ChannelHandlerContext context) throws Exception {
-    if (admitted) {
-      limiter.recordAbandoned();
+  public void channelInactive(ChannelHandlerContext ignored) throws Exception {
+    if (admitted.isPresent()) {
+      server.calls().recordAbandoned();
     }
     release();
     waiting.clear();
-    super.channelInactive(context);
+    memory.close();
+    super.channelInactive(ignored);
   }
 
   @Override
-  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-    if (event instanceof IdleStateEvent && !busy) {
+  public void userEventTriggered(ChannelHandlerContext ignored, Object event) throws Exception {
+    if (event instanceof IdleStateEvent && !handling) {
+      if (writing) {
+        record(RejectionReason.RESPONSE_TIMEOUT, assembler.target());
+      }
       context.close();
     }
-    super.userEventTriggered(context, event);
+    super.userEventTriggered(ignored, event);
   }
 
   @Override
-  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
+    if (context.channel().isActive()) {
+      record(RejectionReason.CONNECTION_FAILED, String.valueOf(cause));
+      context.close();
+    }
   }
 }
--- a/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
@@ -8,24 +8,68 @@
  * @param maxBody largest body, bytes
  * @param maxCalls calls in flight; more are refused immediately
  * @param maxCallBytes total size of the bodies of calls in flight, bytes
+ * @param maxHeaderBytes estimated total size of the header lines of calls in flight, bytes
  * @param maxConnections open connections; more wait to be accepted
  */
-public record ServerLimits(int maxBody, int maxCalls, int maxCallBytes, int maxConnections) {
+public record ServerLimits(
+    int maxBody, int maxCalls, int maxCallBytes, int maxHeaderBytes, int maxConnections) {
+  private static final int MB = 1024 * 1024;
   private static final int DEFAULT_CALLS = 1000;
-  private static final int DEFAULT_CALL_BYTES = 8 * 1024 * 1024;
+  private static final int DEFAULT_CALL_BYTES = 8 * MB;
+
   private static final int DEFAULT_CONNECTIONS = 1000;
 
+  // A sixteenth of the heap holds the header lines of the default number of ordinary calls.
+  private static final int HEADER_HEAP_DIVISOR = 16;
+  private static final int MIN_HEADER_BYTES = MB;
+  private static final int MAX_HEADER_BYTES = 8 * MB;
+
+  private static final int PROBE_BODY_BYTES = 4096;
+  private static final int PROBE_CALLS = 64;
+  private static final int PROBE_CONNECTIONS = 128;
+
   /** Validates. */
   public ServerLimits {
     Names.requireRange("maxBodyBytes", maxBody, 1, Integer.MAX_VALUE);
     Names.requireRange("maxCalls", maxCalls, 1, 1_000_000);
     Names.requireRange("maxCallBytes", maxCallBytes, 1, Integer.MAX_VALUE);
+    Names.requireRange("maxHeaderBytes", maxHeaderBytes, 1, Integer.MAX_VALUE);
     Names.requireRange("maxConnections", maxConnections, 1, 1_000_000);
   }
 
+  /** Returns limits with the default for header lines. */
+  public ServerLimits(int maxBody, int maxCalls, int maxCallBytes, int maxConnections) {
+    this(maxBody, maxCalls, maxCallBytes, defaultHeaderBytes(), maxConnections);
+  }
+
   /** Returns default limits, for a small process, with bodies of up to {@code maxBody} bytes. */
   public static ServerLimits forMaxBody(int maxBody) {
     return new ServerLimits(
         maxBody, DEFAULT_CALLS, Math.max(maxBody, DEFAULT_CALL_BYTES), DEFAULT_CONNECTIONS);
   }
+
+  /** Returns limits for a server of readiness checks or metrics, whose few callers send no body. */
+  public static ServerLimits forProbes() {
+    return new ServerLimits(
+        PROBE_BODY_BYTES,
+        PROBE_CALLS,
+        PROBE_CALLS * PROBE_BODY_BYTES,
+        MIN_HEADER_BYTES,
+        PROBE_CONNECTIONS);
+  }
+
+  /** Returns these limits, with half of the bodies and header lines in flight. */
+  public ServerLimits withHalfTheBytes() {
+    return new ServerLimits(
+        maxBody,
+        maxCalls,
+        Math.max(maxBody, maxCallBytes / 2),
+        Math.max(MIN_HEADER_BYTES, maxHeaderBytes / 2),
+        maxConnections);
+  }
+
+  private static int defaultHeaderBytes() {
+    long share = Runtime.getRuntime().maxMemory() / HEADER_HEAP_DIVISOR;
+    return (int) Math.min(MAX_HEADER_BYTES, Math.max(MIN_HEADER_BYTES, share));
+  }
 }
