Connections without calls no longer keep other callers out

What callers saw: while 1,000 connections were open on which nothing was sent, or only the first byte of a request, every other caller waited, for as long as those stayed.

Cause: beyond the limit new connections waited in the kernel, whoever they were, and open ones stayed, whatever they did: the idle check ends with a byte a minute, and nothing limited the time in which a request must arrive.

Change: when the last permitted connection is opened, the one that has had no call for longest is closed (a request that has begun to arrive is refused first, and has not run); connections with a call that is being handled are not. There are 100 connections more than calls, so a caller beyond the calls is told so. While all connections have calls, accepting pauses as before, and connections close after their response. A request must arrive within 60 s, or within the longest deadline that a call may have if that is longer: a caller inside its deadline is not cut off.

--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -126,14 +126,15 @@
     InboundMemory memory = InboundMemory.ofHeap(group, settings.requests().maxBodyBytes());
     httpServer =
         HttpServer.start(
-            group,
-            settings.listen().http(),
-            ServerLimits.forMaxBody(settings.requests().maxBodyBytes()),
-            memory,
-            new CallRouter());
+            group, settings.listen().http(), callLimits(settings), memory, new CallRouter());
     registerCallerGauges(memory);
   }
 
+  private static ServerLimits callLimits(EntrySettings settings) {
+    return ServerLimits.forMaxBody(settings.requests().maxBodyBytes())
+        .withLongestDeadline(settings.requests().maxDeadlineMs());
+  }
+
   private void registerCallerGauges(InboundMemory memory) {
     metrics.registerGauge("callers.held-bytes", memory::heldBytes);
     metrics.registerGauge("callers.connections", httpServer::openConnections);
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServer.java
@@ -47,7 +47,14 @@
       HttpHandler handler) {
     calls = new CallLimiter(limits);
     connections = new ConnectionLimiter(limits.maxConnections());
-    HttpServerContext context = new HttpServerContext(handler, limits.maxBody(), calls, rejections);
+    HttpServerContext context =
+        new HttpServerContext(
+            handler,
+            limits.maxBody(),
+            TimeUnit.MILLISECONDS.toNanos(limits.requestTimeoutMs()),
+            calls,
+            connections,
+            rejections);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
@@ -67,8 +74,8 @@
                   protected void initChannel(SocketChannel channel) {
                     channels.add(channel);
                     LoopMemory loop = memory.of(channel.eventLoop());
-                    connections.add(channel);
-                    HttpServerConnection.addTo(channel.pipeline(), context, loop);
+                    connections.add(
+                        channel, HttpServerConnection.addTo(channel.pipeline(), context, loop));
                   }
                 });
     listener = bootstrap.bind(address).syncUninterruptibly().channel();
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -55,6 +56,8 @@
   private Optional<CallLimiter.CallSize> admitted = Optional.empty();
   private boolean reading = true;
   private boolean acceptsRequests = true;
+  private Optional<ScheduledFuture<?>> requestTimeout = Optional.empty();
+  private long latestCallNanos = System.nanoTime();
 
   private HttpServerConnection(HttpServerContext server, LoopMemory loop) {
     this.server = server;
@@ -211,7 +214,12 @@
   private void write(boolean headOnly, HttpReply reply, boolean close) {
     handling = false;
     writing = true;
-    boolean last = close || server.calls().isDraining() || (!acceptsRequests && waiting.isEmpty());
+    latestCallNanos = System.nanoTime();
+    boolean last =
+        close
+            || server.calls().isDraining()
+            || server.connections().isFull()
+            || (!acceptsRequests && waiting.isEmpty());
     ChannelFuture written = send(headOnly, reply, last);
     if (!written.isDone()) {
       unreadBytes = reply.body().length;
@@ -243,6 +251,7 @@
 
   private void onWritten(boolean close) {
     writing = false;
+    latestCallNanos = System.nanoTime();
     memory.remove(unreadBytes);
     unreadBytes = 0;
     release();
@@ -259,6 +268,16 @@
     admitted = Optional.empty();
   }
 
+  /** Returns whether a call is being handled whose response is not known yet. */
+  boolean isHandlingCall() {
+    return handling;
+  }
+
+  /** Returns for how long there has been no call, since the connection was opened at most. */
+  long nanosWithoutCall() {
+    return System.nanoTime() - latestCallNanos;
+  }
+
   /**
    * Drops every request of the caller that is not being handled, and closes the connection: at
    * once, or after the response to the call that is being handled. Called on the event loop.
@@ -285,6 +304,39 @@
     server.rejections().record(reason, channel, memory.latestHeldBytes(), detail);
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ignored) throws Exception {
+    if (decoder.isReceiving() && acceptsRequests && requestTimeout.isEmpty()) {
+      scheduleRequestTimeout(server.requestTimeoutNanos());
+    }
+    super.channelReadComplete(ignored);
+  }
+
+  private void scheduleRequestTimeout(long delayNanos) {
+    requestTimeout =
+        Optional.of(
+            context
+                .executor()
+                .schedule(this::checkRequestTimeout, delayNanos, TimeUnit.NANOSECONDS));
+  }
+
+  private void checkRequestTimeout() {
+    requestTimeout = Optional.empty();
+    if (!decoder.isReceiving() || !acceptsRequests) {
+      return;
+    }
+    long leftNanos =
+        server.requestTimeoutNanos() - (System.nanoTime() - decoder.receivingSinceNanos());
+    if (isBusy()) {
+      // Nothing may have been read meanwhile.
+      scheduleRequestTimeout(server.requestTimeoutNanos());
+    } else if (leftNanos > 0) {
+      scheduleRequestTimeout(leftNanos);
+    } else {
+      giveUp(RejectionReason.REQUEST_TIMEOUT);
+    }
+  }
+
   // The response to a caller that has gone may come late or never, and nobody waits for it.
   @Override
   public void channelInactive(ChannelHandlerContext ignored) throws Exception {
@@ -294,6 +346,7 @@
     release();
     waiting.clear();
     memory.close();
+    requestTimeout.ifPresent(timeout -> timeout.cancel(false));
     super.channelInactive(ignored);
   }
 
--- a/wire/src/main/java/org/wheatwall/wire/http/RejectionReason.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/RejectionReason.java
@@ -12,8 +12,12 @@
   STOPPING("stopping"),
   /** Callers hold as much memory as the limit allows, and this one holds much of it for long. */
   MEMORY_LIMIT("memory-limit"),
+  /** As many connections are open as the limit allows, and this one has had no call for longest. */
+  CONNECTION_LIMIT("connection-limit"),
   /** Too many requests wait behind another one of their connection. */
   PIPELINE_LIMIT("pipeline-limit"),
+  /** The request did not arrive in time. */
+  REQUEST_TIMEOUT("request-timeout"),
   /** The caller does not read its response. */
   RESPONSE_TIMEOUT("response-timeout"),
   /** The connection failed. */
--- a/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
@@ -9,15 +9,23 @@
  * @param maxCalls calls in flight; more are refused immediately
  * @param maxCallBytes total size of the bodies of calls in flight, bytes
  * @param maxHeaderBytes estimated total size of the header lines of calls in flight, bytes
- * @param maxConnections open connections; more wait to be accepted
+ * @param maxConnections open connections; beyond it, those without calls are closed
+ * @param requestTimeoutMs time within which a request must arrive completely, milliseconds
  */
 public record ServerLimits(
-    int maxBody, int maxCalls, int maxCallBytes, int maxHeaderBytes, int maxConnections) {
+    int maxBody,
+    int maxCalls,
+    int maxCallBytes,
+    int maxHeaderBytes,
+    int maxConnections,
+    int requestTimeoutMs) {
   private static final int MB = 1024 * 1024;
   private static final int DEFAULT_CALLS = 1000;
   private static final int DEFAULT_CALL_BYTES = 8 * MB;
 
-  private static final int DEFAULT_CONNECTIONS = 1000;
+  // More than calls, so that further callers can be told that the limit is reached.
+  private static final int DEFAULT_CONNECTIONS = 1100;
+  private static final int DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
 
   // A sixteenth of the heap holds the header lines of the default number of ordinary calls.
   private static final int HEADER_HEAP_DIVISOR = 16;
@@ -35,11 +43,18 @@
     Names.requireRange("maxCallBytes", maxCallBytes, 1, Integer.MAX_VALUE);
     Names.requireRange("maxHeaderBytes", maxHeaderBytes, 1, Integer.MAX_VALUE);
     Names.requireRange("maxConnections", maxConnections, 1, 1_000_000);
+    Names.requireRange("requestTimeoutMs", requestTimeoutMs, 1, Integer.MAX_VALUE);
   }
 
-  /** Returns limits with the default for header lines. */
+  /** Returns limits with the default for header lines and the default timeout. */
   public ServerLimits(int maxBody, int maxCalls, int maxCallBytes, int maxConnections) {
-    this(maxBody, maxCalls, maxCallBytes, defaultHeaderBytes(), maxConnections);
+    this(
+        maxBody,
+        maxCalls,
+        maxCallBytes,
+        defaultHeaderBytes(),
+        maxConnections,
+        DEFAULT_REQUEST_TIMEOUT_MS);
   }
 
   /** Returns default limits, for a small process, with bodies of up to {@code maxBody} bytes. */
@@ -55,7 +70,8 @@
         PROBE_CALLS,
         PROBE_CALLS * PROBE_BODY_BYTES,
         MIN_HEADER_BYTES,
-        PROBE_CONNECTIONS);
+        PROBE_CONNECTIONS,
+        DEFAULT_REQUEST_TIMEOUT_MS);
   }
 
   /** Returns these limits, with half of the bodies and header lines in flight. */
@@ -65,7 +81,19 @@
         maxCalls,
         Math.max(maxBody, maxCallBytes / 2),
         Math.max(MIN_HEADER_BYTES, maxHeaderBytes / 2),
-        maxConnections);
+        maxConnections,
+        requestTimeoutMs);
+  }
+
+  /** Returns these limits, with a timeout for requests that is not below {@code deadlineMs}. */
+  public ServerLimits withLongestDeadline(int deadlineMs) {
+    return new ServerLimits(
+        maxBody,
+        maxCalls,
+        maxCallBytes,
+        maxHeaderBytes,
+        maxConnections,
+        Math.max(requestTimeoutMs, deadlineMs));
   }
 
   private static int defaultHeaderBytes() {
--- a/wire/src/test/java/org/wheatwall/wire/http/InboundMemoryTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/http/InboundMemoryTest.java
@@ -71,8 +71,8 @@
     return CompletableFuture.completedFuture(HttpReply.text(200, "fine " + call.body().length));
   }
 
-  private static ServerLimits limits(int connections) {
-    return new ServerLimits(MAX_BODY, 100, 1 << 20, 1 << 20, connections);
+  private static ServerLimits limits(int connections, int requestTimeoutMs) {
+    return new ServerLimits(MAX_BODY, 100, 1 << 20, 1 << 20, connections, requestTimeoutMs);
   }
 
   private Socket send(String text) throws IOException {
@@ -118,7 +118,7 @@
 
   @Test
   void unfinishedHeadersAreEvictedAndOthersServed() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     sendCrowd(GET + SHORT_LINES, 20);
     await(() -> rejected(RejectionReason.MEMORY_LIMIT) >= 18);
     assertThat(memory.heldBytes()).isAtMost(RAISED_BYTES);
@@ -127,7 +127,7 @@
 
   @Test
   void unfinishedBodiesAreEvictedAndOthersServed() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     String head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + MAX_BODY + "\r\n\r\n";
     sendCrowd(head + "x".repeat(MAX_BODY - 1), 20);
     await(() -> rejected(RejectionReason.MEMORY_LIMIT) >= 8);
@@ -137,7 +137,7 @@
 
   @Test
   void smallChunksAndTrailersTakeNoMoreThanTheirBytes() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     String head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
     send(head + "1\r\nx\r\n".repeat(30_000) + "0\r\n" + SHORT_LINES);
     await(() -> memory.heldBytes() > 30_000);
@@ -147,7 +147,7 @@
 
   @Test
   void requestOfManyShortLinesIsServedInCalm() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     assertThat(everythingFrom(send(GET + "Connection: close\r\n" + SHORT_LINES + "\r\n")))
         .contains("fine");
     await(() -> memory.heldBytes() == 0);
@@ -156,7 +156,7 @@
 
   @Test
   void largestBodyIsServedInCalm() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     String head = "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " + MAX_BODY;
     assertThat(everythingFrom(send(head + "\r\n\r\n" + "x".repeat(MAX_BODY))))
         .contains("fine " + MAX_BODY);
@@ -165,7 +165,7 @@
 
   @Test
   void slowCallerWithAnOrdinaryRequestIsNotEvicted() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     Socket slow =
         send("POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 100\r\n\r\n");
     slow.getOutputStream().write(new byte[50]);
@@ -178,7 +178,7 @@
 
   @Test
   void callBeingHandledIsAnsweredAlthoughRequestsBehindItAreEvicted() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     Socket first = send(SLOW + GET + SHORT_LINES);
     await(() -> !delayed.isEmpty() && memory.heldBytes() > 100_000);
     sendCrowd(GET + SHORT_LINES, 20);
@@ -189,7 +189,7 @@
 
   @Test
   void headerLinesOfCallsInFlightAreLimited() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     String slow = "GET /slow HTTP/1.1\r\nHost: a\r\nConnection: close\r\n";
     sendCrowd(slow + SHORT_LINES + "\r\n", 3);
     await(() -> delayed.size() == 3);
@@ -204,9 +204,31 @@
     assertThat(refusal.toLowerCase(java.util.Locale.ROOT)).contains("retry-after: 1");
   }
 
+  @Test
+  void requestThatDoesNotArriveInTimeIsRefused() throws Exception {
+    start(limits(100, 300));
+    Socket stalled = send(GET + "b: c\r\n");
+    assertThat(everythingFrom(stalled)).contains(" 503 ");
+    assertThat(rejected(RejectionReason.REQUEST_TIMEOUT)).isEqualTo(1);
+  }
+
+  @Test
+  void connectionsWithoutCallsAreClosedForNewOnes() throws Exception {
+    start(limits(10, TIMEOUT_MS));
+    Socket waiting = send("GET /slow HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    await(() -> !delayed.isEmpty());
+    sendCrowd("", 12);
+    sendCrowd("G", 12);
+    assertThat(everythingFrom(send(ORDINARY))).contains("fine");
+    assertThat(server.openConnections()).isAtMost(10);
+    assertThat(rejected(RejectionReason.CONNECTION_LIMIT)).isGreaterThan(10);
+    delayed.forEach(reply -> reply.complete(HttpReply.text(200, "late")));
+    assertThat(everythingFrom(waiting)).contains("late");
+  }
+
   @Test
   void responsesThatAreNotReadAreEvicted() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     sendCrowd("GET /large HTTP/1.1\r\nHost: a\r\n\r\n", 5);
     await(() -> rejected(RejectionReason.MEMORY_LIMIT) == 5);
     assertThat(everythingFrom(send(ORDINARY))).contains("fine");
@@ -214,7 +236,7 @@
 
   @Test
   void requestsBeforeThePipelineLimitAreAnswered() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     Socket socket = send(SLOW + (GET + "\r\n").repeat(60));
     await(() -> rejected(RejectionReason.PIPELINE_LIMIT) == 1);
     delayed.forEach(reply -> reply.complete(HttpReply.text(200, "late")));
@@ -225,7 +247,7 @@
 
   @Test
   void malformedRequestBehindAnotherIsAnsweredInOrder() throws Exception {
-    start(limits(100));
+    start(limits(100, TIMEOUT_MS));
     Socket socket = send(SLOW + "\u0001 nothing\r\n\r\n");
     await(() -> !delayed.isEmpty());
     delayed.forEach(reply -> reply.complete(HttpReply.text(200, "late")));
