Peers that have not proved the key can hold little at an entry host, and not for long

What callers saw: 300 connections to the port of other entry hosts, each with a part of a frame that announces 1 MB, kept every caller of the host from an answer.

Cause: a frame could have 4 MB before its sender was authenticated, the number of connections was not limited, and no time limited how long one may stay without a first message. The frames filled the direct memory for which the event loops then waited.

Change: until the key is proved a frame has 4 KB at most (PeerFrameDecoder), 256 connections at most are open without the key, the oldest closed first, and each for 10 s (UnauthenticatedConnections). An entry host sends its first message as soon as the connection is open and meets none of these. Closings count by reason and have a bounded log line.

--- a/entry/src/main/java/org/wheatwall/entry/EntryHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/EntryHost.java
@@ -141,6 +141,8 @@
     for (RejectionReason reason : RejectionReason.values()) {
       metrics.registerGauge(
           "callers.rejected." + reason.label(), () -> httpServer.rejections(reason));
+      metrics.registerGauge(
+          "peer-connections.rejected." + reason.label(), () -> peerServer.rejections(reason));
     }
   }
 
--- a/wire/src/main/java/org/wheatwall/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/peer/PeerCodec.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.ByteBufOutputStream;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
@@ -17,15 +16,16 @@
   /** Maximum size of a frame, bytes. */
   static final int MAX_FRAME = 4 * 1024 * 1024;
 
-  private static final int LENGTH_BYTES = 4;
-
   private PeerCodec() {}
 
-  static void addTo(ChannelPipeline pipeline) {
+  /** Adds the codec; returns the decoder of frames, which accepts only small ones at first. */
+  static PeerFrameDecoder addTo(ChannelPipeline pipeline) {
+    PeerFrameDecoder decoder = new PeerFrameDecoder(MAX_FRAME);
     pipeline
-        .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        .addLast(decoder)
+        .addLast(new LengthFieldPrepender(PeerFrameDecoder.LENGTH_BYTES))
         .addLast(new PeerCodec());
+    return decoder;
   }
 
   @Override
--- a/wire/src/main/java/org/wheatwall/wire/peer/PeerServer.java
+++ b/wire/src/main/java/org/wheatwall/wire/peer/PeerServer.java
@@ -20,6 +20,8 @@
 import org.wheatwall.core.common.Refusal;
 import org.wheatwall.core.common.RefusalKind;
 import org.wheatwall.wire.http.Problems;
+import org.wheatwall.wire.http.RejectionReason;
+import org.wheatwall.wire.http.Rejections;
 import org.wheatwall.wire.message.Envelope;
 import org.wheatwall.wire.message.Hello;
 import org.wheatwall.wire.message.Problem;
@@ -29,7 +31,14 @@
   /** Version of the protocol between entry hosts. */
   public static final int PROTOCOL_VERSION = 1;
 
+  // An entry host sends its first message as soon as the connection is open.
+  private static final int MAX_UNAUTHENTICATED = 256;
+  private static final int HELLO_TIMEOUT_MS = 10_000;
+
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Rejections rejections = new Rejections();
+  private final UnauthenticatedConnections unauthenticated =
+      new UnauthenticatedConnections(MAX_UNAUTHENTICATED, HELLO_TIMEOUT_MS, rejections);
   private final Channel listener;
   private final byte[] key;
   private final PeerHandler handler;
@@ -49,8 +58,9 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     connections.add(channel);
-                    PeerCodec.addTo(channel.pipeline());
-                    channel.pipeline().addLast(new Connection());
+                    unauthenticated.add(channel);
+                    PeerFrameDecoder decoder = PeerCodec.addTo(channel.pipeline());
+                    channel.pipeline().addLast(new Connection(decoder));
                   }
                 })
             .bind(address)
@@ -69,6 +79,11 @@
     return ((InetSocketAddress) listener.localAddress()).getPort();
   }
 
+  /** Returns how often something was rejected for a reason. */
+  public long rejections(RejectionReason reason) {
+    return rejections.count(reason);
+  }
+
   /** Closes the server and all connections. */
   public void close() {
     listener.close().syncUninterruptibly();
@@ -76,13 +91,22 @@
   }
 
   private final class Connection extends SimpleChannelInboundHandler<Envelope> {
+    private final PeerFrameDecoder decoder;
     private boolean admitted;
 
+    Connection(PeerFrameDecoder decoder) {
+      this.decoder = decoder;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope request) {
       if (!admitted) {
         Optional<Refusal> refusal = refusal(request.getHello());
         admitted = refusal.isEmpty();
+        if (admitted) {
+          decoder.acceptLargeFrames();
+          unauthenticated.remove(context.channel());
+        }
         // The hello message has no identifier, so neither has the reply.
         refusal.ifPresent(
             reason ->
@@ -119,7 +143,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      context.close();
+      RejectionReason reason =
+          admitted ? RejectionReason.CONNECTION_FAILED : RejectionReason.MALFORMED;
+      if (context.channel().isActive()) {
+        rejections.record(reason, context.channel(), 0, String.valueOf(cause));
+        context.close();
+      }
     }
   }
 
