Limits of what callers hold follow the heap of the process

The limits of a process of 40 MB added up to more than its heap: 8 MB of bodies in flight are a fifth of it. Bodies and header lines of calls in flight are now an eighth and a tenth of the heap, 8 MB at most each, and what arrives or is not read a tenth. Measured for the sums: 3.7 KB a connection after one request (1,000 connections, histogram of the heap), 96 bytes a header line without a value. Ordinary calls of 15 header lines and 4 KB still fit a thousand times.

--- a/wire/src/main/java/org/wheatwall/wire/http/InboundMemory.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/InboundMemory.java
@@ -14,7 +14,7 @@
  * event loop has an equal part, which is accounted for without locks.
  */
 public final class InboundMemory {
-  private static final int HEAP_DIVISOR = 8;
+  private static final int HEAP_DIVISOR = 10;
   private static final long MAX_DEFAULT_BYTES = 64L * 1024 * 1024;
 
   // Estimated size of the objects for a header block of the largest size in the shortest lines.
@@ -36,7 +36,7 @@
     maxBytesPerLoop = Math.max(maxBytes / countLoops(group), largestRequest);
   }
 
-  /** Returns a limit of an eighth of the largest heap, 64 MB at most. */
+  /** Returns a limit of a tenth of the largest heap, 64 MB at most. */
   public static InboundMemory ofHeap(EventLoopGroup group, int maxBody) {
     long share = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
     return new InboundMemory(Math.min(share, MAX_DEFAULT_BYTES), group, maxBody);
--- a/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
@@ -21,14 +21,14 @@
     int requestTimeoutMs) {
   private static final int MB = 1024 * 1024;
   private static final int DEFAULT_CALLS = 1000;
-  private static final int DEFAULT_CALL_BYTES = 8 * MB;
+  private static final int CALL_HEAP_DIVISOR = 8;
+  private static final int MAX_CALL_BYTES = 8 * MB;
 
   // More than calls, so that further callers can be told that the limit is reached.
   private static final int DEFAULT_CONNECTIONS = 1100;
   private static final int DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
 
-  // A sixteenth of the heap holds the header lines of the default number of ordinary calls.
-  private static final int HEADER_HEAP_DIVISOR = 16;
+  private static final int HEADER_HEAP_DIVISOR = 10;
   private static final int MIN_HEADER_BYTES = MB;
   private static final int MAX_HEADER_BYTES = 8 * MB;
 
@@ -60,7 +60,7 @@
   /** Returns default limits, for a small process, with bodies of up to {@code maxBody} bytes. */
   public static ServerLimits forMaxBody(int maxBody) {
     return new ServerLimits(
-        maxBody, DEFAULT_CALLS, Math.max(maxBody, DEFAULT_CALL_BYTES), DEFAULT_CONNECTIONS);
+        maxBody, DEFAULT_CALLS, Math.max(maxBody, defaultCallBytes()), DEFAULT_CONNECTIONS);
   }
 
   /** Returns limits for a server of readiness checks or metrics, whose few callers send no body. */
@@ -96,6 +96,10 @@
         Math.max(requestTimeoutMs, deadlineMs));
   }
 
+  private static int defaultCallBytes() {
+    return (int) Math.min(MAX_CALL_BYTES, Runtime.getRuntime().maxMemory() / CALL_HEAP_DIVISOR);
+  }
+
   private static int defaultHeaderBytes() {
     long share = Runtime.getRuntime().maxMemory() / HEADER_HEAP_DIVISOR;
     return (int) Math.min(MAX_HEADER_BYTES, Math.max(MIN_HEADER_BYTES, share));
