Calls whose callers have gone stay limited until their handlers finish

Cause: a call left the limits as soon as its caller closed the connection, but the queue of its service keeps it, with header lines and body, until its deadline. When a crowd leaves, its requests that have arrived are admitted one after another, each for the moment until its own close is read.

Change: ByteBudget counts what calls in flight hold, as before, and beside it what all calls hold whose handlers have not finished, with a limit that is two thirds higher. So callers that have gone still do not use up the places of others (ServerLimitsTest is unchanged), and their memory has a bound. Bodies are a twelfth and header lines a sixteenth of the heap now, so that the sum of all limits stays what it was.

--- a/app/src/test/java/org/wheatwall/app/ClientCrowdIT.java
+++ b/app/src/test/java/org/wheatwall/app/ClientCrowdIT.java
@@ -26,6 +26,7 @@
   private static final String READY_PATH = "/v1/health/ready";
   private static final int SLOW_SERVICE_MS = 2000;
   private static final int JOB_TIMEOUT_MS = 60_000;
+  private static final int ROUNDS = 6;
   private static final int FRAME_CONNECTIONS = 300;
   private static final int FRAME_BYTES = 400_000;
 
@@ -43,6 +44,21 @@
         });
   }
 
+  @ParameterizedTest
+  @EnumSource(
+      value = CrowdRequest.class,
+      names = {"WHOLE_HEADERS", "UNREAD_RESPONSES"})
+  void entryHostServesOthersDuringAndAfterCrowdsThatLeaveBeforeTheirResponses(CrowdRequest request)
+      throws Exception {
+    withEntryHost(
+        (cluster, entry) -> {
+          byte[] bytes = request.bytes("/call/slow/crowd");
+          for (int round = 0; round < ROUNDS; round++) {
+            pressEntryHost(entry, entry.port(), bytes, request.connections(), true);
+          }
+        });
+  }
+
   @Test
   void entryHostServesOthersDuringAndAfterUnfinishedFramesAtItsPeerPort() throws Exception {
     byte[] frame = new byte[FRAME_BYTES];
--- a/wire/src/main/java/org/wheatwall/wire/http/CallLimiter.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/CallLimiter.java
@@ -60,6 +60,7 @@
     }
     if (!headers.tryAcquire(size.headerBytes())) {
       bodies.release(size.bodyBytes());
+      bodies.free(size.bodyBytes());
       return false;
     }
     return true;
@@ -82,6 +83,12 @@
     inFlight.decrementAndGet();
   }
 
+  /** Records that the handler of an admitted call has finished, so that its memory is free. */
+  void free(CallSize size) {
+    bodies.free(size.bodyBytes());
+    headers.free(size.headerBytes());
+  }
+
   /** Requests that connections be closed after their next response. */
   void drain() {
     draining = true;
--- a/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/HttpServerConnection.java
@@ -147,6 +147,7 @@
     handle(call)
         .whenComplete(
             (reply, failure) -> {
+              server.calls().free(size);
               HttpReply result =
                   withIdentifier(call, failure == null ? reply : Problems.reply(failure));
               runOnEventLoop(() -> write(headOnly, result, close));
--- a/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
+++ b/wire/src/main/java/org/wheatwall/wire/http/ServerLimits.java
@@ -21,14 +21,14 @@
     int requestTimeoutMs) {
   private static final int MB = 1024 * 1024;
   private static final int DEFAULT_CALLS = 1000;
-  private static final int CALL_HEAP_DIVISOR = 8;
+  private static final int CALL_HEAP_DIVISOR = 12;
   private static final int MAX_CALL_BYTES = 8 * MB;
 
   // More than calls, so that further callers can be told that the limit is reached.
   private static final int DEFAULT_CONNECTIONS = 1100;
   private static final int DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
 
-  private static final int HEADER_HEAP_DIVISOR = 10;
+  private static final int HEADER_HEAP_DIVISOR = 16;
   private static final int MIN_HEADER_BYTES = MB;
   private static final int MAX_HEADER_BYTES = 8 * MB;
 
--- a/wire/src/test/java/org/wheatwall/wire/http/ByteBudgetTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/http/ByteBudgetTest.java
@@ -16,6 +16,7 @@
     assertThat(budget.tryAcquire(16 * KB)).isTrue();
     assertThat(budget.tryAcquire(5 * KB)).isFalse();
     budget.release(160 * KB);
+    budget.free(160 * KB);
     assertThat(budget.tryAcquire(144 * KB)).isTrue();
   }
 }
--- a/wire/src/test/java/org/wheatwall/wire/http/InboundMemoryTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/http/InboundMemoryTest.java
@@ -204,6 +204,27 @@
     assertThat(refusal.toLowerCase(java.util.Locale.ROOT)).contains("retry-after: 1");
   }
 
+  /** Callers that leave at once would otherwise fill the queues of handlers one after another. */
+  @Test
+  void callsOfCallersThatHaveGoneStayLimitedUntilTheirHandlersFinish() throws Exception {
+    start(limits(100, TIMEOUT_MS));
+    String slow = "GET /slow HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + SHORT_LINES + "\r\n";
+    for (int round = 0; round < 10; round++) {
+      long abandoned = server.abandonedCalls();
+      long refused = rejected(RejectionReason.CALL_LIMIT);
+      Socket leaving = send(slow);
+      await(() -> delayed.size() > abandoned || rejected(RejectionReason.CALL_LIMIT) > refused);
+      leaving.close();
+      await(() -> server.openConnections() == 0);
+    }
+    assertThat(delayed).hasSize(5);
+    delayed.forEach(reply -> reply.complete(HttpReply.text(200, "late")));
+    Socket later = send(slow);
+    await(() -> delayed.size() == 6);
+    delayed.forEach(reply -> reply.complete(HttpReply.text(200, "late")));
+    assertThat(everythingFrom(later)).contains("late");
+  }
+
   @Test
   void requestThatDoesNotArriveInTimeIsRefused() throws Exception {
     start(limits(100, 300));
