Large jobs: what waits in the queue and what the log keeps is limited

Nothing is scheduled for anybody.

Cause: the decider releases every group of every due time at once.

Groups are now released a limited number at a time: 1,000 a job and 16,000 in all, and always one of each ready step, so that no step waits for work that cannot run. Due times are opened as there is room for them. What is placed is replaced after each scheduling pass.

The same cause in the log and in the replicas: a record and a state stay for each done group until the job ends. Of jobs of 1,000 groups or more, 256 done groups at a time are folded into one record of the job, a bit a group, which is written before theirs are dropped; after a take-over in between, a folded group with a record counts once.

Due times beyond the range of the clock overflowed and were due at once; now they never come due.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/BacklogTracker.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/BacklogTracker.java
@@ -66,7 +66,9 @@
   public void onGroupChanged(
       GroupKey group, Optional<GroupState> before, Optional<GroupState> after) {
     OpenJob open = jobs.get(group.jobId());
-    if (open == null || group.step() >= open.job.steps().size()) {
+    // The state of a done group may be dropped while its job goes on.
+    boolean dropped = after.isEmpty() && before.filter(BacklogTracker::isDone).isPresent();
+    if (open == null || dropped || group.step() >= open.job.steps().size()) {
       return;
     }
     boolean waitsAfter = isWaiting(after);
@@ -76,10 +78,32 @@
     }
   }
 
+  private static boolean isDone(GroupState state) {
+    return state.phase() == GroupPhase.DONE;
+  }
+
   private static boolean isWaiting(Optional<GroupState> state) {
     return state.map(GroupState::phase).orElse(GroupPhase.WAITING) == GroupPhase.WAITING;
   }
 
+  /** Applies the states of the groups of a job that was added. */
+  public void onGroupsRead(JobRecord record) {
+    OpenJob open = jobs.get(record.id());
+    if (open == null) {
+      return;
+    }
+    Map<GroupKey, GroupState> groups = record.groups();
+    groups.forEach((group, state) -> onGroupChanged(group, Optional.empty(), Optional.of(state)));
+    FoldedGroups folded = new FoldedGroups(new GroupNumbering(open.job));
+    record.doneGroups().ifPresent(folded::restore);
+    folded.forEachOfOpenOccurrences(
+        group -> {
+          if (!groups.containsKey(group)) {
+            onGroupChanged(group, Optional.empty(), Optional.of(GroupState.DONE));
+          }
+        });
+  }
+
   /** Removes all jobs. */
   public void clear() {
     jobs.clear();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/DecisionExecutor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/DecisionExecutor.java
@@ -60,6 +60,7 @@
   }
 
   private void planRun(Decision.Start start, GroupKey group, JobProgress progress) {
+    term.onPlaced(progress, group);
     List<String> victims =
         start.victims().stream().filter(id -> term.runs.ofAttempt(id).isPresent()).toList();
     GroupRun run =
--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobProgress.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobProgress.java
@@ -1,37 +1,54 @@
 package org.wheatwall.core.batch.decision;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupPhase;
 import org.wheatwall.core.batch.model.GroupState;
-import org.wheatwall.core.batch.model.StepSpec;
+import org.wheatwall.core.batch.model.LogContent;
 
-/** Tracks the progress of one job: which of its groups may start, and which are done. */
+/**
+ * Tracks the progress of one job: which of its groups may start, and which are done.
+ *
+ * <p>What it holds follows the groups that wait or run, not the size of the job: groups are
+ * released to the scheduler a limited number at a time, due times are opened as far as there is
+ * room for them, and done groups become bits.
+ */
 final class JobProgress {
+  /** Done groups that are folded into the job's record together. */
+  static final int FOLDED_TOGETHER = 256;
+
+  // Jobs with fewer groups keep a record of each until they end.
+  private static final int MIN_GROUPS_OF_FOLDED_JOBS = 1000;
+  private static final int MAX_FOLDED_BYTES = 32 * 1024;
+  private static final int MAX_STEPS_OF_OPEN_OCCURRENCES = 100_000;
+  private static final int MIN_OPEN_OCCURRENCES = 2;
+
   private final BatchJob job;
   private final long submittedAtMs;
   private final Map<GroupKey, GroupState> states = new HashMap<>();
-  private final Set<GroupKey> submitted = new HashSet<>();
-  private final List<Occurrence> occurrences = new ArrayList<>();
+  private final Map<GroupKey, Set<String>> avoidedWorkers = new HashMap<>();
+  private final Set<GroupKey> waiting = new LinkedHashSet<>();
+  private final TreeMap<Integer, OccurrenceProgress> occurrences = new TreeMap<>();
+  private final TreeSet<OpenStep> partlyReleased = new TreeSet<>(OpenStep.ORDER);
+  private final List<GroupKey> doneWithRecord = new ArrayList<>();
+  private final FoldedGroups folded;
+  private final boolean foldable;
+  private int nextOccurrence;
   private boolean closed;
 
-  /** The progress of one occurrence of a recurring job. */
-  private static final class Occurrence {
-    private final int[] doneGroups;
-    private final boolean[] released;
-
-    private Occurrence(int steps) {
-      doneGroups = new int[steps];
-      released = new boolean[steps];
-    }
-  }
+  /** Done groups whose records are replaced by one. */
+  record Fold(LogContent.DoneGroups content, List<GroupKey> groups) {}
 
   /**
    * Creates the progress of a job.
@@ -41,6 +58,10 @@
   JobProgress(BatchJob job, long submittedAtMs) {
     this.job = job;
     this.submittedAtMs = submittedAtMs;
+    GroupNumbering numbering = new GroupNumbering(job);
+    this.folded = new FoldedGroups(numbering);
+    long groups = (long) numbering.groupsOfOccurrence() * job.occurrences();
+    this.foldable = groups >= MIN_GROUPS_OF_FOLDED_JOBS;
   }
 
   BatchJob job() {
@@ -53,31 +74,119 @@
   }
 
   GroupState state(GroupKey group) {
-    return states.getOrDefault(group, GroupState.NEW);
+    GroupState known = states.get(group);
+    if (known != null) {
+      return known;
+    }
+    return folded.contains(group) ? GroupState.DONE : GroupState.NEW;
   }
 
-  /** Returns the groups that have a state. */
+  /** Returns the groups that have a state of their own. */
   Map<GroupKey, GroupState> states() {
     return states;
   }
 
+  /** Takes over the state from the job log. Must be called before any other change. */
+  void restore(Map<GroupKey, GroupState> groups, Optional<LogContent.DoneGroups> doneGroups) {
+    doneGroups.ifPresent(this::restoreFolded);
+    groups.forEach(this::setState);
+    // The groups that have a state may have to be submitted again at any time.
+    occurrences.values().forEach(this::open);
+  }
+
+  private void restoreFolded(LogContent.DoneGroups content) {
+    folded.restore(content);
+    nextOccurrence = folded.wholeOccurrences();
+    folded.forEachOfOpenOccurrences(group -> recordDone(group));
+  }
+
   /** Sets the state of a group; counts a done group only once. */
   void setState(GroupKey group, GroupState state) {
     GroupState before = states.put(group, state);
     boolean wasDone = before != null && before.phase() == GroupPhase.DONE;
-    if (state.phase() == GroupPhase.DONE && !wasDone) {
-      occurrence(group.occurrence()).doneGroups[group.step()]++;
+    if (state.phase() != GroupPhase.DONE || wasDone) {
+      return;
     }
+    doneWithRecord.add(group);
+    avoidedWorkers.remove(group);
+    if (!folded.contains(group)) {
+      recordDone(group);
+    }
+  }
+
+  private void recordDone(GroupKey group) {
+    OccurrenceProgress occurrence = occurrence(group.occurrence());
+    if (!occurrence.recordGroupDone(group.step())) {
+      return;
+    }
+    partlyReleased.remove(new OpenStep(group.occurrence(), group.step(), 0));
+    if (occurrence.isDone()) {
+      if (group.occurrence() < nextOccurrence) {
+        occurrences.remove(group.occurrence());
+      }
+    } else if (occurrence.opened()) {
+      partlyReleased.addAll(occurrence.openUnblockedSteps());
+    }
+  }
+
+  /** Returns whether a group is done and has neither a state nor a record of its own. */
+  boolean isFolded(GroupKey group) {
+    return !states.containsKey(group) && folded.contains(group);
+  }
+
+  /** Returns whether groups of the job are kept as {@link LogContent.DoneGroups}. */
+  boolean hasFoldedGroups() {
+    return !folded.isEmpty();
+  }
+
+  /**
+   * Folds the done groups if there are enough of them; returns what replaces their records, the new
+   * record to be written before the others are dropped.
+   */
+  Optional<Fold> foldDoneGroups() {
+    boolean due = foldable && doneWithRecord.size() >= FOLDED_TOGETHER;
+    if (!due || folded.bytes() > MAX_FOLDED_BYTES) {
+      return Optional.empty();
+    }
+    List<GroupKey> groups = List.copyOf(doneWithRecord);
+    doneWithRecord.clear();
+    groups.forEach(folded::add);
+    groups.forEach(states::remove);
+    return Optional.of(new Fold(folded.content(), groups));
+  }
+
+  /** Records that a group has failed on a worker and should run on others. */
+  void avoidWorker(GroupKey group, String worker) {
+    avoidedWorkers.computeIfAbsent(group, key -> new HashSet<>()).add(worker);
+  }
+
+  /** Returns the workers on which a group has failed. */
+  Set<String> avoidedWorkers(GroupKey group) {
+    return avoidedWorkers.getOrDefault(group, Set.of());
   }
 
   /** Records that a group was submitted to the scheduler. */
-  void recordSubmitted(GroupKey group) {
-    submitted.add(group);
+  void recordWaiting(GroupKey group) {
+    if (waiting.add(group)) {
+      openStep(group).ifPresent(step -> step.addWaiting(1));
+    }
+  }
+
+  /** Records that a group is not in the scheduler's queue any more. */
+  void recordNotWaiting(GroupKey group) {
+    if (waiting.remove(group)) {
+      openStep(group).ifPresent(step -> step.addWaiting(-1));
+    }
   }
 
-  /** Returns every group that was ever submitted to the scheduler. */
-  Set<GroupKey> submitted() {
-    return submitted;
+  private Optional<OpenStep> openStep(GroupKey group) {
+    return Optional.ofNullable(occurrences.get(group.occurrence()))
+        .flatMap(occurrence -> occurrence.openStep(group.step()));
+  }
+
+  /** Returns the groups in the scheduler's queue. */
+  Set<GroupKey> waiting() {
+    return Collections.unmodifiableSet(waiting);
   }
 
   /** Returns whether the job has ended, so that none of its groups may start. */
@@ -89,62 +198,90 @@
     closed = true;
   }
 
-  /** Returns the waiting groups of steps that have become ready since the last call. */
-  List<GroupKey> releaseReadyGroups(long wallMs, long earlyMs) {
+  /** Returns whether groups may start that were not released because of the limit. */
+  boolean isPartlyReleased() {
+    return !closed && !partlyReleased.isEmpty();
+  }
+
+  /**
+   * Returns the next waiting groups of steps that are ready. Each ready step has at least one group
+   * in the queue, so that none waits for work that cannot run.
+   *
+   * @param maxWaiting number of groups of the job that may wait in the queue, apart from the first
+   *     one of each ready step
+   */
+  List<GroupKey> releaseReadyGroups(long wallMs, int maxWaiting) {
     List<GroupKey> ready = new ArrayList<>();
     if (closed) {
       return ready;
     }
-    for (int k = 0; k < job.occurrences(); k++) {
-      Optional<Long> due = job.dueMs(k);
-      if (due.isPresent() && wallMs < due.get() - earlyMs) {
-        break;
+    do {
+      int maxWaitingOfStep = Math.max(1, maxWaiting / Math.max(1, partlyReleased.size()));
+      partlyReleased.removeIf(step -> releaseGroups(step, maxWaitingOfStep, ready));
+    } while (waiting.size() + ready.size() < maxWaiting && openNextOccurrence(wallMs));
+    return ready;
+  }
+
+  // Returns whether all groups of the step are released now.
+  private boolean releaseGroups(OpenStep step, int maxWaiting, List<GroupKey> ready) {
+    boolean gang = job.steps().get(step.step()).gang();
+    int added = 0;
+    while (!step.isReleased() && step.waiting() + added < maxWaiting) {
+      int index = step.releaseNext();
+      GroupKey group =
+          new GroupKey(
+              job.id(), step.occurrence(), step.step(), gang ? GroupKey.WHOLE_STEP : index);
+      if (state(group).phase() == GroupPhase.WAITING && !waiting.contains(group)) {
+        ready.add(group);
+        added++;
       }
-      releaseSteps(k, occurrence(k), ready);
     }
-    return ready;
+    return step.isReleased();
   }
 
-  /** Returns whether every group of every occurrence is done. */
-  boolean allDone() {
-    if (occurrences.size() < job.occurrences()) {
+  private boolean openNextOccurrence(long wallMs) {
+    skipDoneOccurrences();
+    int maxOpen =
+        Math.max(MIN_OPEN_OCCURRENCES, MAX_STEPS_OF_OPEN_OCCURRENCES / job.steps().size());
+    if (nextOccurrence >= job.occurrences() || occurrences.size() >= maxOpen) {
       return false;
     }
-    for (Occurrence occurrence : occurrences) {
-      for (int step = 0; step < job.steps().size(); step++) {
-        if (!isStepDone(occurrence, step)) {
-          return false;
-        }
-      }
+    Optional<Long> due = job.dueMs(nextOccurrence);
+    if (due.isPresent() && wallMs < due.get()) {
+      return false;
     }
+    open(occurrence(nextOccurrence++));
     return true;
   }
 
-  private void releaseSteps(int k, Occurrence occurrence, List<GroupKey> ready) {
-    for (int step = 0; step < job.steps().size(); step++) {
-      StepSpec spec = job.steps().get(step);
-      boolean unblocked = spec.after().stream().allMatch(before -> isStepDone(occurrence, before));
-      if (occurrence.released[step] || !unblocked) {
-        continue;
-      }
-      occurrence.released[step] = true;
-      for (int i = 0; i < spec.groups(); i++) {
-        GroupKey group = new GroupKey(job.id(), k, step, spec.gang() ? GroupKey.WHOLE_STEP : i);
-        if (state(group).phase() == GroupPhase.WAITING) {
-          ready.add(group);
-        }
-      }
+  private void open(OccurrenceProgress occurrence) {
+    if (!occurrence.opened()) {
+      occurrence.open();
+      partlyReleased.addAll(occurrence.openUnblockedSteps());
+    }
+  }
+
+  private void skipDoneOccurrences() {
+    OccurrenceProgress next = occurrences.get(nextOccurrence);
+    while (next != null && next.isDone()) {
+      occurrences.remove(nextOccurrence++);
+      next = occurrences.get(nextOccurrence);
     }
   }
 
-  private boolean isStepDone(Occurrence occurrence, int step) {
-    return occurrence.doneGroups[step] >= job.steps().get(step).groups();
+  /** Returns whether every group of every occurrence is done. */
+  boolean allDone() {
+    skipDoneOccurrences();
+    return nextOccurrence >= job.occurrences() && occurrences.isEmpty();
   }
 
-  private Occurrence occurrence(int k) {
-    while (occurrences.size() <= k) {
-      occurrences.add(new Occurrence(job.steps().size()));
-    }
-    return occurrences.get(k);
+  /** Returns whether all groups of a step of an occurrence are done. */
+  boolean isStepDone(int occurrence, int step) {
+    OccurrenceProgress known = occurrences.get(occurrence);
+    return known == null ? occurrence < nextOccurrence : known.isStepDone(step);
+  }
+
+  private OccurrenceProgress occurrence(int number) {
+    return occurrences.computeIfAbsent(number, key -> new OccurrenceProgress(key, job));
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
@@ -15,6 +15,7 @@
   private final String id;
   private final Map<GroupKey, GroupState> groups = new HashMap<>();
   private Optional<BatchJob> job = Optional.empty();
+  private Optional<LogContent.DoneGroups> doneGroups = Optional.empty();
   private Optional<LogContent.End> end = Optional.empty();
   private boolean cancelled;
 
@@ -47,6 +48,11 @@
     return Collections.unmodifiableMap(groups);
   }
 
+  /** Returns the done groups that have no state in the log any more. */
+  public Optional<LogContent.DoneGroups> doneGroups() {
+    return doneGroups;
+  }
+
   /** Returns the state shown to the submitter. */
   public BatchState state() {
     if (end.isPresent()) {
@@ -55,7 +61,7 @@
     if (cancelled) {
       return BatchState.CANCELLED;
     }
-    return groups.isEmpty() ? BatchState.QUEUED : BatchState.RUNNING;
+    return groups.isEmpty() && doneGroups.isEmpty() ? BatchState.QUEUED : BatchState.RUNNING;
   }
 
   /**
@@ -64,6 +70,7 @@
   public boolean pending() {
     return end.isEmpty()
         && !cancelled
+        && doneGroups.isEmpty()
         && groups.values().stream().noneMatch(GroupState::mayHaveBegun);
   }
 
@@ -79,6 +86,10 @@
     end = next;
   }
 
+  void setDoneGroups(Optional<LogContent.DoneGroups> next) {
+    doneGroups = next;
+  }
+
   void setCancelled(boolean next) {
     cancelled = next;
   }
@@ -92,6 +103,6 @@
   }
 
   boolean isEmpty() {
-    return job.isEmpty() && end.isEmpty() && !cancelled && groups.isEmpty();
+    return job.isEmpty() && end.isEmpty() && !cancelled && groups.isEmpty() && doneGroups.isEmpty();
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -31,6 +31,8 @@
       case JOB -> applyDefinition(name, entry.content());
       case CANCEL -> recordFor(name).setCancelled(entry.content().isPresent());
       case END -> recordFor(name).setEnd(entry.content().map(LogContent.End.class::cast));
+      case DONE_GROUPS ->
+          recordFor(name).setDoneGroups(entry.content().map(LogContent.DoneGroups.class::cast));
       case HOST -> applyHost(name, entry.content());
       case LEASE_STOP -> {
         // Kept by LeaseStops, with the time at which it was read.
--- a/core/src/main/java/org/wheatwall/core/batch/decision/PermitManager.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/PermitManager.java
@@ -41,7 +41,7 @@
     queues = Set.copyOf(next);
     steps.clear();
     for (JobProgress progress : term.jobs.values()) {
-      for (GroupKey group : progress.submitted()) {
+      for (GroupKey group : List.copyOf(progress.waiting())) {
         if (term.scheduler.isWaiting(group.text())) {
           addGroup(progress.job(), group);
           term.scheduler.updateWaiting(group.text(), term.toSchedulerJob(progress, group));
@@ -158,7 +158,7 @@
       StepPermits permits = entry.getValue();
       permits.groups().removeIf(group -> !term.scheduler.isWaiting(group.text()));
       JobProgress progress = term.jobs.get(entry.getKey().jobId());
-      if (progress == null) {
+      if (progress == null || isDone(progress, entry.getKey())) {
         steps.remove(entry.getKey());
       } else if (!permits.groups().isEmpty()) {
         if (permits.refreshPlannable(term.nowMs)) {
@@ -171,6 +171,10 @@
     }
   }
 
+  private static boolean isDone(JobProgress progress, StepKey key) {
+    return progress.isStepDone(key.occurrence(), key.step());
+  }
+
   /** Describes the permits of a group for operators; empty if it needs none. */
   Optional<String> explain(BatchJob job, GroupKey group) {
     if (!needsPermits(job)) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunEvent.java
@@ -22,6 +22,7 @@
     END_PASSED_OVER,
     TASK_FAILED,
     RUN_ADOPTED,
+    JOB_PARTLY_RELEASED,
     JOB_ENDED,
     JOB_DROPPED,
     FIRST_DECISION,
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunLifecycle.java
@@ -1,7 +1,6 @@
 package org.wheatwall.core.batch.decision;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.function.BiFunction;
 import org.wheatwall.core.batch.model.BatchState;
@@ -67,7 +66,10 @@
         group.jobId(),
         group.text(),
         "run " + failedRun + " on " + worker);
-    term.avoided.computeIfAbsent(group, key -> new HashSet<>()).add(worker);
+    if (progress.isFolded(group)) {
+      return;
+    }
+    progress.avoidWorker(group, worker);
     GroupState state = progress.state(group).withFailure(failedRun);
     progress.setState(group, state);
     term.runs.ofGroup(group).ifPresent(run -> run.setState(state));
@@ -82,7 +84,7 @@
     boolean exhausted = areAttemptsExhausted(progress, group, state);
     boolean waiting = state.phase() == GroupPhase.WAITING && term.runs.ofGroup(group).isEmpty();
     if (exhausted && !progress.closed() && waiting) {
-      term.scheduler.withdraw(group.text());
+      term.withdraw(progress, group);
       failGroup(progress, group, state);
     }
   }
@@ -109,18 +111,31 @@
     term.logEvent(RunEvent.Kind.GROUP_DONE, group.jobId(), group.text(), "run " + completedRun);
     GroupRun run = term.runs.ofGroup(group).orElse(null);
     if (run == null) {
-      term.scheduler.withdraw(group.text());
+      term.withdraw(progress, group);
     } else if (run.state().run() == completedRun && run.launched()) {
       removeRun(run, EndReason.SUCCEEDED);
     } else {
       stopRun(run, "an earlier run was done");
     }
+    foldDoneGroups(progress);
     term.submitReady(progress);
     if (progress.allDone()) {
       endJob(progress, BatchState.SUCCEEDED, "every task is done");
     }
   }
 
+  /** Replaces the records of many done groups by one. */
+  void foldDoneGroups(JobProgress progress) {
+    progress.foldDoneGroups().ifPresent(fold -> addToLog(progress, fold));
+  }
+
+  private void addToLog(JobProgress progress, JobProgress.Fold fold) {
+    term.pendingEntries.add(LogEntry.of(LogKey.doneGroups(progress.job().id()), fold.content()));
+    for (GroupKey group : fold.groups()) {
+      term.pendingEntries.add(LogEntry.tombstone(LogKey.group(group)));
+    }
+  }
+
   /**
    * Records that a task neither runs nor can start any more. The logged state changes only if the
    * group is active: a done group stays done while a later run of it is being stopped, and a run
@@ -336,6 +351,9 @@
         term.pendingEntries.add(LogEntry.tombstone(LogKey.group(group)));
       }
     }
+    if (progress.hasFoldedGroups()) {
+      term.pendingEntries.add(LogEntry.tombstone(LogKey.doneGroups(progress.job().id())));
+    }
     withdrawWaitingGroups(progress);
     for (GroupRun run : term.runs.ofJob(progress.job().id())) {
       stopRun(run, "its job has ended");
@@ -344,11 +362,7 @@
   }
 
   void withdrawWaitingGroups(JobProgress progress) {
-    for (GroupKey group : progress.submitted()) {
-      if (term.runs.ofGroup(group).isEmpty()) {
-        term.scheduler.withdraw(group.text());
-      }
-    }
+    List.copyOf(progress.waiting()).forEach(group -> term.withdraw(progress, group));
   }
 
   void removeRun(GroupRun run, EndReason reason) {
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -555,6 +555,7 @@
     hostSpeedUpdater.applyChanges();
     runTimeRatioUpdater.ifPresent(RunTimeRatioUpdater::applyChanges);
     decisionExecutor.execute(term.scheduler.decide(term.nowMs));
+    term.replacePlacedGroups();
     term.dirty |= term.scheduler.passIncomplete();
   }
 
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -1,7 +1,6 @@
 package org.wheatwall.core.batch.decision;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -24,6 +23,9 @@
  */
 final class TermState {
   private static final int MAX_REMEMBERED_ENDED_JOBS = 10_000;
+  // A waiting group needs a kilobyte of the heap.
+  private static final int MAX_WAITING_GROUPS = 16_000;
+  private static final int MAX_WAITING_GROUPS_OF_JOB = 1000;
 
   final SupervisorSettings settings;
   final RunEffects effects;
@@ -31,6 +33,7 @@
   final WorkerRegistry workers;
   final Map<String, JobProgress> jobs = new LinkedHashMap<>();
   final Set<JobProgress> recurring = new LinkedHashSet<>();
+  private final Set<JobProgress> placedFrom = new LinkedHashSet<>();
   final RunIndex runs = new RunIndex();
   final PendingStops pendingStops = new PendingStops(this);
   final OrphanedRuns orphanedRuns = new OrphanedRuns(this);
@@ -38,7 +41,6 @@
   final LeaseExtensions leaseExtensions = new LeaseExtensions(this);
   final WaitTracker waits = new WaitTracker(this);
   final PreferenceRelaxation preferenceRelaxation = new PreferenceRelaxation(this);
-  final Map<GroupKey, Set<String>> avoided = new HashMap<>();
   final Set<String> endedJobs = new LinkedHashSet<>();
   final List<LogEntry> pendingEntries = new ArrayList<>();
   boolean dirty;
@@ -97,18 +99,20 @@
   Job toSchedulerJob(JobProgress progress, GroupKey group) {
     BatchJob job = progress.job();
     PlacementPreferences preferences =
-        preferenceRelaxation.isRelaxed(group) ? PlacementPreferences.NONE : preferences(job, group);
+        preferenceRelaxation.isRelaxed(group)
+            ? PlacementPreferences.NONE
+            : preferences(progress, group);
     boolean suspect = progress.state(group).suspect();
     return GroupJobs.of(job, group, preferences, permits.permittedWorkers(job, group), suspect);
   }
 
-  private PlacementPreferences preferences(BatchJob job, GroupKey group) {
+  private PlacementPreferences preferences(JobProgress progress, GroupKey group) {
+    BatchJob job = progress.job();
     StepSpec step = job.steps().get(group.step());
     boolean oneRack =
         step.sameRack()
             && workers.someRackFits(step, job.service(), permits.rackWorkers(job, group));
-    return new PlacementPreferences(
-        avoided.getOrDefault(group, Set.of()), step.dataRack(), oneRack);
+    return new PlacementPreferences(progress.avoidedWorkers(group), step.dataRack(), oneRack);
   }
 
   /** Updates the scheduler's jobs of waiting groups whose placement preferences have changed. */
@@ -135,14 +139,59 @@
     }
   }
 
+  /**
+   * Submits the groups of a job that are ready, as far as the limits on waiting groups permit.
+   * Others follow as these are placed.
+   */
   void submitReady(JobProgress progress) {
-    for (GroupKey group : progress.releaseReadyGroups(wallMs, 0)) {
-      submit(progress, group);
+    boolean wasPartlyReleased = progress.isPartlyReleased();
+    int room = MAX_WAITING_GROUPS - scheduler.waiting().size();
+    int maxWaiting = Math.max(1, Math.min(MAX_WAITING_GROUPS_OF_JOB, room));
+    for (GroupKey group : progress.releaseReadyGroups(wallMs, maxWaiting)) {
+      if (runs.ofGroup(group).isEmpty()) {
+        submit(progress, group);
+      }
     }
+    if (progress.isPartlyReleased() && !wasPartlyReleased) {
+      logEvent(
+          RunEvent.Kind.JOB_PARTLY_RELEASED,
+          progress.job().id(),
+          "",
+          progress.waiting().size()
+              + " groups wait, at most "
+              + maxWaiting
+              + "; "
+              + scheduler.waiting().size()
+              + " of all jobs");
+    }
+  }
+
+  /** Records that the scheduler has placed a group of a job. */
+  void onPlaced(JobProgress progress, GroupKey group) {
+    progress.recordNotWaiting(group);
+    preferenceRelaxation.remove(group);
+    placedFrom.add(progress);
+  }
+
+  /** Submits further groups of the jobs of which groups were placed since the last call. */
+  void replacePlacedGroups() {
+    for (JobProgress progress : placedFrom) {
+      if (progress.isPartlyReleased()) {
+        submitReady(progress);
+      }
+    }
+    placedFrom.clear();
+  }
+
+  /** Removes a group from the scheduler's queue. */
+  void withdraw(JobProgress progress, GroupKey group) {
+    progress.recordNotWaiting(group);
+    preferenceRelaxation.remove(group);
+    scheduler.withdraw(group.text());
   }
 
   void submit(JobProgress progress, GroupKey group) {
-    progress.recordSubmitted(group);
+    progress.recordWaiting(group);
     permits.addGroup(progress.job(), group);
     waits.startWait(group);
     preferenceRelaxation.onWaitStarted(group);
@@ -182,8 +231,7 @@
     if (progress.closed() && !runs.hasJob(id)) {
       jobs.remove(id);
       recurring.remove(progress);
-      avoided.keySet().removeAll(progress.submitted());
-      progress.submitted().forEach(preferenceRelaxation::remove);
+      progress.waiting().forEach(preferenceRelaxation::remove);
     }
   }
 
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermTakeOver.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermTakeOver.java
@@ -30,7 +30,7 @@
 
   private void takeOver(BatchJob job, JobRecord record) {
     JobProgress progress = term.addJob(job);
-    record.groups().forEach(progress::setState);
+    progress.restore(record.groups(), record.doneGroups());
     if (record.end().isPresent()) {
       progress.close();
     }
@@ -50,6 +50,7 @@
       lifecycle.endJob(progress, BatchState.SUCCEEDED, "every task is done");
     } else {
       failIfExhausted(progress);
+      lifecycle.foldDoneGroups(progress);
       term.submitReady(progress);
     }
   }
--- a/core/src/main/java/org/wheatwall/core/batch/model/GroupState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/GroupState.java
@@ -28,6 +28,10 @@
   public static final GroupState NEW =
       new GroupState(GroupPhase.WAITING, 0, 0, 0, List.of(), "", List.of());
 
+  /** State of a done group whose runs are not known any more. */
+  public static final GroupState DONE =
+      new GroupState(GroupPhase.DONE, 0, 0, 0, List.of(), "", List.of());
+
   /** Copies the lists. */
   public GroupState {
     Objects.requireNonNull(phase);
--- a/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
@@ -1,9 +1,14 @@
 package org.wheatwall.core.batch.model;
 
+import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** Content of a job log record. */
 public sealed interface LogContent {
@@ -24,6 +29,28 @@
   /** State of a group of tasks. */
   record Group(GroupState state) implements LogContent {}
 
+  /**
+   * The done groups of a job that have no record of their own any more.
+   *
+   * @param wholeOccurrences number of the first occurrence of which not all groups are among them
+   * @param occurrences for later occurrences, the positions of the groups among all groups of the
+   *     occurrence, in the order of steps and indexes
+   */
+  record DoneGroups(int wholeOccurrences, SortedMap<Integer, BitSet> occurrences)
+      implements LogContent {
+    /** Copies the positions. */
+    public DoneGroups {
+      occurrences =
+          occurrences.entrySet().stream()
+              .collect(
+                  Collectors.toMap(
+                      Map.Entry::getKey,
+                      entry -> (BitSet) entry.getValue().clone(),
+                      (one, other) -> one,
+                      TreeMap::new));
+    }
+  }
+
   /**
    * Announcement of an entry host, with the address at which it accepts forwarded calls.
    *
--- a/core/src/main/java/org/wheatwall/core/batch/model/LogKey.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogKey.java
@@ -20,6 +20,7 @@
     END('E'),
     GROUP('G'),
     HOST('H'),
+    DONE_GROUPS('D'),
     LEASE_STOP('L');
 
     private final char letter;
@@ -30,7 +31,11 @@
 
     /** Returns whether only the decider writes records of this kind. */
     public boolean writtenByDecider() {
-      return this == TERM || this == END || this == GROUP || this == LEASE_STOP;
+      return this == TERM
+          || this == END
+          || this == GROUP
+          || this == DONE_GROUPS
+          || this == LEASE_STOP;
     }
   }
 
@@ -67,6 +72,11 @@
     return new LogKey(Kind.END, jobId);
   }
 
+  /** Returns the key of the done groups of a job whose own records were dropped. */
+  public static LogKey doneGroups(String jobId) {
+    return new LogKey(Kind.DONE_GROUPS, jobId);
+  }
+
   /** Returns the key of an entry host. */
   public static LogKey host(String name) {
     return new LogKey(Kind.HOST, name);
--- a/core/src/main/java/org/wheatwall/core/batch/model/Recurrence.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/Recurrence.java
@@ -23,8 +23,12 @@
     }
   }
 
-  /** Returns when an occurrence, counted from 0, is due, Unix milliseconds. */
+  /**
+   * Returns when an occurrence, counted from 0, is due, Unix milliseconds; the largest value if
+   * that is beyond the range of the clock.
+   */
   public long dueMs(int occurrence) {
-    return firstDueMs + intervalMs * occurrence;
+    boolean overflows = occurrence > 0 && intervalMs > (Long.MAX_VALUE - firstDueMs) / occurrence;
+    return overflows ? Long.MAX_VALUE : firstDueMs + intervalMs * occurrence;
   }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/AdmissionControl.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/AdmissionControl.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import org.wheatwall.core.batch.decision.AdmissionRule;
 import org.wheatwall.core.batch.decision.BacklogTracker;
+import org.wheatwall.core.batch.decision.JobRecord;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupState;
@@ -69,6 +70,10 @@
     backlog.onGroupChanged(group, before, after);
   }
 
+  void onGroupsRead(JobRecord record) {
+    backlog.onGroupsRead(record);
+  }
+
   /** Removes all jobs, before the replica of the job log is rebuilt. */
   void onReset() {
     backlog.clear();
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -185,8 +185,8 @@
       case END -> onEnd(key.name(), entry.content().isPresent());
       case GROUP ->
           GroupKey.parse(key.name()).ifPresent(group -> onGroup(group, groupBefore, entry));
-      case LEASE_STOP -> {
-        // Nobody waits for it.
+      case DONE_GROUPS, LEASE_STOP -> {
+        // Nobody waits for them.
       }
     }
   }
@@ -231,11 +231,7 @@
   private void addToBacklog(JobRecord record) {
     if (record.job().isPresent() && record.end().isEmpty() && !record.cancelled()) {
       admission.onJob(record.job().get());
-      record
-          .groups()
-          .forEach(
-              (group, state) ->
-                  admission.onGroupChanged(group, Optional.empty(), Optional.of(state)));
+      admission.onGroupsRead(record);
     }
   }
 
--- a/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -1,9 +1,13 @@
 package org.wheatwall.wire.batch;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.BitSet;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
 import org.wheatwall.core.batch.model.GroupMember;
@@ -23,6 +27,8 @@
 import org.wheatwall.wire.message.BatchJobRecord;
 import org.wheatwall.wire.message.BatchStepRecord;
 import org.wheatwall.wire.message.CancelRecord;
+import org.wheatwall.wire.message.DoneGroupsRecord;
+import org.wheatwall.wire.message.DoneOccurrenceRecord;
 import org.wheatwall.wire.message.GroupMemberRecord;
 import org.wheatwall.wire.message.GroupRecord;
 import org.wheatwall.wire.message.GroupRunPhase;
@@ -85,6 +91,9 @@
     if (content instanceof LogContent.Group group) {
       return group(group.state()).toByteArray();
     }
+    if (content instanceof LogContent.DoneGroups done) {
+      return doneGroups(done).toByteArray();
+    }
     if (content instanceof LogContent.Host host) {
       return HostRecord.newBuilder()
           .setAddress(host.address())
@@ -106,11 +115,34 @@
       case END -> end(JobEndRecord.parseFrom(value));
       case GROUP -> new LogContent.Group(group(GroupRecord.parseFrom(value)));
       case TERM -> term(TermRecord.parseFrom(value));
+      case DONE_GROUPS -> doneGroups(DoneGroupsRecord.parseFrom(value));
       case HOST -> host(HostRecord.parseFrom(value));
       case LEASE_STOP -> leaseStop(LeaseStopRecord.parseFrom(value));
     };
   }
 
+  private static DoneGroupsRecord doneGroups(LogContent.DoneGroups done) {
+    DoneGroupsRecord.Builder record =
+        DoneGroupsRecord.newBuilder().setWholeOccurrences(done.wholeOccurrences());
+    done.occurrences()
+        .forEach(
+            (occurrence, groups) ->
+                record.addOccurrences(
+                    DoneOccurrenceRecord.newBuilder()
+                        .setOccurrence(occurrence)
+                        .setGroups(ByteString.copyFrom(groups.toByteArray()))));
+    return record.build();
+  }
+
+  private static LogContent.DoneGroups doneGroups(DoneGroupsRecord record) {
+    SortedMap<Integer, BitSet> occurrences = new TreeMap<>();
+    for (DoneOccurrenceRecord occurrence : record.getOccurrencesList()) {
+      occurrences.put(
+          occurrence.getOccurrence(), BitSet.valueOf(occurrence.getGroups().toByteArray()));
+    }
+    return new LogContent.DoneGroups(record.getWholeOccurrences(), occurrences);
+  }
+
   private static LogContent.Host host(HostRecord record) {
     return new LogContent.Host(record.getAddress(), record.getZone());
   }
--- a/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -2,10 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -156,6 +159,16 @@
     }
   }
 
+  @Test
+  void doneGroupsAreReadAsTheyWereWritten() {
+    BitSet groups = new BitSet();
+    groups.set(0);
+    groups.set(4999);
+    LogContent.DoneGroups done =
+        new LogContent.DoneGroups(3, new TreeMap<>(Map.of(5, groups, 9_999, new BitSet())));
+    assertReadAsWritten(LogEntry.of(LogKey.doneGroups(ID), done));
+  }
+
   private static void assertReadAsWritten(LogEntry entry) {
     Optional<LogEntry> read =
         JobLogCodec.decode(entry.key().text(), JobLogCodec.encodeValue(entry));
