Records of a decision are appended in calls of limited size

Cause: the records of one processed event were one append, however many they were; only events together were kept below 64 KB. Read from the store's record of the case and from LogWriter.

They are now sent in order in several calls of at most 64 KB and 500 records.

LogWriterTest#manyRecordsAreSentInSeveralCallsOfLimitedSize; the method is new, before it the append of 70,000 tombstones was one call of 1.9 MB.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -280,7 +280,7 @@
             .map(entry -> new KeyedRecord(entry.key().text(), JobLogCodec.encodeValue(entry)))
             .toList();
     return writer
-        .append(records, Long.MAX_VALUE)
+        .appendInParts(records, Long.MAX_VALUE)
         .whenComplete((done, failure) -> onWriteDone(failure));
   }
 
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/KeyedRecord.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/KeyedRecord.java
@@ -5,4 +5,9 @@
  *
  * @param value bytes, not copied; empty for a tombstone, which drops the key
  */
-public record KeyedRecord(String key, byte[] value) {}
+public record KeyedRecord(String key, byte[] value) {
+  /** Returns the number of bytes of key and value. */
+  int bytes() {
+    return key.length() + value.length;
+  }
+}
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -99,6 +99,28 @@
     return result;
   }
 
+  /**
+   * Appends records as {@link #append} does, but in several calls if they exceed the size of one:
+   * if this process ends meanwhile, the log may have only the first of them. Completes once all are
+   * appended.
+   */
+  public CompletableFuture<Void> appendInParts(List<KeyedRecord> records, long deadlineMs) {
+    List<CompletableFuture<Void>> parts = new ArrayList<>();
+    int from = 0;
+    int bytes = 0;
+    for (int i = 0; i < records.size(); i++) {
+      int size = records.get(i).bytes();
+      if (i > from && (i - from >= MAX_RECORDS || bytes + size > MAX_BYTES)) {
+        parts.add(append(records.subList(from, i), deadlineMs));
+        from = i;
+        bytes = 0;
+      }
+      bytes += size;
+    }
+    parts.add(append(records.subList(from, records.size()), deadlineMs));
+    return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new));
+  }
+
   /**
    * Returns the outcome of the record with this key that is in flight, empty if there is none. The
    * record is not abandoned before {@code deadlineMs}. Fails as {@link #append} does.
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/PendingAppend.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/PendingAppend.java
@@ -12,7 +12,7 @@
   private record Waiter(long deadlineMs, CompletableFuture<Void> result) {}
 
   PendingAppend(List<KeyedRecord> records) {
-    this.records = records;
+    this.records = List.copyOf(records);
   }
 
   List<KeyedRecord> records() {
@@ -24,11 +24,7 @@
   }
 
   int bytes() {
-    int bytes = 0;
-    for (KeyedRecord record : records) {
-      bytes += record.key().length() + record.value().length;
-    }
-    return bytes;
+    return records.stream().mapToInt(KeyedRecord::bytes).sum();
   }
 
   /** Returns the outcome of these records for a caller that waits until {@code deadlineMs}. */
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -278,4 +278,22 @@
     append("c", 5000);
     log.assertNoNumberInFlightIsReused();
   }
+
+  // Guards against a record set that the log refuses for its size and that is resent for good.
+  @Test
+  void manyRecordsAreSentInSeveralCallsOfLimitedSize() {
+    List<KeyedRecord> records = new ArrayList<>();
+    for (int i = 0; i < 70_000; i++) {
+      records.add(new KeyedRecord("G/00000000000000aa.0.0." + i, new byte[0]));
+    }
+    CompletableFuture<Void> result = writer.appendInParts(records, Long.MAX_VALUE);
+    List<KeyedRecord> sent = new ArrayList<>();
+    while (!result.isDone()) {
+      List<KeyedRecord> call = log.calls.get(log.calls.size() - 1).records();
+      assertThat(call.stream().mapToInt(KeyedRecord::bytes).sum()).isAtMost(64 * 1024);
+      sent.addAll(call);
+      log.accept();
+    }
+    assertThat(sent).isEqualTo(records);
+  }
 }
