Accepted jobs are limited by the memory that they need

Callers saw: a few jobs inside all limits are accepted and fill the heap of every host that holds them, so that all end (measured leads: five jobs of 1,000 steps, seven of 15,000 lasting tasks).

Cause: nothing bounds the sum of accepted jobs. With large jobs released in parts, what remains for each is its definition in every replica, and a waiting group of each ready step at the decider.

Each host derives that sum from its replica of the log, so that all refuse alike, before the 2xx: 429 with Retry-After.

--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.wheatwall.core.batch.decision.JobMemory;
 import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.decision.WaitSummary;
@@ -94,8 +95,12 @@
             clock.nowMs());
     this.endWaiters = new JobEndWaiters(timer);
     this.admission = new AdmissionControl(settings.features(), context);
+    JobMemoryLimit memoryLimit =
+        new JobMemoryLimit(JobMemory.ofHeap(Runtime.getRuntime().maxMemory()), context);
     RunTimeTracker runTimes = new RunTimeTracker(settings.features().speedAware().enabled());
-    this.replica = new JobReplica(rule, roster, endWaiters, admission, clock, decisions, runTimes);
+    this.replica =
+        new JobReplica(
+            rule, roster, endWaiters, admission, memoryLimit, clock, decisions, runTimes);
     this.election = new TermElection(settings, process, context, ports, rule, replica, roster);
     this.replica.setListener(election);
     this.follower =
@@ -112,7 +117,8 @@
             replica,
             intake,
             endWaiters,
-            job -> admission.check(job, roster.peers().size() + 1));
+            job ->
+                memoryLimit.check(job).or(() -> admission.check(job, roster.peers().size() + 1)));
     this.replica.onLogRecovered(this::logRecovered);
     metrics.gauge("batch.jobs.kept", () -> () -> replica.table().jobs().size());
     metrics.gauge("batch.term.held", () -> rule::term);
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -38,6 +38,7 @@
   private final Clock clock;
   private final DecisionLog decisions;
   private final AdmissionControl admission;
+  private final JobMemoryLimit memoryLimit;
   private final RunTimeTracker runTimes;
   private final EndedJobs endedJobs = new EndedJobs();
   private final LeaseStops leaseStops = new LeaseStops();
@@ -66,6 +67,7 @@
       HostRoster roster,
       JobEndWaiters endWaiters,
       AdmissionControl admission,
+      JobMemoryLimit memoryLimit,
       Clock clock,
       DecisionLog decisions,
       RunTimeTracker runTimes) {
@@ -73,6 +75,7 @@
     this.roster = roster;
     this.endWaiters = endWaiters;
     this.admission = admission;
+    this.memoryLimit = memoryLimit;
     this.clock = clock;
     this.decisions = decisions;
     this.runTimes = runTimes;
@@ -132,7 +135,9 @@
     table.hosts().keySet().forEach(name -> roster.recordSeen(name, clock.nowMs()));
     resetEndedJobs();
     admission.onReset();
+    memoryLimit.onReset();
     for (JobRecord record : List.copyOf(table.jobs())) {
+      memoryLimit.onJob(record);
       addToBacklog(record);
       record.job().filter(job -> record.end().isEmpty()).ifPresent(listener::onJob);
       if (record.cancelled()) {
@@ -176,7 +181,10 @@
     }
     switch (key.kind()) {
       case TERM -> onTerm((LogContent.Term) entry.content().orElseThrow(), offset);
-      case JOB -> table.job(key.name()).ifPresent(this::onJob);
+      case JOB -> {
+        memoryLimit.onJobDropped(key.name());
+        table.job(key.name()).ifPresent(this::onJob);
+      }
       case CANCEL -> {
         admission.onJobClosed(key.name());
         listener.onCancellation(key.name());
@@ -208,6 +216,7 @@
   }
 
   private void onJob(JobRecord record) {
+    memoryLimit.onJob(record);
     if (record.end().isEmpty()) {
       addToBacklog(record);
       record.job().ifPresent(listener::onJob);
@@ -219,6 +228,7 @@
   }
 
   private void onEnd(String jobId, boolean ended) {
+    table.job(jobId).ifPresent(memoryLimit::onJob);
     if (ended) {
       endedJobs.add(jobId, clock.nowMs());
     } else {
--- a/entry/src/test/java/org/wheatwall/entry/batch/JobReplicaTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/JobReplicaTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.decision.JobMemory;
 import org.wheatwall.core.batch.decision.RunEffects;
 import org.wheatwall.core.batch.decision.RunEvent;
 import org.wheatwall.core.batch.decision.RunSupervisor;
@@ -103,6 +104,7 @@
             new HostRoster("host", new LogContent.Host("peer", "zone"), clock.nowMs()),
             new JobEndWaiters(time::after),
             new AdmissionControl(SchedulingFeatures.NONE, context),
+            new JobMemoryLimit(new JobMemory(Long.MAX_VALUE), context),
             clock,
             decisions,
             new RunTimeTracker());
--- a/entry/src/test/java/org/wheatwall/entry/batch/TermElectionTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/TermElectionTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.wheatwall.core.batch.decision.JobMemory;
 import org.wheatwall.core.batch.decision.JobTable;
 import org.wheatwall.core.batch.decision.RunTimeTracker;
 import org.wheatwall.core.batch.decision.TermRule;
@@ -109,6 +110,7 @@
             roster,
             new JobEndWaiters(time::after),
             admission,
+            new JobMemoryLimit(new JobMemory(Long.MAX_VALUE), context),
             clock,
             decisions,
             new RunTimeTracker());
