A cancellation of an unknown job applies to submissions on their way

Cause: 410 was concluded from what this host has read, while the record of a submission was on its way from another.

Now the order of the log decides. A definition names the offset up to which its host had read the log when the call arrived; a cancellation of a job that is not known is written, with whose jobs it may cancel, before the 410. It applies to every submission whose host had not read it, whether it stands before or behind it, and to none that came later. No clock is compared, and no other host is asked.

- A host answers 2xx once it has read its own record and found it valid; a void one is refused with 503, which is true: it never runs.
- A host that stood still (a second or more without its periodic task) counts what it had read before that for calls that it processes in the first half second, and tells it to the host to which it forwards one.
- A later attempt that is void on its own hides the accepted one from whoever reads only the newest records; the decider writes that again.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobRecord.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.CancelScope;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.LogContent;
@@ -14,10 +15,12 @@
 public final class JobRecord {
   private final String id;
   private final Map<GroupKey, GroupState> groups = new HashMap<>();
-  private Optional<BatchJob> job = Optional.empty();
+  private Optional<LogContent.Definition> definition = Optional.empty();
+  private Optional<LogContent.Cancellation> cancellation = Optional.empty();
   private Optional<LogContent.DoneGroups> doneGroups = Optional.empty();
   private Optional<LogContent.End> end = Optional.empty();
-  private boolean cancelled;
+  private long definitionOffset;
+  private long cancellationOffset;
 
   JobRecord(String id) {
     this.id = id;
@@ -30,7 +33,12 @@
 
   /** Returns the definition of the job; empty if the log has only other records of it. */
   public Optional<BatchJob> job() {
-    return job;
+    return definition.map(LogContent.Definition::job);
+  }
+
+  /** Returns the record of the definition. */
+  public Optional<LogContent.Definition> definition() {
+    return definition;
   }
 
   /** Returns how the job ended; empty if it has not. */
@@ -38,9 +46,45 @@
     return end;
   }
 
-  /** Returns whether cancellation of the job was requested. */
+  /** Returns whether the job was cancelled, before its definition or after it. */
   public boolean cancelled() {
-    return cancelled;
+    return cancellation.isPresent()
+        && definition.map(known -> isCancelled(known, definitionOffset)).orElse(true);
+  }
+
+  /** Returns whose jobs the cancellation applies to; empty if there is none, or to all. */
+  public Optional<CancelScope> cancelScope() {
+    return cancellation.flatMap(LogContent.Cancellation::scope);
+  }
+
+  /**
+   * Returns whether the only definition was submitted before a cancellation that precedes it in the
+   * log: the job was never accepted, and another submission may still be.
+   */
+  public boolean isVoid() {
+    return definition.filter(known -> isVoid(known, definitionOffset)).isPresent();
+  }
+
+  /** Returns whether a definition at an offset would be void. */
+  boolean isVoid(LogContent.Definition next, long offset) {
+    return cancelScope().isPresent() && cancellationOffset < offset && isCancelled(next, offset);
+  }
+
+  private boolean isCancelled(LogContent.Definition next, long offset) {
+    Optional<CancelScope> scope = cancelScope();
+    if (scope.isEmpty()) {
+      return cancellation.isPresent();
+    }
+    return scope.get().covers(next.job().workspace(), next.job().queue())
+        && cancellationOffset >= next.readOffset().orElse(offset);
+  }
+
+  /** Returns whether the log has no job and no state of it, only a cancellation if anything. */
+  public boolean isWithoutJob() {
+    return (definition.isEmpty() || isVoid())
+        && end.isEmpty()
+        && groups.isEmpty()
+        && doneGroups.isEmpty();
   }
 
   /** Returns the groups of tasks that have a state in the log. */
@@ -58,7 +102,7 @@
     if (end.isPresent()) {
       return end.get().state();
     }
-    if (cancelled) {
+    if (cancelled()) {
       return BatchState.CANCELLED;
     }
     return groups.isEmpty() && doneGroups.isEmpty() ? BatchState.QUEUED : BatchState.RUNNING;
@@ -69,17 +113,18 @@
    */
   public boolean pending() {
     return end.isEmpty()
-        && !cancelled
+        && !cancelled()
         && doneGroups.isEmpty()
         && groups.values().stream().noneMatch(GroupState::mayHaveBegun);
   }
 
-  void setJob(BatchJob next) {
-    job = Optional.of(next);
+  void setDefinition(LogContent.Definition next, long offset) {
+    definition = Optional.of(next);
+    definitionOffset = offset;
   }
 
-  void clearJob() {
-    job = Optional.empty();
+  void clearDefinition() {
+    definition = Optional.empty();
   }
 
   void setEnd(Optional<LogContent.End> next) {
@@ -90,8 +135,9 @@
     doneGroups = next;
   }
 
-  void setCancelled(boolean next) {
-    cancelled = next;
+  void setCancellation(Optional<LogContent.Cancellation> next, long offset) {
+    cancellation = next;
+    cancellationOffset = offset;
   }
 
   void setGroup(GroupKey group, Optional<GroupState> state) {
@@ -103,6 +149,10 @@
   }
 
   boolean isEmpty() {
-    return job.isEmpty() && end.isEmpty() && !cancelled && groups.isEmpty() && doneGroups.isEmpty();
+    return definition.isEmpty()
+        && end.isEmpty()
+        && cancellation.isEmpty()
+        && groups.isEmpty()
+        && doneGroups.isEmpty();
   }
 }
--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobTable.java
@@ -28,8 +28,10 @@
     switch (entry.key().kind()) {
       case TERM -> entry.content().ifPresent(content -> applyTerm(content, offset));
       case GROUP -> applyGroup(entry);
-      case JOB -> applyDefinition(name, entry.content());
-      case CANCEL -> recordFor(name).setCancelled(entry.content().isPresent());
+      case JOB -> applyDefinition(name, entry.content(), offset);
+      case CANCEL ->
+          recordFor(name)
+              .setCancellation(entry.content().map(LogContent.Cancellation.class::cast), offset);
       case END -> recordFor(name).setEnd(entry.content().map(LogContent.End.class::cast));
       case DONE_GROUPS ->
           recordFor(name).setDoneGroups(entry.content().map(LogContent.DoneGroups.class::cast));
@@ -48,7 +50,7 @@
   }
 
   /** Returns what the log has of a job, also if it has no definition of it. */
-  Optional<JobRecord> record(String id) {
+  public Optional<JobRecord> record(String id) {
     return Optional.ofNullable(jobs.get(id));
   }
 
@@ -103,15 +105,27 @@
     return offset + 1;
   }
 
-  private void applyDefinition(String id, Optional<LogContent> content) {
+  private void applyDefinition(String id, Optional<LogContent> content, long offset) {
     JobRecord record = recordFor(id);
     if (content.isEmpty()) {
-      record.clearJob();
-    } else if (record.job().isEmpty()) {
-      record.setJob(((LogContent.Definition) content.get()).job());
+      record.clearDefinition();
+    } else if (record.definition().isEmpty() || record.isVoid()) {
+      record.setDefinition((LogContent.Definition) content.get(), offset);
     }
   }
 
+  /**
+   * Returns the definition of a job that counts, if the record at {@code offset} hides it: the
+   * submission in that record came before a cancellation that the first does not fall under, so
+   * that whoever reads only the newest record of each key would take the job for cancelled.
+   */
+  public Optional<LogContent.Definition> hiddenDefinition(LogEntry latest, long offset) {
+    Optional<JobRecord> record = record(latest.key().name()).filter(known -> !known.isVoid());
+    Optional<LogContent.Definition> next = latest.content().map(LogContent.Definition.class::cast);
+    return next.filter(later -> record.filter(known -> known.isVoid(later, offset)).isPresent())
+        .flatMap(later -> record.get().definition());
+  }
+
   private void applyGroup(LogEntry entry) {
     GroupKey.parse(entry.key().name())
         .ifPresent(
--- a/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/RunSupervisor.java
@@ -516,7 +516,8 @@
     lastSweepAtMs = term.nowMs;
     endedJobs.olderThan(term.settings.retentionMs(), term.nowMs).stream()
         .flatMap(id -> table.record(id).stream())
-        .filter(record -> record.end().isPresent() && record.groups().isEmpty())
+        .filter(record -> record.end().isPresent() || record.isWithoutJob())
+        .filter(record -> record.groups().isEmpty())
         .limit(MAX_JOBS_DROPPED_PER_SWEEP)
         .forEach(record -> drop(record, endedJobs));
     term.flush();
@@ -526,12 +527,12 @@
   private void drop(JobRecord record, EndedJobs endedJobs) {
     endedJobs.remove(record.id());
     term.endedJobs.remove(record.id());
-    long endedMsAgo = term.wallMs - record.end().orElseThrow().endedAtMs();
-    term.logEvent(
-        RunEvent.Kind.JOB_DROPPED,
-        record.id(),
-        "",
-        "ended " + endedMsAgo + " ms ago by the time of day");
+    String reason =
+        record
+            .end()
+            .map(end -> "ended " + (term.wallMs - end.endedAtMs()) + " ms ago by the time of day")
+            .orElse("cancelled and never accepted");
+    term.logEvent(RunEvent.Kind.JOB_DROPPED, record.id(), "", reason);
     term.pendingEntries.add(LogEntry.tombstone(LogKey.job(record.id())));
     term.pendingEntries.add(LogEntry.tombstone(LogKey.cancel(record.id())));
     term.pendingEntries.add(LogEntry.tombstone(LogKey.end(record.id())));
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermTakeOver.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermTakeOver.java
@@ -23,7 +23,9 @@
 
   void takeOver(JobTable table) {
     for (JobRecord record : List.copyOf(table.jobs())) {
-      record.job().ifPresent(job -> takeOver(job, record));
+      if (!record.isVoid()) {
+        record.job().ifPresent(job -> takeOver(job, record));
+      }
       term.effects.onLongWork();
     }
   }
--- a/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
+++ b/core/src/main/java/org/wheatwall/core/batch/model/LogContent.java
@@ -12,11 +12,33 @@
 
 /** Content of a job log record. */
 public sealed interface LogContent {
-  /** Definition of an accepted job. The first record of an identifier counts. */
-  record Definition(BatchJob job) implements LogContent {}
+  /**
+   * Definition of an accepted job. The first record of an identifier counts that no cancellation
+   * made void.
+   *
+   * @param readOffset offset up to which the accepting host had read the log when it took the call
+   *     in; empty in records of earlier versions
+   */
+  record Definition(BatchJob job, OptionalLong readOffset) implements LogContent {
+    /** Creates a definition whose host did not tell how far it had read the log. */
+    public Definition(BatchJob job) {
+      this(job, OptionalLong.empty());
+    }
+  }
 
-  /** Request to cancel a job. */
-  record Cancellation(long requestedAtMs) implements LogContent {}
+  /**
+   * Request to cancel a job.
+   *
+   * @param scope whose jobs it applies to, if the job was not known: it then applies to all
+   *     submissions that were taken in by hosts that had not read it, whenever they are appended,
+   *     and to none after that; empty if the job was known, in which case it applies for good
+   */
+  record Cancellation(long requestedAtMs, Optional<CancelScope> scope) implements LogContent {
+    /** Creates the cancellation of a known job. */
+    public Cancellation(long requestedAtMs) {
+      this(requestedAtMs, Optional.empty());
+    }
+  }
 
   /**
    * End of a job.
--- a/core/src/test/java/org/wheatwall/core/batch/decision/JobTableTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/JobTableTest.java
@@ -4,9 +4,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.CancelScope;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.LogContent;
@@ -125,4 +127,57 @@
     table.apply(LogEntry.of(LogKey.TERM, claim), 41);
     assertThat(table.termNumber()).isEqualTo(42);
   }
+
+  private static LogEntry submittedAt(long readOffset) {
+    return LogEntry.of(
+        LogKey.job(ID), new LogContent.Definition(job("a"), OptionalLong.of(readOffset)));
+  }
+
+  private static LogEntry cancelledUnknown(String workspace) {
+    CancelScope scope = new CancelScope(workspace, Optional.empty());
+    return LogEntry.of(LogKey.cancel(ID), new LogContent.Cancellation(1, Optional.of(scope)));
+  }
+
+  // Guards against a job that runs after its cancellation was answered with "no such job": its
+  // submission was on its way at another host.
+  @Test
+  void aSubmissionBeforeACancellationIsVoidWhereverItStandsInTheLog() {
+    table.apply(cancelledUnknown("w"), 10);
+    table.apply(submittedAt(10), 11);
+    assertThat(table.job(ID).get().isVoid()).isTrue();
+    assertThat(table.job(ID).get().state()).isEqualTo(BatchState.CANCELLED);
+    JobTable inOtherOrder = new JobTable();
+    inOtherOrder.apply(submittedAt(10), 10);
+    inOtherOrder.apply(cancelledUnknown("w"), 11);
+    assertThat(inOtherOrder.job(ID).get().state()).isEqualTo(BatchState.CANCELLED);
+    assertThat(inOtherOrder.job(ID).get().isVoid()).isFalse();
+  }
+
+  @Test
+  void aSubmissionAfterTheCancellationOfAnUnknownJobCounts() {
+    table.apply(cancelledUnknown("w"), 10);
+    table.apply(submittedAt(10), 11);
+    table.apply(submittedAt(11), 12);
+    assertThat(table.job(ID).get().isVoid()).isFalse();
+    assertThat(table.job(ID).get().state()).isEqualTo(BatchState.QUEUED);
+  }
+
+  @Test
+  void aCancellationByAnotherWorkspaceDoesNotApply() {
+    table.apply(cancelledUnknown("other"), 10);
+    table.apply(submittedAt(5), 11);
+    assertThat(table.job(ID).get().state()).isEqualTo(BatchState.QUEUED);
+  }
+
+  // Only the newest record of a key is kept, so the late attempt would hide the accepted one.
+  @Test
+  void aLateVoidAttemptIsToldToHideTheOneThatCounts() {
+    table.apply(cancelledUnknown("w"), 10);
+    table.apply(submittedAt(11), 12);
+    assertThat(table.hiddenDefinition(submittedAt(8), 13))
+        .isEqualTo(table.job(ID).get().definition());
+    table.apply(submittedAt(8), 13);
+    assertThat(table.job(ID).get().state()).isEqualTo(BatchState.QUEUED);
+    assertThat(table.hiddenDefinition(submittedAt(11), 14)).isEmpty();
+  }
 }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchDecider.java
@@ -19,7 +19,9 @@
 import org.wheatwall.core.batch.decision.SupervisorSettings;
 import org.wheatwall.core.batch.decision.TermRule;
 import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
+import org.wheatwall.core.batch.model.LogKey;
 import org.wheatwall.core.batch.model.PermitRequest;
 import org.wheatwall.core.batch.model.PermitResponse;
 import org.wheatwall.core.batch.model.SchedulingRules;
@@ -195,6 +197,13 @@
     decideSoon();
   }
 
+  /** Writes the definition of a job again that a later one hides from new readers. */
+  void rewrite(LogContent.Definition definition) {
+    String id = definition.job().id();
+    context.decisions().log("definition-rewritten", field("job", id), field("term", term));
+    append(List.of(LogEntry.of(LogKey.job(id), definition)));
+  }
+
   void cancel(String jobId) {
     supervisor.cancel(jobId, context.clock().nowMs(), context.clock().wallMs());
   }
--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -16,6 +17,7 @@
 import org.wheatwall.core.batch.decision.WaitSummary;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.CancelScope;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.SchedulingRules;
 import org.wheatwall.core.common.Refusal;
@@ -53,12 +55,13 @@
   private final TermElection election;
   private final HostRoster roster;
   private final AdmissionControl admission;
-  private final JobEndWaiters endWaiters;
+  private final RecordWaiters recordWaiters;
   private final JobCalls calls;
   private boolean announcing;
   private volatile long logRespondedAtMs;
   private volatile WaitSummary waitSummary = WaitSummary.NONE;
   private final LoopLag loopLag;
+  private final ReadOffsets readOffsets;
   private final WorkerPort workers;
   private final int claimDelayMs;
 
@@ -93,14 +96,24 @@
             settings.host(),
             new LogContent.Host(settings.peerAddress(), settings.zone()),
             clock.nowMs());
-    this.endWaiters = new JobEndWaiters(timer);
+    this.recordWaiters = new RecordWaiters(timer);
     this.admission = new AdmissionControl(settings.features(), context);
     JobMemoryLimit memoryLimit =
         new JobMemoryLimit(JobMemory.ofHeap(Runtime.getRuntime().maxMemory()), context);
+    UnknownCancellations unknownCancellations = new UnknownCancellations(context);
+    this.readOffsets = new ReadOffsets(clock.leaseTimeMs());
     RunTimeTracker runTimes = new RunTimeTracker(settings.features().speedAware().enabled());
     this.replica =
         new JobReplica(
-            rule, roster, endWaiters, admission, memoryLimit, clock, decisions, runTimes);
+            rule,
+            roster,
+            recordWaiters,
+            admission,
+            memoryLimit,
+            unknownCancellations,
+            clock,
+            decisions,
+            runTimes);
     this.election = new TermElection(settings, process, context, ports, rule, replica, roster);
     this.replica.setListener(election);
     this.follower =
@@ -116,9 +129,10 @@
             follower,
             replica,
             intake,
-            endWaiters,
-            job ->
-                memoryLimit.check(job).or(() -> admission.check(job, roster.peers().size() + 1)));
+            recordWaiters,
+            job -> memoryLimit.check(job).or(() -> admission.check(job, roster.peers().size() + 1)),
+            unknownCancellations,
+            this::readOffsetAtArrival);
     this.replica.onLogRecovered(this::logRecovered);
     metrics.gauge("batch.jobs.kept", () -> () -> replica.table().jobs().size());
     metrics.gauge("batch.term.held", () -> rule::term);
@@ -143,10 +157,17 @@
    * UNAVAILABLE if the job was not accepted and never runs, LIMIT if it could not end in time,
    * UNKNOWN if that could not be determined.
    *
+   * @param readLimit offset up to which the log counts as read, if this host has read more: that of
+   *     the host that forwards the call
    * @param deadlineMs time on the monotonic clock until which the caller waits, milliseconds
    */
+  public CompletableFuture<Void> submit(BatchJob job, long readLimit, long deadlineMs) {
+    return onLoop(() -> calls.submit(job, readLimit, deadlineMs));
+  }
+
+  /** Accepts a job of a caller that has connected to this host. */
   public CompletableFuture<Void> submit(BatchJob job, long deadlineMs) {
-    return onLoop(() -> calls.submit(job, deadlineMs));
+    return submit(job, Long.MAX_VALUE, deadlineMs);
   }
 
   /**
@@ -171,11 +192,28 @@
    * Requests the cancellation of a job; false if there is no such job. Fails as {@link #submit}
    * does.
    *
+   * @param scope the jobs that the caller may cancel, if this one is not known
    * @param permission throws a {@link Refusal} if the caller may not cancel the job
    */
   public CompletableFuture<Boolean> cancel(
-      String jobId, Consumer<JobSummary> permission, long deadlineMs) {
-    return onLoop(() -> calls.cancel(jobId, permission, deadlineMs));
+      String jobId, CancelScope scope, Consumer<JobSummary> permission, long deadlineMs) {
+    return onLoop(() -> calls.cancel(jobId, scope, permission, deadlineMs));
+  }
+
+  /**
+   * Returns the offset up to which this host had read the log before it stood still, if a call that
+   * is processed now may have arrived meanwhile. A host to which the call is forwarded has to know
+   * it.
+   */
+  public CompletableFuture<OptionalLong> readLimitAfterStandstill() {
+    return onLoop(
+        () ->
+            CompletableFuture.completedFuture(
+                readOffsets.limitAfterStandstill(context.clock().leaseTimeMs())));
+  }
+
+  private long readOffsetAtArrival() {
+    return readOffsets.offsetAtArrival(context.clock().leaseTimeMs(), follower.position());
   }
 
   /**
@@ -302,13 +340,14 @@
   }
 
   private int pauseMs() {
-    boolean awaited = election.decider().isPresent() || endWaiters.hasWaiters();
+    boolean awaited = election.decider().isPresent() || recordWaiters.hasWaiters();
     return awaited ? DECIDER_READ_PAUSE_MS : READ_PAUSE_MS;
   }
 
   private void tick() {
     int periodMs = election.needsFrequentTicks() ? DECIDER_TICK_MS : TICK_MS;
     long dueMs = loopLag.recordTick(periodMs);
+    readOffsets.recordTick(context.clock().leaseTimeMs(), follower.position());
     context.timer().after(periodMs, this::tick);
     logRespondedAtMs = follower.respondedAtMs();
     follower.confirm();
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobIntake.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.CancelScope;
 import org.wheatwall.core.batch.model.LogContent;
 import org.wheatwall.core.batch.model.LogEntry;
 import org.wheatwall.core.batch.model.LogKey;
@@ -33,6 +35,10 @@
    */
   static final int APPEND_TIMEOUT_MS = 900;
 
+  // Longer than any caller waits. A cancellation of a job that is not known is kept for longer, so
+  // that no submission before it is appended after it was dropped.
+  private static final int MAX_UNDECIDED_MS = 60_000;
+
   private final String producerPrefix;
   private final KeyedLog log;
   private final BatchContext context;
@@ -60,8 +66,10 @@
    * Appends a job; calls for the same job share one record as long as it may be appended. Fails
    * with a {@link Refusal}: UNAVAILABLE if the job was not accepted and never runs, UNKNOWN if that
    * is not known.
+   *
+   * @param readOffset offset up to which this host had read the log when the call arrived
    */
-  CompletableFuture<Void> accept(BatchJob job, long deadlineMs) {
+  CompletableFuture<Void> accept(BatchJob job, long readOffset, long deadlineMs) {
     PendingSubmission pending = pendingByJob.get(job.id());
     if (pending != null) {
       return pending.appended();
@@ -71,7 +79,9 @@
             .orElseGet(
                 () ->
                     append(
-                        LogEntry.of(LogKey.job(job.id()), new LogContent.Definition(job)),
+                        LogEntry.of(
+                            LogKey.job(job.id()),
+                            new LogContent.Definition(job, OptionalLong.of(readOffset))),
                         deadlineMs));
     pendingByJob.put(job.id(), new PendingSubmission(job, appended));
     appended.whenComplete((done, failure) -> pendingByJob.remove(job.id()));
@@ -114,9 +124,11 @@
   /**
    * Appends the cancellation of a job, behind all records of it that this host has sent; fails as
    * {@link #accept} does.
+   *
+   * @param scope whose jobs it applies to if the job is not known; empty if it is
    */
-  CompletableFuture<Void> cancel(String jobId, long deadlineMs) {
-    LogContent.Cancellation content = new LogContent.Cancellation(context.clock().wallMs());
+  CompletableFuture<Void> cancel(String jobId, Optional<CancelScope> scope, long deadlineMs) {
+    LogContent.Cancellation content = new LogContent.Cancellation(context.clock().wallMs(), scope);
     return append(LogEntry.of(LogKey.cancel(jobId), content), deadlineMs);
   }
 
@@ -130,12 +142,23 @@
 
   /** Resends unacknowledged records at once, now that the log responds again. */
   void logRecovered() {
+    closeWriterIfStalled();
     writer.resend();
   }
 
   /** Abandons the records whose deadline has passed. */
   void expire() {
     writer.expire();
+    closeWriterIfStalled();
+  }
+
+  // Nobody waits any longer for what it sends, and others may have cancelled it.
+  private void closeWriterIfStalled() {
+    if (!writer.isClosed() && writer.isStalledFor(MAX_UNDECIDED_MS)) {
+      context.decisions().log("submissions-abandoned", field("intake", writers - 1));
+      context.metrics().counter("batch.submissions.abandoned").inc();
+      writer.close("its records have not been decided for " + MAX_UNDECIDED_MS + " ms");
+    }
   }
 
   private CompletableFuture<Void> append(LogEntry entry, long deadlineMs) {
@@ -161,7 +184,15 @@
   private LogWriter newWriter() {
     String producer = producerPrefix + "-" + writers++;
     return new LogWriter(
-        log, producer, 1, 0, context.loop(), context.timer(), context.clock(), sentMs -> {});
+        log,
+        producer,
+        1,
+        0,
+        context.loop(),
+        context.timer(),
+        context.clock(),
+        sentMs -> {},
+        MAX_UNDECIDED_MS);
   }
 
   private static Refusal refusal(LogFailure failure) {
--- a/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/JobReplica.java
@@ -34,11 +34,12 @@
 final class JobReplica implements LogFollower.Listener {
   private final TermRule rule;
   private final HostRoster roster;
-  private final JobEndWaiters endWaiters;
+  private final RecordWaiters recordWaiters;
   private final Clock clock;
   private final DecisionLog decisions;
   private final AdmissionControl admission;
   private final JobMemoryLimit memoryLimit;
+  private final UnknownCancellations unknownCancellations;
   private final RunTimeTracker runTimes;
   private final EndedJobs endedJobs = new EndedJobs();
   private final LeaseStops leaseStops = new LeaseStops();
@@ -52,6 +53,9 @@
     /** Called when a job that has not ended was read; may be called again for the same job. */
     void onJob(BatchJob job);
 
+    /** Called when a definition was read that hides the one that counts from new readers. */
+    void onDefinitionHidden(LogContent.Definition hidden);
+
     /** Called when the cancellation of a job was read. */
     void onCancellation(String jobId);
 
@@ -65,17 +69,19 @@
   JobReplica(
       TermRule rule,
       HostRoster roster,
-      JobEndWaiters endWaiters,
+      RecordWaiters recordWaiters,
       AdmissionControl admission,
       JobMemoryLimit memoryLimit,
+      UnknownCancellations unknownCancellations,
       Clock clock,
       DecisionLog decisions,
       RunTimeTracker runTimes) {
     this.rule = rule;
     this.roster = roster;
-    this.endWaiters = endWaiters;
+    this.recordWaiters = recordWaiters;
     this.admission = admission;
     this.memoryLimit = memoryLimit;
+    this.unknownCancellations = unknownCancellations;
     this.clock = clock;
     this.decisions = decisions;
     this.runTimes = runTimes;
@@ -136,10 +142,14 @@
     resetEndedJobs();
     admission.onReset();
     memoryLimit.onReset();
+    unknownCancellations.onReset();
     for (JobRecord record : List.copyOf(table.jobs())) {
       memoryLimit.onJob(record);
+      unknownCancellations.onChange(record.id(), Optional.of(record));
       addToBacklog(record);
-      record.job().filter(job -> record.end().isEmpty()).ifPresent(listener::onJob);
+      if (record.end().isEmpty() && !record.isVoid()) {
+        record.job().ifPresent(listener::onJob);
+      }
       if (record.cancelled()) {
         listener.onCancellation(record.id());
       }
@@ -150,7 +160,7 @@
   private void resetEndedJobs() {
     Set<String> ended = new HashSet<>();
     table.jobs().stream()
-        .filter(record -> record.end().isPresent())
+        .filter(record -> record.end().isPresent() || record.isWithoutJob())
         .forEach(record -> ended.add(record.id()));
     endedJobs.retainAll(ended);
     ended.forEach(id -> endedJobs.add(id, clock.nowMs()));
@@ -166,6 +176,9 @@
     long termBefore = table.termNumber();
     Optional<GroupState> groupBefore = groupState(entry.key());
     boolean retries = groupBefore.isPresent() && isPending(entry.key());
+    if (entry.key().kind() == LogKey.Kind.JOB) {
+      table.hiddenDefinition(entry, offset).ifPresent(listener::onDefinitionHidden);
+    }
     table.apply(entry, offset);
     applyToLeaseStops(entry, offset);
     if (retries && !isPending(entry.key())) {
@@ -183,12 +196,11 @@
       case TERM -> onTerm((LogContent.Term) entry.content().orElseThrow(), offset);
       case JOB -> {
         memoryLimit.onJobDropped(key.name());
+        unknownCancellations.onChange(key.name(), table.record(key.name()));
         table.job(key.name()).ifPresent(this::onJob);
+        recordWaiters.onRecord(key);
       }
-      case CANCEL -> {
-        admission.onJobClosed(key.name());
-        listener.onCancellation(key.name());
-      }
+      case CANCEL -> onCancellation(key.name());
       case HOST -> roster.recordSeen(key.name(), clock.nowMs());
       case END -> onEnd(key.name(), entry.content().isPresent());
       case GROUP ->
@@ -217,7 +229,8 @@
 
   private void onJob(JobRecord record) {
     memoryLimit.onJob(record);
-    if (record.end().isEmpty()) {
+    if (record.end().isEmpty() && !record.isVoid()) {
+      endedJobs.remove(record.id());
       addToBacklog(record);
       record.job().ifPresent(listener::onJob);
     }
@@ -227,6 +240,19 @@
     }
   }
 
+  private void onCancellation(String jobId) {
+    Optional<JobRecord> record = table.record(jobId);
+    unknownCancellations.onChange(jobId, record);
+    if (record.filter(JobRecord::isWithoutJob).isPresent()) {
+      // The time until it is dropped counts from the latest one.
+      endedJobs.remove(jobId);
+      endedJobs.add(jobId, clock.nowMs());
+    } else if (record.filter(JobRecord::cancelled).isPresent()) {
+      admission.onJobClosed(jobId);
+      listener.onCancellation(jobId);
+    }
+  }
+
   private void onEnd(String jobId, boolean ended) {
     table.job(jobId).ifPresent(memoryLimit::onJob);
     if (ended) {
@@ -235,7 +261,7 @@
       endedJobs.remove(jobId);
     }
     admission.onJobClosed(jobId);
-    endWaiters.jobEnded(jobId);
+    recordWaiters.onRecord(LogKey.end(jobId));
   }
 
   private void addToBacklog(JobRecord record) {
--- a/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/TermElection.java
@@ -253,6 +253,11 @@
     decider.ifPresent(current -> current.accept(job));
   }
 
+  @Override
+  public void onDefinitionHidden(LogContent.Definition hidden) {
+    decider.ifPresent(current -> current.rewrite(hidden));
+  }
+
   @Override
   public void onCancellation(String jobId) {
     decider.ifPresent(current -> current.cancel(jobId));
--- a/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/log/LogWriter.java
@@ -40,6 +40,7 @@
   private final LoopTimer timer;
   private final Clock clock;
   private final LongConsumer onAppended;
+  private final long maxRetryMs;
   private final Deque<PendingAppend> queue = new ArrayDeque<>();
   private Optional<AppendBatch> inFlight = Optional.empty();
   private CompletableFuture<Void> appendedSoFar = CompletableFuture.completedFuture(null);
@@ -47,12 +48,26 @@
   private boolean closed;
   private int backoffMs = FIRST_BACKOFF_MS;
 
+  /** Creates a writer that retries until the log responds. */
+  public LogWriter(
+      KeyedLog log,
+      String producer,
+      long epoch,
+      long firstSequence,
+      Executor loop,
+      LoopTimer timer,
+      Clock clock,
+      LongConsumer onAppended) {
+    this(log, producer, epoch, firstSequence, loop, timer, clock, onAppended, Long.MAX_VALUE);
+  }
+
   /**
    * Creates a writer.
    *
    * @param firstSequence sequence number of its first call
    * @param onAppended called for each successful call with the lease time at which it was first
    *     sent
+   * @param maxRetryMs time after which records in flight are not sent again, milliseconds
    */
   public LogWriter(
       KeyedLog log,
@@ -62,7 +77,8 @@
       Executor loop,
       LoopTimer timer,
       Clock clock,
-      LongConsumer onAppended) {
+      LongConsumer onAppended,
+      long maxRetryMs) {
     this.log = log;
     this.producer = producer;
     this.epoch = epoch;
@@ -71,6 +87,7 @@
     this.timer = timer;
     this.clock = clock;
     this.onAppended = onAppended;
+    this.maxRetryMs = maxRetryMs;
   }
 
   /**
@@ -177,7 +194,7 @@
    * Returns whether a batch has been in flight for at least {@code ms} milliseconds, including
    * retries.
    */
-  public boolean isStalledFor(int ms) {
+  public boolean isStalledFor(long ms) {
     return inFlight.filter(batch -> clock.leaseTimeMs() - batch.startedMs() >= ms).isPresent();
   }
 
@@ -245,6 +262,9 @@
   }
 
   private void send(AppendBatch batch) {
+    if (clock.leaseTimeMs() - batch.startedMs() >= maxRetryMs) {
+      return;
+    }
     int call = batch.recordSent(clock.leaseTimeMs());
     LoopCallbacks.whenDone(
         log.append(
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedJobs.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedJobs.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.CancelScope;
 import org.wheatwall.core.batch.model.StepSpec;
 import org.wheatwall.core.job.model.HostSharing;
 import org.wheatwall.core.job.model.ResourceAmount;
@@ -10,6 +11,9 @@
 
 /** Jobs of one step for simulated workers. */
 final class SimulatedJobs {
+  /** A caller of the workspace of all jobs. */
+  static final CancelScope ANY_OWNER = new CancelScope("workspace", Optional.empty());
+
   private static final int MAX_ATTEMPTS = 4;
 
   private SimulatedJobs() {}
--- a/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/SimulatedStore.java
@@ -84,6 +84,11 @@
     return records.stream().filter(record -> record.key().equals(key)).count();
   }
 
+  /** Returns whether a key has a value. */
+  boolean holds(String key) {
+    return newest.containsKey(key);
+  }
+
   KeyedLog logOf(SimulatedHost host) {
     return new KeyedLog() {
       @Override
--- a/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
+++ b/entry/src/test/java/org/wheatwall/entry/batch/log/LogWriterTest.java
@@ -296,4 +296,20 @@
     }
     assertThat(sent).isEqualTo(records);
   }
+
+  // Guards against a submission that is appended long after its submitter has given it up.
+  @Test
+  void recordsInFlightAreNotSentAgainAfterTheLimit() {
+    LogWriter limited =
+        new LogWriter(log, "q", 1, 0, Runnable::run, this::schedule, clock, confirmed::add, 60_000);
+    limited.append(List.of(new KeyedRecord("a", new byte[1])), nowMs + 900);
+    nowMs += 59_000;
+    limited.resend();
+    assertThat(log.calls).hasSize(2);
+    nowMs += 1000;
+    limited.resend();
+    log.fail(LogFailure.Kind.UNKNOWN);
+    timers.forEach(Runnable::run);
+    assertThat(log.calls).hasSize(2);
+  }
 }
--- a/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
+++ b/wire/src/main/java/org/wheatwall/wire/batch/JobLogCodec.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import org.wheatwall.core.batch.model.BatchJob;
 import org.wheatwall.core.batch.model.BatchState;
+import org.wheatwall.core.batch.model.CancelScope;
 import org.wheatwall.core.batch.model.GroupMember;
 import org.wheatwall.core.batch.model.GroupPhase;
 import org.wheatwall.core.batch.model.GroupState;
@@ -27,6 +28,7 @@
 import org.wheatwall.wire.message.BatchJobRecord;
 import org.wheatwall.wire.message.BatchStepRecord;
 import org.wheatwall.wire.message.CancelRecord;
+import org.wheatwall.wire.message.CancelScopeRecord;
 import org.wheatwall.wire.message.DoneGroupsRecord;
 import org.wheatwall.wire.message.DoneOccurrenceRecord;
 import org.wheatwall.wire.message.GroupMemberRecord;
@@ -72,13 +74,10 @@
 
   private static byte[] bytes(LogContent content) {
     if (content instanceof LogContent.Definition definition) {
-      return job(definition.job()).toByteArray();
+      return definition(definition).toByteArray();
     }
     if (content instanceof LogContent.Cancellation cancellation) {
-      return CancelRecord.newBuilder()
-          .setRequestedAtMs(cancellation.requestedAtMs())
-          .build()
-          .toByteArray();
+      return cancellation(cancellation).toByteArray();
     }
     if (content instanceof LogContent.End end) {
       return JobEndRecord.newBuilder()
@@ -110,8 +109,8 @@
   private static LogContent content(LogKey key, byte[] value)
       throws InvalidProtocolBufferException {
     return switch (key.kind()) {
-      case JOB -> new LogContent.Definition(job(key.name(), BatchJobRecord.parseFrom(value)));
-      case CANCEL -> new LogContent.Cancellation(CancelRecord.parseFrom(value).getRequestedAtMs());
+      case JOB -> definition(key.name(), BatchJobRecord.parseFrom(value));
+      case CANCEL -> cancellation(CancelRecord.parseFrom(value));
       case END -> end(JobEndRecord.parseFrom(value));
       case GROUP -> new LogContent.Group(group(GroupRecord.parseFrom(value)));
       case TERM -> term(TermRecord.parseFrom(value));
@@ -164,7 +163,42 @@
             .toList());
   }
 
-  private static BatchJobRecord job(BatchJob job) {
+  private static CancelRecord cancellation(LogContent.Cancellation cancellation) {
+    CancelRecord.Builder record =
+        CancelRecord.newBuilder().setRequestedAtMs(cancellation.requestedAtMs());
+    cancellation
+        .scope()
+        .ifPresent(
+            scope ->
+                record.setScope(
+                    CancelScopeRecord.newBuilder()
+                        .setWorkspace(scope.workspace())
+                        .setOpenQueue(scope.openQueue().orElse(""))));
+    return record.build();
+  }
+
+  private static LogContent.Cancellation cancellation(CancelRecord record) {
+    CancelScopeRecord scope = record.getScope();
+    return new LogContent.Cancellation(
+        record.getRequestedAtMs(),
+        record.hasScope()
+            ? Optional.of(new CancelScope(scope.getWorkspace(), text(scope.getOpenQueue())))
+            : Optional.empty());
+  }
+
+  private static BatchJobRecord definition(LogContent.Definition definition) {
+    BatchJobRecord.Builder record = job(definition.job());
+    definition.readOffset().ifPresent(record::setReadOffset);
+    return record.build();
+  }
+
+  private static LogContent.Definition definition(String id, BatchJobRecord record) {
+    return new LogContent.Definition(
+        job(id, record),
+        record.hasReadOffset() ? OptionalLong.of(record.getReadOffset()) : OptionalLong.empty());
+  }
+
+  private static BatchJobRecord.Builder job(BatchJob job) {
     BatchJobRecord.Builder record =
         BatchJobRecord.newBuilder()
             .setQueue(job.queue())
@@ -182,7 +216,7 @@
                     .setTimes(recurrence.times())
                     .setFirstDueMs(recurrence.firstDueMs())
                     .setIntervalMs(recurrence.intervalMs()));
-    return record.build();
+    return record;
   }
 
   private static BatchJob job(String id, BatchJobRecord record) {
--- a/wire/src/main/java/org/wheatwall/wire/message/BatchJobRecord.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/BatchJobRecord.java
@@ -25,6 +25,7 @@
     specification_ = "";
     steps_ = emptyProtobufList();
   }
+  private int bitField0_;
   public static final int QUEUE_FIELD_NUMBER = 1;
   private java.lang.String queue_;
   /**
@@ -475,6 +476,60 @@
     intervalMs_ = 0L;
   }
 
+  public static final int READ_OFFSET_FIELD_NUMBER = 12;
+  private long readOffset_;
+  /**
+   * <pre>
+   * Offset up to which the accepting host had read the log when it took the call in; missing in
+   * records of hosts that did not tell.
+   * </pre>
+   *
+   * <code>optional int64 read_offset = 12;</code>
+   * @return Whether the readOffset field is set.
+   */
+  @java.lang.Override
+  public boolean hasReadOffset() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Offset up to which the accepting host had read the log when it took the call in; missing in
+   * records of hosts that did not tell.
+   * </pre>
+   *
+   * <code>optional int64 read_offset = 12;</code>
+   * @return The readOffset.
+   */
+  @java.lang.Override
+  public long getReadOffset() {
+    return readOffset_;
+  }
+  /**
+   * <pre>
+   * Offset up to which the accepting host had read the log when it took the call in; missing in
+   * records of hosts that did not tell.
+   * </pre>
+   *
+   * <code>optional int64 read_offset = 12;</code>
+   * @param value The readOffset to set.
+   */
+  private void setReadOffset(long value) {
+    bitField0_ |= 0x00000001;
+    readOffset_ = value;
+  }
+  /**
+   * <pre>
+   * Offset up to which the accepting host had read the log when it took the call in; missing in
+   * records of hosts that did not tell.
+   * </pre>
+   *
+   * <code>optional int64 read_offset = 12;</code>
+   */
+  private void clearReadOffset() {
+    bitField0_ = (bitField0_ & ~0x00000001);
+    readOffset_ = 0L;
+  }
+
   public static org.wheatwall.wire.message.BatchJobRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1054,6 +1109,62 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Offset up to which the accepting host had read the log when it took the call in; missing in
+     * records of hosts that did not tell.
+     * </pre>
+     *
+     * <code>optional int64 read_offset = 12;</code>
+     * @return Whether the readOffset field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadOffset() {
+      return instance.hasReadOffset();
+    }
+    /**
+     * <pre>
+     * Offset up to which the accepting host had read the log when it took the call in; missing in
+     * records of hosts that did not tell.
+     * </pre>
+     *
+     * <code>optional int64 read_offset = 12;</code>
+     * @return The readOffset.
+     */
+    @java.lang.Override
+    public long getReadOffset() {
+      return instance.getReadOffset();
+    }
+    /**
+     * <pre>
+     * Offset up to which the accepting host had read the log when it took the call in; missing in
+     * records of hosts that did not tell.
+     * </pre>
+     *
+     * <code>optional int64 read_offset = 12;</code>
+     * @param value The readOffset to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadOffset(long value) {
+      copyOnWrite();
+      instance.setReadOffset(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Offset up to which the accepting host had read the log when it took the call in; missing in
+     * records of hosts that did not tell.
+     * </pre>
+     *
+     * <code>optional int64 read_offset = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadOffset() {
+      copyOnWrite();
+      instance.clearReadOffset();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.BatchJobRecord)
   }
   @java.lang.Override
@@ -1070,6 +1181,7 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "queue_",
             "service_",
             "workspace_",
@@ -1082,11 +1194,12 @@
             "times_",
             "firstDueMs_",
             "intervalMs_",
+            "readOffset_",
           };
           java.lang.String info =
-              "\u0000\u000b\u0000\u0000\u0001\u000b\u000b\u0000\u0001\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0208\u0004\u0208\u0005\u001b\u0006\u000b\u0007\u000b\b\u0002\t\u000b\n\u0002" +
-              "\u000b\u0002";
+              "\u0000\f\u0000\u0001\u0001\f\f\u0000\u0001\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
+              "\u0004\u0208\u0005\u001b\u0006\u000b\u0007\u000b\b\u0002\t\u000b\n\u0002\u000b\u0002" +
+              "\f\u1002\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/BatchJobRecordOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/BatchJobRecordOrBuilder.java
@@ -111,4 +111,25 @@
    * @return The intervalMs.
    */
   long getIntervalMs();
+
+  /**
+   * <pre>
+   * Offset up to which the accepting host had read the log when it took the call in; missing in
+   * records of hosts that did not tell.
+   * </pre>
+   *
+   * <code>optional int64 read_offset = 12;</code>
+   * @return Whether the readOffset field is set.
+   */
+  boolean hasReadOffset();
+  /**
+   * <pre>
+   * Offset up to which the accepting host had read the log when it took the call in; missing in
+   * records of hosts that did not tell.
+   * </pre>
+   *
+   * <code>optional int64 read_offset = 12;</code>
+   * @return The readOffset.
+   */
+  long getReadOffset();
 }
--- a/wire/src/main/java/org/wheatwall/wire/message/CancelRecord.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/CancelRecord.java
@@ -20,6 +20,7 @@
     CancelRecordOrBuilder {
   private CancelRecord() {
   }
+  private int bitField0_;
   public static final int REQUESTED_AT_MS_FIELD_NUMBER = 1;
   private long requestedAtMs_;
   /**
@@ -46,6 +47,73 @@
     requestedAtMs_ = 0L;
   }
 
+  public static final int SCOPE_FIELD_NUMBER = 2;
+  private org.wheatwall.wire.message.CancelScopeRecord scope_;
+  /**
+   * <pre>
+   * Whose jobs it applies to; missing if the job was known and its owner was checked.
+   * </pre>
+   *
+   * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+   */
+  @java.lang.Override
+  public boolean hasScope() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Whose jobs it applies to; missing if the job was known and its owner was checked.
+   * </pre>
+   *
+   * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+   */
+  @java.lang.Override
+  public org.wheatwall.wire.message.CancelScopeRecord getScope() {
+    return scope_ == null ? org.wheatwall.wire.message.CancelScopeRecord.getDefaultInstance() : scope_;
+  }
+  /**
+   * <pre>
+   * Whose jobs it applies to; missing if the job was known and its owner was checked.
+   * </pre>
+   *
+   * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+   */
+  private void setScope(org.wheatwall.wire.message.CancelScopeRecord value) {
+    java.util.Objects.requireNonNull(value);
+    scope_ = value;
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <pre>
+   * Whose jobs it applies to; missing if the job was known and its owner was checked.
+   * </pre>
+   *
+   * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+   */
+  @java.lang.SuppressWarnings("ReferenceEquality")
+  private void mergeScope(org.wheatwall.wire.message.CancelScopeRecord value) {
+    java.util.Objects.requireNonNull(value);
+    if (scope_ != null &&
+        scope_ != org.wheatwall.wire.message.CancelScopeRecord.getDefaultInstance()) {
+      scope_ =
+        org.wheatwall.wire.message.CancelScopeRecord.newBuilder(scope_).mergeFrom(value).buildPartial();
+    } else {
+      scope_ = value;
+    }
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <pre>
+   * Whose jobs it applies to; missing if the job was known and its owner was checked.
+   * </pre>
+   *
+   * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+   */
+  private void clearScope() {
+    scope_ = null;
+    bitField0_ = (bitField0_ & ~0x00000001);
+  }
+
   public static org.wheatwall.wire.message.CancelRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -175,6 +243,77 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Whose jobs it applies to; missing if the job was known and its owner was checked.
+     * </pre>
+     *
+     * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+     */
+    @java.lang.Override
+    public boolean hasScope() {
+      return instance.hasScope();
+    }
+    /**
+     * <pre>
+     * Whose jobs it applies to; missing if the job was known and its owner was checked.
+     * </pre>
+     *
+     * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+     */
+    @java.lang.Override
+    public org.wheatwall.wire.message.CancelScopeRecord getScope() {
+      return instance.getScope();
+    }
+    /**
+     * <pre>
+     * Whose jobs it applies to; missing if the job was known and its owner was checked.
+     * </pre>
+     *
+     * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+     */
+    public Builder setScope(org.wheatwall.wire.message.CancelScopeRecord value) {
+      copyOnWrite();
+      instance.setScope(value);
+      return this;
+      }
+    /**
+     * <pre>
+     * Whose jobs it applies to; missing if the job was known and its owner was checked.
+     * </pre>
+     *
+     * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+     */
+    public Builder setScope(
+        org.wheatwall.wire.message.CancelScopeRecord.Builder builderForValue) {
+      copyOnWrite();
+      instance.setScope(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Whose jobs it applies to; missing if the job was known and its owner was checked.
+     * </pre>
+     *
+     * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+     */
+    public Builder mergeScope(org.wheatwall.wire.message.CancelScopeRecord value) {
+      copyOnWrite();
+      instance.mergeScope(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Whose jobs it applies to; missing if the job was known and its owner was checked.
+     * </pre>
+     *
+     * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+     */
+    public Builder clearScope() {  copyOnWrite();
+      instance.clearScope();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wheatwall.CancelRecord)
   }
   @java.lang.Override
@@ -191,10 +330,13 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "requestedAtMs_",
+            "scope_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0002";
+              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0002\u0002\u1009" +
+              "\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/wheatwall/wire/message/CancelRecordOrBuilder.java
+++ b/wire/src/main/java/org/wheatwall/wire/message/CancelRecordOrBuilder.java
@@ -15,4 +15,23 @@
    * @return The requestedAtMs.
    */
   long getRequestedAtMs();
+
+  /**
+   * <pre>
+   * Whose jobs it applies to; missing if the job was known and its owner was checked.
+   * </pre>
+   *
+   * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+   * @return Whether the scope field is set.
+   */
+  boolean hasScope();
+  /**
+   * <pre>
+   * Whose jobs it applies to; missing if the job was known and its owner was checked.
+   * </pre>
+   *
+   * <code>optional .wheatwall.CancelScopeRecord scope = 2;</code>
+   * @return The scope.
+   */
+  org.wheatwall.wire.message.CancelScopeRecord getScope();
 }
--- a/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
+++ b/wire/src/test/java/org/wheatwall/wire/batch/JobLogCodecTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wheatwall.core.batch.model.BatchJob;
+import org.wheatwall.core.batch.model.CancelScope;
 import org.wheatwall.core.batch.model.GroupKey;
 import org.wheatwall.core.batch.model.GroupState;
 import org.wheatwall.core.batch.model.LogContent;
@@ -159,6 +160,17 @@
     }
   }
 
+  @Test
+  void whoseJobsACancellationAppliesToIsReadAsItWasWritten() {
+    for (Optional<CancelScope> scope :
+        List.of(
+            Optional.<CancelScope>empty(),
+            Optional.of(new CancelScope("w", Optional.empty())),
+            Optional.of(new CancelScope("w", Optional.of("q"))))) {
+      assertReadAsWritten(LogEntry.of(LogKey.cancel(ID), new LogContent.Cancellation(5, scope)));
+    }
+  }
+
   @Test
   void doneGroupsAreReadAsTheyWereWritten() {
     BitSet groups = new BitSet();
