Groups of a large job queue behind what waits when they are released

Cause: a pass starts at most 64 groups, and the next groups of the large job, of which 1,000 waited, went ahead of every later job, since each group counted as waiting since the job was accepted.

The groups of jobs of 1,000 groups or more now queue from when they are released, and 256 of such a job wait at a time instead of 1,000. Smaller jobs are ordered as before. Due times that are held back count as held back, so that placed groups are replaced after each pass and not only at the next end or tick, and JOB_PARTLY_RELEASED is logged once a job.

LargeJobsTest#jobThatIsAcceptedAfterALargeOneStartsSoon fails with 1,000 waiting groups and the former order.

--- a/core/src/main/java/org/wheatwall/core/batch/decision/JobProgress.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/JobProgress.java
@@ -28,8 +28,7 @@
   /** Done groups that are folded into the job's record together. */
   static final int FOLDED_TOGETHER = 256;
 
-  // Jobs with fewer groups keep a record of each until they end.
-  private static final int MIN_GROUPS_OF_FOLDED_JOBS = 1000;
+  private static final int MIN_GROUPS_OF_LARGE_JOBS = 1000;
   private static final int MAX_FOLDED_BYTES = 32 * 1024;
   private static final int MAX_STEPS_OF_OPEN_OCCURRENCES = 100_000;
   private static final int MIN_OPEN_OCCURRENCES = 2;
@@ -43,8 +42,9 @@
   private final TreeSet<OpenStep> partlyReleased = new TreeSet<>(OpenStep.ORDER);
   private final List<GroupKey> doneWithRecord = new ArrayList<>();
   private final FoldedGroups folded;
-  private final boolean foldable;
+  private final boolean large;
   private int nextOccurrence;
+  private boolean heldBack;
   private boolean closed;
 
   /** Done groups whose records are replaced by one. */
@@ -61,13 +61,21 @@
     GroupNumbering numbering = new GroupNumbering(job);
     this.folded = new FoldedGroups(numbering);
     long groups = (long) numbering.groupsOfOccurrence() * job.occurrences();
-    this.foldable = groups >= MIN_GROUPS_OF_FOLDED_JOBS;
+    this.large = groups >= MIN_GROUPS_OF_LARGE_JOBS;
   }
 
   BatchJob job() {
     return job;
   }
 
+  /**
+   * Returns whether the job has so many groups that only some of them wait in the queue at a time,
+   * and that done ones are folded.
+   */
+  boolean large() {
+    return large;
+  }
+
   /** Returns when the job was accepted, milliseconds of the decision loop's monotonic clock. */
   long submittedAtMs() {
     return submittedAtMs;
@@ -144,7 +152,7 @@
    * record to be written before the others are dropped.
    */
   Optional<Fold> foldDoneGroups() {
-    boolean due = foldable && doneWithRecord.size() >= FOLDED_TOGETHER;
+    boolean due = large && doneWithRecord.size() >= FOLDED_TOGETHER;
     if (!due || folded.bytes() > MAX_FOLDED_BYTES) {
       return Optional.empty();
     }
@@ -199,8 +207,15 @@
   }
 
   /** Returns whether groups may start that were not released because of the limit. */
-  boolean isPartlyReleased() {
-    return !closed && !partlyReleased.isEmpty();
+  boolean isPartlyReleased(long wallMs) {
+    return !closed && (!partlyReleased.isEmpty() || isNextOccurrenceDue(wallMs));
+  }
+
+  /** Records that groups were held back by the limit; returns whether that is so the first time. */
+  boolean markHeldBack() {
+    boolean first = !heldBack;
+    heldBack = true;
+    return first;
   }
 
   /**
@@ -243,17 +258,18 @@
     skipDoneOccurrences();
     int maxOpen =
         Math.max(MIN_OPEN_OCCURRENCES, MAX_STEPS_OF_OPEN_OCCURRENCES / job.steps().size());
-    if (nextOccurrence >= job.occurrences() || occurrences.size() >= maxOpen) {
-      return false;
-    }
-    Optional<Long> due = job.dueMs(nextOccurrence);
-    if (due.isPresent() && wallMs < due.get()) {
+    if (!isNextOccurrenceDue(wallMs) || occurrences.size() >= maxOpen) {
       return false;
     }
     open(occurrence(nextOccurrence++));
     return true;
   }
 
+  private boolean isNextOccurrenceDue(long wallMs) {
+    return nextOccurrence < job.occurrences()
+        && job.dueMs(nextOccurrence).filter(dueMs -> wallMs < dueMs).isEmpty();
+  }
+
   private void open(OccurrenceProgress occurrence) {
     if (!occurrence.opened()) {
       occurrence.open();
--- a/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
+++ b/core/src/main/java/org/wheatwall/core/batch/decision/TermState.java
@@ -25,7 +25,8 @@
   private static final int MAX_REMEMBERED_ENDED_JOBS = 10_000;
   // A waiting group needs a kilobyte of the heap.
   private static final int MAX_WAITING_GROUPS = 16_000;
-  private static final int MAX_WAITING_GROUPS_OF_JOB = 1000;
+  // A few times as many as one pass starts. Jobs that are accepted later wait behind them.
+  private static final int MAX_WAITING_GROUPS_OF_LARGE_JOB = 256;
 
   final SupervisorSettings settings;
   final RunEffects effects;
@@ -144,15 +145,15 @@
    * Others follow as these are placed.
    */
   void submitReady(JobProgress progress) {
-    boolean wasPartlyReleased = progress.isPartlyReleased();
     int room = MAX_WAITING_GROUPS - scheduler.waiting().size();
-    int maxWaiting = Math.max(1, Math.min(MAX_WAITING_GROUPS_OF_JOB, room));
+    int limit = progress.large() ? MAX_WAITING_GROUPS_OF_LARGE_JOB : MAX_WAITING_GROUPS;
+    int maxWaiting = Math.max(1, Math.min(limit, room));
     for (GroupKey group : progress.releaseReadyGroups(wallMs, maxWaiting)) {
       if (runs.ofGroup(group).isEmpty()) {
         submit(progress, group);
       }
     }
-    if (progress.isPartlyReleased() && !wasPartlyReleased) {
+    if (progress.isPartlyReleased(wallMs) && progress.markHeldBack()) {
       logEvent(
           RunEvent.Kind.JOB_PARTLY_RELEASED,
           progress.job().id(),
@@ -176,7 +177,7 @@
   /** Submits further groups of the jobs of which groups were placed since the last call. */
   void replacePlacedGroups() {
     for (JobProgress progress : placedFrom) {
-      if (progress.isPartlyReleased()) {
+      if (progress.isPartlyReleased(wallMs)) {
         submitReady(progress);
       }
     }
@@ -195,7 +196,10 @@
     permits.addGroup(progress.job(), group);
     waits.startWait(group);
     preferenceRelaxation.onWaitStarted(group);
-    scheduler.submit(group.text(), toSchedulerJob(progress, group), progress.submittedAtMs());
+    // The groups of a large job go behind what waits when they are released, so that a job with
+    // more groups than can be started for minutes does not hold up all that come after it.
+    long queuedAtMs = progress.large() ? nowMs : progress.submittedAtMs();
+    scheduler.submit(group.text(), toSchedulerJob(progress, group), queuedAtMs);
     dirty = true;
   }
 
--- a/core/src/test/java/org/wheatwall/core/batch/decision/LargeJobsTest.java
+++ b/core/src/test/java/org/wheatwall/core/batch/decision/LargeJobsTest.java
@@ -82,6 +82,21 @@
     accept(overdue(20, 10_000));
     assertThat(waiting()).isGreaterThan(0);
     assertThat(waiting()).isAtMost(MAX_WAITING);
+    assertThat(effects.events.stream().map(RunEvent::kind))
+        .contains(RunEvent.Kind.JOB_PARTLY_RELEASED);
+  }
+
+  // Guards against a job that makes progress only when a task of it ends or at the next tick.
+  @Test
+  void placedGroupsAreReplacedAfterTheSamePass() {
+    accept(overdue(20, 10_000));
+    int before = waiting();
+    listWorker("a");
+    decideIfDue(WALL_MS);
+    assertThat(effects.events.stream().map(RunEvent::kind))
+        .doesNotContain(RunEvent.Kind.GROUP_WAITS);
+    assertThat(supervisor.runningGroups()).isNotEmpty();
+    assertThat(waiting()).isAtLeast(before);
   }
 
   @Test
@@ -115,6 +130,39 @@
     assertThat(steps).isEqualTo(1000);
   }
 
+  // Guards against a job that stands beside free workers until all tasks of an earlier one started:
+  // there is room for 1,000 of these, and a pass starts 64.
+  @Test
+  void jobThatIsAcceptedAfterALargeOneStartsSoon() {
+    listWorker("a");
+    StepSpec small = step(20, false, false, 0);
+    StepSpec smallest =
+        new StepSpec(
+            small.tasks(),
+            new ResourceAmount(1, 0, 0),
+            small.estimateMs(),
+            List.of(),
+            false,
+            false,
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false,
+            HostSharing.ORDINARY);
+    accept(job(ID, smallest, Optional.of(new Recurrence(WALL_MS - 10_000, 1, 10_000)), 1, 2));
+    nowMs += 1000;
+    accept(job(String.format("%016x", 7), small, Optional.empty(), 1, 2));
+    String id = String.format("%016x", 7);
+    int rounds = 0;
+    while (effects.starts.stream().noneMatch(start -> start.task().jobId().equals(id))) {
+      assertThat(rounds++).isLessThan(20);
+      effects.acknowledgeAll();
+      report("a", List.of(), endNewStarts());
+      tick(WALL_MS);
+    }
+  }
+
   @Test
   void recurringJobWithManyTasksRunsEachOnceAndKeepsFewRecords() {
     listWorker("a");
