--- a/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
+++ b/entry/src/main/java/org/wheatwall/entry/batch/BatchHost.java
@@ -134,6 +134,12 @@
             unknownCancellations,
             this::readOffsetAtArrival);
     this.replica.onLogRecovered(this::logRecovered);
+    registerGauges(metrics, rule);
+    this.loopLag = new LoopLag(clock, decisions, metrics.histogram("batch.loop-late-ms"));
+    metrics.gauge("log.lines.left-out", () -> decisions::droppedLines);
+  }
+
+  private void registerGauges(MetricRegistry metrics, TermRule rule) {
     metrics.gauge("batch.jobs.kept", () -> () -> replica.table().jobs().size());
     metrics.gauge("batch.term.held", () -> rule::term);
     metrics.gauge("batch.peers.known", () -> () -> roster.peers().size());
@@ -142,8 +148,6 @@
     metrics.gauge("batch.groups.longest-wait-ms", () -> () -> waitSummary.longestMs());
     metrics.gauge("batch.workers.usable", () -> () -> waitSummary.usableWorkers());
     metrics.gauge("batch.workers.listed", () -> () -> waitSummary.listedWorkers());
-    this.loopLag = new LoopLag(clock, decisions, metrics.histogram("batch.loop-late-ms"));
-    metrics.gauge("log.lines.left-out", () -> decisions::droppedLines);
   }
 
   /** Starts to read the job log. */
